--- /dev/null
+++ b/adapter/src/instance.rs
@@ -0,0 +1,352 @@
+//! The instances of one process: each turns its events straight into calls on its relay, and what the relay asks for
+//! straight into records. Ids of the wire become small indices here; instances share nothing.
+use crate::frame::{Action, Batch, Fields, Reply};
+use crate::settings::{self, ReportPlaces};
+use std::collections::{BTreeMap, HashMap};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use thistlecroft::balance::Relay;
+use thistlecroft::front::{Arrival, Front, ListScope, Listing, Report, Standing, Verdict};
+use thistlecroft::ids::{BackendId, CellId, ListenerId, SessionId, ZoneId};
+use thistlecroft::units::{Moment, Span};
+
+type Address = [u8; 6];
+
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u16, Instance>,
+}
+
+struct Instance {
+    relay: Relay,
+    names: Names,
+    places: ReportPlaces,
+    listeners: usize,
+}
+
+/// What stands for what on this instance's wire. Looked up only, never walked, so hash order can't show.
+#[derive(Default)]
+struct Names {
+    sessions: HashMap<u64, SessionId>,
+    wire_ids: HashMap<u32, u64>,
+    next_session: u32,
+    backends: HashMap<Address, BackendId>,
+    addresses: Vec<Address>,
+}
+
+struct Door<'a> {
+    number: u16,
+    names: &'a mut Names,
+    reply: &'a mut Reply,
+}
+
+impl Host {
+    pub fn answer(&mut self, batch: &Batch) -> Result<Vec<u8>, String> {
+        let mut reply = Reply::default();
+        let now = Moment::from_us(batch.clock);
+        for (at, event) in batch.events().enumerate() {
+            let number = event.u16(2);
+            // A fault in the decisions stops the day with its text instead of a dead process.
+            let done = catch_unwind(AssertUnwindSafe(|| {
+                self.take(batch, event, number, now, &mut reply)
+            }));
+            match done {
+                Ok(done) => done.map_err(|fault| format!("record {at}: {fault}"))?,
+                Err(panic) => {
+                    let text = panic.downcast_ref::<String>().map(String::as_str);
+                    let text = text
+                        .or_else(|| panic.downcast_ref::<&str>().copied())
+                        .unwrap_or("fault");
+                    reply.push_text(Action::new(1120, number), text);
+                    self.instances.remove(&number);
+                }
+            }
+        }
+        Ok(reply.bytes(batch.number))
+    }
+
+    fn take(
+        &mut self,
+        batch: &Batch,
+        event: Fields,
+        number: u16,
+        now: Moment,
+        reply: &mut Reply,
+    ) -> Result<(), String> {
+        match event.u16(0) {
+            1000 => {
+                let text = batch.text(event.u32(12), event.u32(16), "settings")?;
+                let (deployment, places) = settings::read(text)?;
+                let mut names = Names::default();
+                let listeners = deployment.listeners.len();
+                let mut door = Door {
+                    number,
+                    names: &mut names,
+                    reply,
+                };
+                let relay = Relay::new(deployment, event.u64(4), now, &mut door);
+                self.instances.insert(
+                    number,
+                    Instance {
+                        relay,
+                        names,
+                        places,
+                        listeners,
+                    },
+                );
+                Ok(())
+            }
+            1090 => self
+                .instances
+                .remove(&number)
+                .map(|_| ())
+                .ok_or_else(|| not_started(number)),
+            code => {
+                let instance = self
+                    .instances
+                    .get_mut(&number)
+                    .ok_or_else(|| not_started(number))?;
+                instance.take(batch, code, event, number, now, reply)
+            }
+        }
+    }
+}
+
+fn not_started(number: u16) -> String {
+    format!("event for instance {number}, which is not started")
+}
+
+impl Instance {
+    fn take(
+        &mut self,
+        batch: &Batch,
+        code: u16,
+        event: Fields,
+        number: u16,
+        now: Moment,
+        reply: &mut Reply,
+    ) -> Result<(), String> {
+        let Instance {
+            relay,
+            names,
+            places,
+            listeners,
+        } = self;
+        let known = |names: &Names, at: usize| names.sessions.get(&event.u64(at)).copied();
+        match code {
+            1010 => {
+                let scope = match event.u8(4) {
+                    0 => ListScope::Changes,
+                    1 => ListScope::Whole,
+                    2 => ListScope::Cached,
+                    3 => {
+                        relay.list_failed(now, &mut Door { number, names, reply });
+                        return Ok(());
+                    }
+                    other => return Err(format!("list of unknown scope {other}")),
+                };
+                let rows: Result<Vec<Listing>, String> = batch
+                    .entries(event.u32(13), event.u32(17))?
+                    .map(|entry| names.listing(entry))
+                    .collect();
+                relay.listed(scope, &rows?);
+            }
+            1020 => {
+                let arrival = Arrival {
+                    listener: listener(event.u16(12), *listeners)?,
+                    key: present(event.u64(16)),
+                    dial_timeout: Span::from_us(u64::from(event.u32(24))),
+                    group: present(event.u64(32)),
+                };
+                let session = names.session(event.u64(4));
+                relay.arrived(now, session, arrival, &mut Door { number, names, reply });
+            }
+            1030 => {
+                if let Some(session) = known(names, 4) {
+                    let dial = u32::from(event.u16(12));
+                    relay.ready(now, session, dial, &mut Door { number, names, reply });
+                }
+            }
+            1040 => {
+                let verdict = verdict(event.u16(16))?;
+                if let Some(session) = known(names, 4) {
+                    let (dial, over) = (u32::from(event.u16(24)), event.u8(26) != 0);
+                    let report = places.report(event, 27);
+                    let mut door = Door { number, names, reply };
+                    relay.ended(now, session, dial, verdict, over, report, &mut door);
+                }
+            }
+            1050 => {
+                if let Some(session) = known(names, 4) {
+                    relay.left(session, &mut Door { number, names, reply });
+                }
+            }
+            1060 => relay.woken(now, &mut Door { number, names, reply }),
+            1070 => {
+                let verdict = verdict(event.u16(10))?;
+                if let Some(&backend) = names.backends.get(&event.array::<6>(4)) {
+                    relay.probed(now, backend, verdict, places.report(event, 16));
+                }
+            }
+            // No deployment's decisions use what peers say.
+            1080 => {}
+            1100 => {
+                let arrival = Arrival {
+                    listener: listener(event.u16(30), *listeners)?,
+                    key: present(event.u64(38)),
+                    dial_timeout: Span::from_us(u64::from(event.u32(34))),
+                    group: present(event.u64(18)),
+                };
+                let backend = names.backend(event.array(12));
+                let session = names.session(event.u64(4));
+                relay.inherited(now, session, backend, arrival);
+            }
+            1110 => {
+                if let Some(session) = known(names, 4) {
+                    let value = f64::from(event.f32(21));
+                    match event.u8(20) {
+                        1 => relay.load_noted(session, value),
+                        2 => relay.delay_noted(now, session, Span::from_ms(1) * value),
+                        other => return Err(format!("note of unknown sort {other}")),
+                    }
+                }
+            }
+            other => return Err(format!("unknown event code {other}")),
+        }
+        Ok(())
+    }
+}
+
+fn listener(index: u16, listeners: usize) -> Result<ListenerId, String> {
+    if usize::from(index) < listeners {
+        Ok(ListenerId(index))
+    } else {
+        Err(format!("listener {index} of {listeners}"))
+    }
+}
+
+fn present(value: u64) -> Option<u64> {
+    (value != 0).then_some(value)
+}
+
+fn verdict(code: u16) -> Result<Verdict, String> {
+    Ok(match code {
+        100 => Verdict::Ok,
+        301 => Verdict::Error,
+        302 => Verdict::Full,
+        303 => Verdict::Timeout,
+        304 => Verdict::Unreachable,
+        305 => Verdict::Reset,
+        306 => Verdict::Withdrawn,
+        307 => Verdict::NeverSent,
+        other => return Err(format!("unknown outcome {other}")),
+    })
+}
+
+impl ReportPlaces {
+    fn report(&self, event: Fields, at: usize) -> Report {
+        let told = usize::from(event.u8(at)).min(4);
+        let value = |place: Option<usize>| {
+            let value = f64::from(event.f32(at + 1 + 4 * place.filter(|&place| place < told)?));
+            value.is_finite().then_some(value.max(0.0))
+        };
+        Report {
+            connections: value(self.connections),
+            load: value(self.load),
+        }
+    }
+}
+
+impl Names {
+    fn session(&mut self, wire_id: u64) -> SessionId {
+        let session = SessionId(self.next_session);
+        self.next_session = self.next_session.wrapping_add(1);
+        self.sessions.insert(wire_id, session);
+        self.wire_ids.insert(session.0, wire_id);
+        session
+    }
+
+    fn backend(&mut self, address: Address) -> BackendId {
+        *self.backends.entry(address).or_insert_with(|| {
+            self.addresses.push(address);
+            BackendId((self.addresses.len() - 1) as u32)
+        })
+    }
+
+    fn listing(&mut self, entry: Fields) -> Result<Listing, String> {
+        let address: Address = entry.array(0);
+        let mut mark = [0; 8];
+        mark[..6].copy_from_slice(&address);
+        Ok(Listing {
+            backend: self.backend(address),
+            mark: u64::from_le_bytes(mark),
+            zone: ZoneId(u16::from(entry.u8(6))),
+            cell: CellId(entry.u16(9)),
+            standing: match entry.u8(11) {
+                0 => Standing::Ready,
+                1 => Standing::Gone,
+                2 => Standing::Draining,
+                other => return Err(format!("entry of unknown readiness {other}")),
+            },
+            up_since: present(entry.u64(16)).map(Moment::from_us),
+        })
+    }
+}
+
+impl Door<'_> {
+    fn session(&self, code: u16, session: SessionId) -> Action {
+        Action::new(code, self.number).with(&self.names.wire_ids[&session.0].to_le_bytes())
+    }
+}
+
+fn short(span: Span) -> [u8; 4] {
+    u32::try_from(span.us()).unwrap_or(u32::MAX).to_le_bytes()
+}
+
+impl Front for Door<'_> {
+    fn dial(&mut self, session: SessionId, backend: BackendId, give_up_after: Span) {
+        let action = self
+            .session(1050, session)
+            .with(&self.names.addresses[backend.index()]);
+        self.reply.push(action.with(&short(give_up_after)));
+    }
+
+    fn withdraw(&mut self, session: SessionId, dial: u32) {
+        self.reply
+            .push(self.session(1040, session).with(&(dial as u16).to_le_bytes()));
+    }
+
+    fn refuse(&mut self, session: SessionId, retry_after: Option<Span>) {
+        self.reply.push(
+            self.session(1080, session)
+                .with(&short(retry_after.unwrap_or_default())),
+        );
+    }
+
+    fn tear_down(&mut self, session: SessionId) {
+        self.reply.push(self.session(1110, session));
+    }
+
+    fn send_away(&mut self, session: SessionId) {
+        self.reply.push(self.session(1090, session));
+    }
+
+    fn probe(&mut self, backend: BackendId) {
+        let address = self.names.addresses[backend.index()];
+        self.reply.push(Action::new(1000, self.number).with(&address));
+    }
+
+    fn wake(&mut self, at: Moment) {
+        let action = Action::new(1020, self.number).with(&0u64.to_le_bytes());
+        self.reply.push(action.with(&at.us().to_le_bytes()));
+    }
+
+    fn subscribe(&mut self) {
+        self.reply.push(Action::new(1030, self.number).with(&[1]));
+    }
+
+    fn release(&mut self, session: SessionId) {
+        if let Some(wire_id) = self.names.wire_ids.remove(&session.0) {
+            self.names.sessions.remove(&wire_id);
+        }
+    }
+}
--- /dev/null
+++ b/adapter/src/settings.rs
@@ -0,0 +1,170 @@
+//! The settings text of the wire, read into a deployment. Keys that are not read are passed over.
+use serde::Deserialize;
+use thistlecroft::deployment::{ColdStart, Deployment, Effect, Listener, Scope};
+use thistlecroft::ids::ZoneId;
+use thistlecroft::units::Span;
+
+/// Which places of a load report the decisions read.
+#[derive(Clone, Copy, Default)]
+pub struct ReportPlaces {
+    pub connections: Option<usize>,
+    pub load: Option<usize>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Facts {
+    az: u16,
+    zones: Vec<String>,
+    balancers: u32,
+    me: u32,
+    tick_us: u64,
+    discovery: Discovery,
+    listeners: Vec<ListenerFacts>,
+    invariants: Invariants,
+    permissions: Permissions,
+    #[serde(default)]
+    prices: Prices,
+    #[serde(default)]
+    extra: Extra,
+    #[serde(default)]
+    report: ReportFacts,
+}
+
+#[derive(Deserialize, PartialEq)]
+#[serde(rename_all = "camelCase")]
+enum Discovery {
+    Automatic,
+    Subscribe,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ListenerFacts {
+    handshake_target_us: u64,
+    effect: EffectName,
+    #[serde(default)]
+    dedup_scope: Option<ScopeName>,
+    #[serde(default)]
+    dedup_window_us: u64,
+    utility: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+enum EffectName {
+    Retryable,
+    Dedup,
+    Fragile,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+enum ScopeName {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Invariants {
+    ask_within_us: u64,
+    cold_us: u64,
+    fall_us: u64,
+    overload_factor: f64,
+    start_capacity: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Permissions {
+    dial_timeout_us: u64,
+    max_dials: u32,
+    max_retry_after_us: u64,
+    may_cancel: bool,
+    probes: bool,
+    retry_after: bool,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Prices {
+    cross_zone: f64,
+    moves: f64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Extra {
+    groups: bool,
+    message_aim_us: Vec<f64>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct ReportFacts {
+    fields: Vec<String>,
+}
+
+pub fn read(text: &[u8]) -> Result<(Deployment, ReportPlaces), String> {
+    let facts: Facts = serde_json::from_slice(text).map_err(|fault| format!("settings: {fault}"))?;
+    if facts.listeners.is_empty() {
+        return Err("settings: no listeners".into());
+    }
+    let place = |name: &str| facts.report.fields.iter().position(|field| field == name);
+    let places = ReportPlaces {
+        connections: place("rif"),
+        load: place("x0").or_else(|| place("busy")),
+    };
+    let listeners = facts.listeners.iter().enumerate().map(|(at, row)| Listener {
+        handshake_target: Span::from_us(row.handshake_target_us),
+        effect: effect_of(row),
+        utility: row.utility,
+        message_target: Span::from_us(facts.extra.message_aim_us.get(at).map_or(0, |&us| us as u64)),
+    });
+    let rules = &facts.invariants;
+    let deployment = Deployment {
+        me: facts.me,
+        relays: facts.balancers,
+        zone: ZoneId(facts.az),
+        zones: facts.zones.len(),
+        tick: Span::from_us(facts.tick_us),
+        listeners: listeners.collect(),
+        cold: ColdStart {
+            start_share: rules.start_capacity,
+            warm_up: Span::from_us(rules.cold_us),
+            factor: rules.overload_factor,
+            window: Span::from_us(rules.fall_us),
+        },
+        ask_within: (facts.discovery == Discovery::Subscribe).then_some(Span::from_us(rules.ask_within_us)),
+        connect_timeout: Span::from_us(facts.permissions.dial_timeout_us),
+        max_dials: facts.permissions.max_dials,
+        may_withdraw: facts.permissions.may_cancel,
+        may_probe: facts.permissions.probes,
+        tells_retry_after: facts.permissions.retry_after,
+        longest_retry_after: Span::from_us(facts.permissions.max_retry_after_us),
+        crossing_price: facts.prices.cross_zone,
+        move_price: facts.prices.moves,
+        groups: facts.extra.groups,
+    };
+    Ok((deployment, places))
+}
+
+fn effect_of(row: &ListenerFacts) -> Effect {
+    match row.effect {
+        EffectName::Retryable => Effect::Repeatable,
+        EffectName::Fragile => Effect::OnceOnly,
+        EffectName::Dedup => {
+            let scope = match row.dedup_scope {
+                Some(ScopeName::Zone) => Scope::Zone,
+                Some(ScopeName::Cell) => Scope::Cell,
+                Some(ScopeName::All) | None => Scope::All,
+            };
+            Effect::Referenced {
+                scope,
+                window: Span::from_us(row.dedup_window_us),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/balance.rs
@@ -0,0 +1,788 @@
+//! All decisions of a relay. A front (`front.rs`) calls the methods of `Relay` as things happen, each with the present
+//! moment and itself; `Relay` answers by calling the front's `Front` before it returns. A call may be late or repeated;
+//! a session or backend unknown by then is passed over. `docs/design.md` says which part follows the design and under
+//! what condition each departure acts. Order of reading: open settings, state by lifetime, events, dialling, picking.
+use crate::deployment::{Deployment, Effect, Listener, Scope};
+use crate::front::{Arrival, Front, ListScope, Listing, Report, Standing, Verdict};
+use crate::ids::{BackendId, CellId, ListenerId, SessionId, ZoneId};
+use crate::units::{Moment, Span};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+// The design's open settings.
+const BASE: Span = Span::from_ms(1_000);
+const CAP: Span = Span::from_ms(30_000);
+const COOL_DOWN: Span = Span::from_ms(5_000);
+const PROBE_EVERY: Span = Span::from_ms(1_000);
+const KEYS_HELD: usize = 20_000;
+const KEY_AGE: Span = Span::from_ms(120_000);
+const POOL_AGE: Span = Span::from_ms(30_000);
+// Ours.
+const REPORT_LAG: Span = Span::from_ms(1_000);
+const GROUP_FEE: f64 = 2.0;
+const HOT: f64 = 0.7;
+const STRIKES: u32 = 2;
+const EJECT: Span = Span::from_ms(4_000);
+const HOUSEKEEPING: Span = Span::from_ms(500);
+
+/// One dial, from its sending to its verdict.
+#[derive(Clone, Copy)]
+struct Dial {
+    number: u32,
+    backend: BackendId,
+    sent: Moment,
+}
+
+#[derive(Clone, Copy)]
+enum State {
+    New,
+    Held,
+    Dialling(Dial),
+    Ready(Dial, Moment),
+    /// The client has its answer or has left; only the verdict of a dial is waited for.
+    Settled,
+    Over,
+}
+
+/// One session, from its arrival to the last word about it.
+struct Session {
+    listener: ListenerId,
+    key: Option<u64>,
+    group: Option<u64>,
+    due: Moment,
+    state: State,
+    dials: u32,
+    own_failures: u32,
+    /// The first dial that may have run, where and when.
+    ran: Option<(BackendId, Moment)>,
+    last_tried: Option<BackendId>,
+    load: f64,
+}
+
+/// One client key, until it is old.
+#[derive(Clone, Copy)]
+struct Client {
+    failures: u32,
+    ready_at: Option<Moment>,
+    touched: Moment,
+}
+
+/// One backend, as long as the instance lives.
+struct Backend {
+    mark: u64,
+    zone: ZoneId,
+    cell: CellId,
+    standing: Standing,
+    up_since: Option<Moment>,
+    open: u32,
+    groups: BTreeMap<u64, u32>,
+    heard: Option<(Moment, Report)>,
+    placed: VecDeque<Moment>,
+    strikes: u32,
+    ejections: u32,
+    ejected_until: Moment,
+    slow_note: Option<Moment>,
+    cold_turn: Option<u64>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Errand {
+    Probe,
+    Housekeeping,
+    Subscribe,
+    Redial(SessionId),
+    CoolDown(SessionId),
+}
+
+/// One instance, from its start to its end.
+pub struct Relay {
+    deployment: Deployment,
+    chance: oorandom::Rand64,
+    sessions: BTreeMap<SessionId, Session>,
+    clients: BTreeMap<u64, Client>,
+    backends: Vec<Option<Backend>>,
+    errands: BTreeSet<(Moment, Errand)>,
+    failed_calls: u32,
+}
+
+impl Relay {
+    pub fn new<F: Front>(deployment: Deployment, seed: u64, now: Moment, front: &mut F) -> Relay {
+        let mut relay = Relay {
+            chance: oorandom::Rand64::new(u128::from(seed)),
+            sessions: BTreeMap::new(),
+            clients: BTreeMap::new(),
+            backends: Vec::new(),
+            errands: BTreeSet::new(),
+            failed_calls: 0,
+            deployment,
+        };
+        if relay.deployment.ask_within.is_some() {
+            front.subscribe();
+        }
+        let first = PROBE_EVERY * relay.chance.rand_float();
+        relay.plan(now + first, Errand::Probe, front);
+        relay.plan(now + HOUSEKEEPING, Errand::Housekeeping, front);
+        relay
+    }
+
+    // ---- the list ----
+
+    pub fn listed(&mut self, scope: ListScope, rows: &[Listing]) {
+        if scope != ListScope::Changes {
+            // Missing from a complete list means removed, without a line that says so.
+            let named: BTreeSet<BackendId> = rows.iter().map(|row| row.backend).collect();
+            for (at, backend) in self.backends.iter_mut().enumerate() {
+                if let Some(backend) = backend
+                    && !named.contains(&BackendId(at as u32))
+                {
+                    backend.standing = Standing::Gone;
+                }
+            }
+        }
+        for row in rows {
+            let at = row.backend.index();
+            if self.backends.len() <= at {
+                self.backends.resize_with(at + 1, || None);
+            }
+            let backend = self.backends[at].get_or_insert_with(|| Backend {
+                mark: row.mark,
+                zone: row.zone,
+                cell: row.cell,
+                standing: row.standing,
+                up_since: row.up_since,
+                open: 0,
+                groups: BTreeMap::new(),
+                heard: None,
+                placed: VecDeque::new(),
+                strikes: 0,
+                ejections: 0,
+                ejected_until: Moment::default(),
+                slow_note: None,
+                cold_turn: None,
+            });
+            if backend.up_since != row.up_since {
+                // Another process under the same id: what was known of the last one misleads.
+                backend.heard = None;
+                backend.placed.clear();
+                backend.strikes = 0;
+                backend.ejections = 0;
+                backend.ejected_until = Moment::default();
+                backend.slow_note = None;
+                backend.cold_turn = None;
+            }
+            (backend.zone, backend.cell) = (row.zone, row.cell);
+            (backend.standing, backend.up_since) = (row.standing, row.up_since);
+            if row.standing != Standing::Ready {
+                backend.heard = None;
+            }
+        }
+        if self.deployment.ask_within.is_some() && scope != ListScope::Cached {
+            self.failed_calls = 0;
+        }
+    }
+
+    /// A call to discovery failed or the subscription broke. Asking again with full jitter keeps the relays from
+    /// meeting at a discovery that is already behind, and well within the span after which the relay would be deemed
+    /// to know what it never heard.
+    pub fn list_failed<F: Front>(&mut self, now: Moment, front: &mut F) {
+        let Some(within) = self.deployment.ask_within else {
+            return;
+        };
+        let wait = self.jitter(self.failed_calls).min(within * 0.5);
+        self.failed_calls += 1;
+        self.plan(now + wait, Errand::Subscribe, front);
+    }
+
+    // ---- sessions ----
+
+    pub fn arrived<F: Front>(&mut self, now: Moment, id: SessionId, arrival: Arrival, front: &mut F) {
+        self.sessions.insert(id, Session::new(&arrival, now));
+        self.dial(now, id, front);
+    }
+
+    /// A connection that already runs through this relay as it starts.
+    pub fn inherited(&mut self, now: Moment, id: SessionId, backend: BackendId, arrival: Arrival) {
+        self.sessions.insert(
+            id,
+            Session {
+                dials: 1,
+                ..Session::new(&arrival, now)
+            },
+        );
+        self.turn(
+            id,
+            State::Ready(
+                Dial {
+                    number: 0,
+                    backend,
+                    sent: now,
+                },
+                now,
+            ),
+        );
+    }
+
+    pub fn ready<F: Front>(&mut self, now: Moment, id: SessionId, number: u32, front: &mut F) {
+        let Some(session) = self.sessions.get(&id) else {
+            return;
+        };
+        let State::Dialling(dial) = session.state else {
+            return;
+        };
+        if dial.number != number {
+            return;
+        }
+        if let Some(key) = session.key {
+            self.client(key, now).ready_at = Some(now);
+        }
+        if let Some(backend) = self.backend(dial.backend) {
+            backend.strikes = 0;
+            backend.ejections = 0;
+        }
+        self.turn(id, State::Ready(dial, now));
+        self.plan(now + COOL_DOWN, Errand::CoolDown(id), front);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn ended<F: Front>(
+        &mut self,
+        now: Moment,
+        id: SessionId,
+        number: u32,
+        verdict: Verdict,
+        over: bool,
+        report: Report,
+        front: &mut F,
+    ) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        match session.state {
+            State::Dialling(dial) if dial.number == number => {
+                self.heard(now, dial.backend, report);
+                let session = self.sessions.get_mut(&id).expect("held above");
+                if verdict.may_have_run() {
+                    session.ran.get_or_insert((dial.backend, dial.sent));
+                }
+                session.last_tried = Some(dial.backend);
+                if !matches!(verdict, Verdict::Ok | Verdict::Withdrawn | Verdict::NeverSent) {
+                    self.strike(now, dial.backend, verdict);
+                }
+                if over || verdict == Verdict::Ok {
+                    self.turn(id, State::Over);
+                    front.release(id);
+                } else {
+                    self.further(now, id, front);
+                }
+            }
+            State::Ready(dial, since) if dial.number == number => {
+                self.heard(now, dial.backend, report);
+                if verdict == Verdict::Reset && now.since(since) < COOL_DOWN {
+                    self.count_failure(now, id);
+                }
+                if over || verdict == Verdict::Ok {
+                    self.turn(id, State::Over);
+                    front.release(id);
+                } else {
+                    self.finish(id, None, front);
+                }
+            }
+            State::Settled => {
+                self.turn(id, State::Over);
+                front.release(id);
+            }
+            _ => {}
+        }
+    }
+
+    /// The client has left, or the front has ended the session.
+    pub fn left<F: Front>(&mut self, id: SessionId, front: &mut F) {
+        let Some(session) = self.sessions.get(&id) else {
+            return;
+        };
+        match session.state {
+            State::Dialling(dial) => {
+                if self.deployment.may_withdraw {
+                    front.withdraw(id, dial.number);
+                }
+                self.turn(id, State::Settled);
+            }
+            State::Ready(..) => self.turn(id, State::Settled),
+            State::Settled => {}
+            State::New | State::Held | State::Over => {
+                self.turn(id, State::Over);
+                front.release(id);
+            }
+        }
+    }
+
+    // ---- sights of backends ----
+
+    pub fn probed(&mut self, now: Moment, id: BackendId, verdict: Verdict, report: Report) {
+        if verdict == Verdict::Ok {
+            self.heard(now, id, report);
+            if let Some(backend) = self.backend(id)
+                && backend.ejected_until <= now
+            {
+                backend.strikes = 0;
+            }
+        } else {
+            self.strike(now, id, verdict);
+        }
+    }
+
+    pub fn load_noted(&mut self, id: SessionId, load: f64) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.load = load;
+        }
+    }
+
+    pub fn delay_noted(&mut self, now: Moment, id: SessionId, delay: Span) {
+        let Some(session) = self.sessions.get(&id) else {
+            return;
+        };
+        let State::Ready(dial, _) = session.state else {
+            return;
+        };
+        let target = self.row(session.listener).message_target;
+        if let Some(backend) = self.backend(dial.backend) {
+            backend.slow_note = (delay > target && target > Span::ZERO).then_some(now);
+        }
+    }
+
+    pub fn woken<F: Front>(&mut self, now: Moment, front: &mut F) {
+        while let Some(&(at, errand)) = self.errands.first() {
+            if at > now {
+                break;
+            }
+            self.errands.pop_first();
+            match errand {
+                Errand::Probe => {
+                    self.probe(now, front);
+                    self.plan(now + PROBE_EVERY, Errand::Probe, front);
+                }
+                Errand::Housekeeping => {
+                    self.clients
+                        .retain(|_, client| now.since(client.touched) < KEY_AGE);
+                    self.plan(now + HOUSEKEEPING, Errand::Housekeeping, front);
+                }
+                Errand::Subscribe => front.subscribe(),
+                Errand::Redial(id) => {
+                    if self
+                        .sessions
+                        .get(&id)
+                        .is_some_and(|s| matches!(s.state, State::Held))
+                    {
+                        self.dial(now, id, front);
+                    }
+                }
+                Errand::CoolDown(id) => {
+                    let Some(session) = self.sessions.get(&id) else {
+                        continue;
+                    };
+                    if let (State::Ready(..), Some(key)) = (session.state, session.key) {
+                        self.client(key, now).failures = 0;
+                    }
+                }
+            }
+        }
+    }
+
+    fn plan<F: Front>(&mut self, at: Moment, errand: Errand, front: &mut F) {
+        self.errands.insert((at, errand));
+        front.wake(at);
+    }
+
+    // ---- dialling ----
+
+    /// Every change of a session's state.
+    fn turn(&mut self, id: SessionId, next: State) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let (was, group) = (std::mem::replace(&mut session.state, next), session.group);
+        let on = |state: State| match state {
+            State::Dialling(dial) | State::Ready(dial, _) => Some(dial.backend),
+            _ => None,
+        };
+        for (held, more) in [(on(was), false), (on(next), true)] {
+            let Some(backend) = held.and_then(|at| self.backend(at)) else {
+                continue;
+            };
+            backend.open = if more {
+                backend.open + 1
+            } else {
+                backend.open.saturating_sub(1)
+            };
+            if let Some(group) = group {
+                let members = backend.groups.entry(group).or_default();
+                *members = if more {
+                    *members + 1
+                } else {
+                    members.saturating_sub(1)
+                };
+                if *members == 0 {
+                    backend.groups.remove(&group);
+                }
+            }
+        }
+        if matches!(next, State::Over) {
+            self.sessions.remove(&id);
+        }
+    }
+
+    fn dial<F: Front>(&mut self, now: Moment, id: SessionId, front: &mut F) {
+        let session = &self.sessions[&id];
+        let left = session
+            .due
+            .since(now + self.deployment.tick + self.deployment.tick);
+        let Some(backend) = self.pick(now, id) else {
+            let wait = self.wait_of(id, now);
+            return self.finish(id, Some(wait), front);
+        };
+        let session = &self.sessions[&id];
+        let last = session.dials + 1 >= self.deployment.max_dials;
+        let target = self.row(session.listener).handshake_target;
+        let give_up = if last { left } else { left.min(target) };
+        if give_up == Span::ZERO {
+            return self.finish(id, None, front);
+        }
+        let number = session.dials;
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.dials += 1;
+        }
+        let turn = self.cold_turn(now, backend).map(|(turn, _)| turn);
+        if let Some(at) = self.backend(backend) {
+            at.placed.push_back(now);
+            at.cold_turn = turn.or(at.cold_turn);
+        }
+        self.turn(
+            id,
+            State::Dialling(Dial {
+                number,
+                backend,
+                sent: now,
+            }),
+        );
+        front.dial(id, backend, give_up);
+    }
+
+    /// A set-up has failed: another dial after the design's delay, or an answer at once.
+    fn further<F: Front>(&mut self, now: Moment, id: SessionId, front: &mut F) {
+        let wait = self.wait_of(id, now);
+        self.count_failure(now, id);
+        let session = &self.sessions[&id];
+        let room = self.deployment.connect_timeout + self.deployment.tick * 2.0;
+        let in_time = now + wait + room < session.due && session.dials < self.deployment.max_dials;
+        let repeat_known = match (self.row(session.listener).effect, session.ran) {
+            (Effect::Repeatable, _) | (_, None) => true,
+            (Effect::Referenced { window, .. }, Some((_, at))) => now + wait < at + window,
+            (Effect::OnceOnly, Some(_)) => false,
+        };
+        if in_time && repeat_known {
+            self.turn(id, State::Held);
+            self.plan(now + wait, Errand::Redial(id), front);
+        } else {
+            self.finish(id, Some(wait), front);
+        }
+    }
+
+    /// The final answer: a refusal where trying again is known to be harmless, a teardown otherwise.
+    fn finish<F: Front>(&mut self, id: SessionId, wait: Option<Span>, front: &mut F) {
+        let session = &self.sessions[&id];
+        let harmless = match (self.row(session.listener).effect, session.ran) {
+            (Effect::Repeatable, _) | (_, None) => true,
+            (Effect::Referenced { scope, .. }, Some(_)) => scope == Scope::All,
+            (Effect::OnceOnly, Some(_)) => false,
+        };
+        match wait {
+            Some(wait) if harmless => {
+                let told = self.deployment.tells_retry_after.then_some(wait);
+                front.refuse(id, told.map(|wait| wait.min(self.deployment.longest_retry_after)));
+            }
+            _ => front.tear_down(id),
+        }
+        self.turn(id, State::Over);
+        front.release(id);
+    }
+
+    fn jitter(&mut self, count: u32) -> Span {
+        let most = CAP.min(BASE * f64::from(1u32 << count.min(16)));
+        most * self.chance.rand_float()
+    }
+
+    fn wait_of(&mut self, id: SessionId, now: Moment) -> Span {
+        let session = &self.sessions[&id];
+        let count = match session.key {
+            Some(key) => self.client(key, now).failures,
+            None => session.own_failures,
+        };
+        self.jitter(count)
+    }
+
+    fn count_failure(&mut self, now: Moment, id: SessionId) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        match session.key {
+            Some(key) => {
+                let client = self.client(key, now);
+                client.failures = client.failures.saturating_add(1);
+            }
+            None => session.own_failures += 1,
+        }
+    }
+
+    fn client(&mut self, key: u64, now: Moment) -> &mut Client {
+        if self.clients.len() >= KEYS_HELD && !self.clients.contains_key(&key) {
+            // A flood of new keys must not grow the table: the stalest row makes room.
+            let stalest = self
+                .clients
+                .iter()
+                .min_by_key(|(_, client)| client.touched)
+                .map(|(&key, _)| key);
+            stalest.map(|key| self.clients.remove(&key));
+        }
+        let fresh = Client {
+            failures: 0,
+            ready_at: None,
+            touched: now,
+        };
+        let client = self.clients.entry(key).or_insert(fresh);
+        client.touched = now;
+        client
+    }
+
+    // ---- health ----
+
+    fn backend(&mut self, id: BackendId) -> Option<&mut Backend> {
+        self.backends.get_mut(id.index()).and_then(Option::as_mut)
+    }
+
+    fn row(&self, listener: ListenerId) -> &Listener {
+        &self.deployment.listeners[usize::from(listener.0)]
+    }
+
+    fn heard(&mut self, now: Moment, id: BackendId, report: Report) {
+        let Some(backend) = self.backend(id) else { return };
+        if report.connections.is_none() && report.load.is_none() {
+            return;
+        }
+        backend.heard = Some((now, report));
+        backend.placed.retain(|&at| at + REPORT_LAG > now);
+    }
+
+    /// A backend that fails dials or probes in a row takes no part for a while, longer each time, since a backend that
+    /// hangs or fails fast still answers its probes and looks the least loaded of all.
+    fn strike(&mut self, now: Moment, id: BackendId, verdict: Verdict) {
+        let Some(backend) = self.backend(id) else { return };
+        backend.strikes += 1;
+        if verdict == Verdict::Full || backend.strikes < STRIKES || backend.ejected_until > now {
+            return;
+        }
+        backend.ejected_until = now + EJECT * f64::from(1 << backend.ejections.min(3));
+        backend.ejections += 1;
+        backend.heard = None;
+    }
+
+    fn probe<F: Front>(&mut self, now: Moment, front: &mut F) {
+        if !self.deployment.may_probe {
+            return;
+        }
+        let ready: Vec<BackendId> = self
+            .ids()
+            .filter(|&(_, b)| b.standing == Standing::Ready)
+            .map(|(id, _)| id)
+            .collect();
+        let _ = now;
+        if let Some(&id) = self.any_of(&ready) {
+            front.probe(id);
+        }
+    }
+
+    fn ids(&self) -> impl Iterator<Item = (BackendId, &Backend)> {
+        let numbered = self.backends.iter().enumerate();
+        numbered.filter_map(|(at, backend)| Some((BackendId(at as u32), backend.as_ref()?)))
+    }
+
+    fn any_of<'a, T>(&mut self, list: &'a [T]) -> Option<&'a T> {
+        let top = list.len() as u64;
+        (top > 0).then(|| &list[self.chance.rand_range(0..top) as usize])
+    }
+
+    // ---- picking ----
+
+    /// Where a session goes: the less loaded of two entries of the pool.
+    fn pick(&mut self, now: Moment, id: SessionId) -> Option<BackendId> {
+        let session = &self.sessions[&id];
+        let (group, last, listener, ran) = (session.group, session.last_tried, session.listener, session.ran);
+        let effect = self.row(listener).effect;
+        let mut able: Vec<BackendId> = Vec::new();
+        for (at, backend) in self.ids() {
+            let in_scope = match (
+                effect,
+                ran.and_then(|(first, _)| self.backends[first.index()].as_ref()),
+            ) {
+                (
+                    Effect::Referenced {
+                        scope: Scope::Zone, ..
+                    },
+                    Some(first),
+                ) => first.zone == backend.zone,
+                (
+                    Effect::Referenced {
+                        scope: Scope::Cell, ..
+                    },
+                    Some(first),
+                ) => first.cell == backend.cell,
+                _ => true,
+            };
+            let turn_is_ours = self.cold_turn(now, at).is_none_or(|(_, open)| open);
+            if backend.standing == Standing::Ready && in_scope && turn_is_ours {
+                able.push(at);
+            }
+        }
+        let healthy: Vec<BackendId> = able
+            .iter()
+            .copied()
+            .filter(|&at| self.at(at).ejected_until <= now)
+            .collect();
+        // Most of the fleet failing at once is likelier a fault on our side than on theirs.
+        let mut able = if healthy.len() * 2 >= able.len() {
+            healthy
+        } else {
+            able
+        };
+        if able.len() > 1 {
+            able.retain(|&at| Some(at) != last);
+        }
+        let mean = self.pool_mean(now);
+        let cool =
+            |relay: &Relay, at: BackendId| relay.at(at).heard.and_then(|(_, r)| r.load).unwrap_or(0.0) < HOT;
+        let near = |relay: &Relay, at: BackendId| {
+            relay.deployment.crossing_price <= 0.0 || relay.at(at).zone == relay.deployment.zone
+        };
+        let narrowed: Vec<Vec<BackendId>> = vec![
+            able.iter()
+                .copied()
+                .filter(|&at| near(self, at) && cool(self, at))
+                .collect(),
+            able.iter().copied().filter(|&at| cool(self, at)).collect(),
+            able,
+        ];
+        let among = narrowed.into_iter().find(|list| !list.is_empty())?;
+        let pooled: Vec<BackendId> = among
+            .iter()
+            .copied()
+            .filter(|&at| self.at(at).heard.is_some())
+            .collect();
+        let (mut list, in_pool) = if pooled.is_empty() {
+            (among, false)
+        } else {
+            (pooled, true)
+        };
+        let pair = match group.filter(|_| self.deployment.groups) {
+            Some(group) => {
+                list.sort_by_key(|&at| mixed(self.at(at).mark, group));
+                (list[0], *list.get(1).unwrap_or(&list[0]))
+            }
+            None => {
+                let first = *self.any_of(&list)?;
+                list.retain(|&at| at != first);
+                (first, self.any_of(&list).copied().unwrap_or(first))
+            }
+        };
+        let weigh = |relay: &Relay, at: BackendId| {
+            let fee = match group.filter(|_| relay.deployment.groups) {
+                Some(group) if !relay.at(at).groups.contains_key(&group) => GROUP_FEE,
+                _ => 0.0,
+            };
+            if in_pool {
+                relay.load(now, at, mean, fee)
+            } else {
+                f64::from(relay.at(at).open) + fee
+            }
+        };
+        Some(if weigh(self, pair.1) < weigh(self, pair.0) {
+            pair.1
+        } else {
+            pair.0
+        })
+    }
+
+    fn at(&self, id: BackendId) -> &Backend {
+        self.backends[id.index()]
+            .as_ref()
+            .expect("picked among those listed")
+    }
+
+    fn pool_mean(&self, now: Moment) -> f64 {
+        let fresh = |b: &Backend| b.heard.filter(|(at, _)| now.since(*at) < POOL_AGE);
+        let loads: Vec<f64> = self
+            .ids()
+            .filter_map(|(_, b)| fresh(b))
+            .filter_map(|(_, r)| r.connections.or(r.load))
+            .collect();
+        if loads.is_empty() {
+            0.0
+        } else {
+            loads.iter().sum::<f64>() / loads.len() as f64
+        }
+    }
+
+    fn load(&self, now: Moment, id: BackendId, mean: f64, fee: f64) -> f64 {
+        let backend = self.at(id);
+        let later = backend.placed.len() as f64 + fee;
+        let Some((_, report)) = backend.heard.filter(|(at, _)| now.since(*at) < POOL_AGE) else {
+            return mean + later;
+        };
+        match (report.connections, report.load) {
+            (Some(count), _) => count + later,
+            (None, Some(load)) => load + later * 0.02,
+            (None, None) => mean + later,
+        }
+    }
+
+    // ---- cold backends ----
+
+    /// The turn that runs at a cold backend, and whether this relay may still use it; None where it is warm. All
+    /// relays see the same start of the same backend, so its age cuts time into turns without a word between them.
+    fn cold_turn(&self, now: Moment, id: BackendId) -> Option<(u64, bool)> {
+        let backend = self.at(id);
+        let cold = &self.deployment.cold;
+        let age = now.since(backend.up_since?);
+        if age >= cold.warm_up {
+            return None;
+        }
+        let turn = age.us() / cold.window.us().max(1);
+        let relays = u64::from(self.deployment.relays.max(1));
+        let ours = (turn + backend.mark) % relays == u64::from(self.deployment.me);
+        Some((turn, ours && backend.cold_turn != Some(turn)))
+    }
+}
+
+impl Session {
+    fn new(arrival: &Arrival, now: Moment) -> Session {
+        Session {
+            listener: arrival.listener,
+            key: arrival.key,
+            group: arrival.group,
+            due: now + arrival.dial_timeout,
+            state: State::New,
+            dials: 0,
+            own_failures: 0,
+            ran: None,
+            last_tried: None,
+            load: 0.0,
+        }
+    }
+}
+
+/// The same order of backends for a group at every relay, with nothing shared.
+fn mixed(mark: u64, group: u64) -> u64 {
+    let mut x = mark ^ group.rotate_left(17) ^ 0x9e37_79b9_7f4a_7c15;
+    for _ in 0..2 {
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    }
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/src/front.rs
@@ -0,0 +1,81 @@
+//! The seam between the decisions and a protocol: what a front hands in, and what it carries out.
+use crate::ids::{BackendId, CellId, ListenerId, SessionId, ZoneId};
+use crate::units::{Moment, Span};
+
+/// What the decisions ask of the protocol in front of them. Each call takes effect at once.
+pub trait Front {
+    fn dial(&mut self, session: SessionId, backend: BackendId, give_up_after: Span);
+    fn withdraw(&mut self, session: SessionId, dial: u32);
+    fn refuse(&mut self, session: SessionId, retry_after: Option<Span>);
+    fn tear_down(&mut self, session: SessionId);
+    /// Ends an established connection politely; its client comes again as a new session.
+    fn send_away(&mut self, session: SessionId);
+    fn probe(&mut self, backend: BackendId);
+    /// Asks for one call of `Relay::woken` at this moment or soon after.
+    fn wake(&mut self, at: Moment);
+    fn subscribe(&mut self);
+    /// Nothing more will be said about this session.
+    fn release(&mut self, session: SessionId);
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub listener: ListenerId,
+    pub key: Option<u64>,
+    pub group: Option<u64>,
+    pub dial_timeout: Span,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListScope {
+    Changes,
+    Whole,
+    /// The whole list as last held, maybe long out of date.
+    Cached,
+}
+
+/// A line of the list of backends.
+#[derive(Clone, Copy, Debug)]
+pub struct Listing {
+    pub backend: BackendId,
+    /// The same number at every relay, whatever order they met the backends in.
+    pub mark: u64,
+    pub zone: ZoneId,
+    pub cell: CellId,
+    pub standing: Standing,
+    /// None where it started long ago.
+    pub up_since: Option<Moment>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Ok,
+    Error,
+    Full,
+    Timeout,
+    Unreachable,
+    Reset,
+    Withdrawn,
+    NeverSent,
+}
+
+impl Verdict {
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Verdict::Full | Verdict::Unreachable | Verdict::NeverSent)
+    }
+}
+
+/// What a backend says of itself, as far as it says anything.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report {
+    pub connections: Option<f64>,
+    /// Load asked over what it can do.
+    pub load: Option<f64>,
+}
