Pick: predicted load over capacity, later placements counted

Cause: connection counts hide that connections differ by a factor of hundreds, and the hot check looked at old reports only.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -656,57 +656,42 @@
             able.retain(|&at| Some(at) != last);
         }
         let mean = self.pool_mean(now);
-        let cool =
-            |relay: &Relay, at: BackendId| relay.at(at).heard.and_then(|(_, r)| r.load).unwrap_or(0.0) < HOT;
-        let near = |relay: &Relay, at: BackendId| {
-            relay.deployment.crossing_price <= 0.0 || relay.at(at).zone == relay.deployment.zone
+        let group = group.filter(|_| self.deployment.groups);
+        let weigh = |at: BackendId| {
+            let joins = group.is_none_or(|group| self.at(at).groups.contains_key(&group));
+            self.load(now, at, mean, if joins { 0.0 } else { GROUP_FEE })
         };
-        let narrowed: Vec<Vec<BackendId>> = vec![
-            able.iter()
-                .copied()
-                .filter(|&at| near(self, at) && cool(self, at))
-                .collect(),
-            able.iter().copied().filter(|&at| cool(self, at)).collect(),
-            able,
-        ];
-        let among = narrowed.into_iter().find(|list| !list.is_empty())?;
-        let pooled: Vec<BackendId> = among
-            .iter()
-            .copied()
-            .filter(|&at| self.at(at).heard.is_some())
-            .collect();
-        let (mut list, in_pool) = if pooled.is_empty() {
-            (among, false)
+        let near =
+            |at: BackendId| self.deployment.crossing_price <= 0.0 || self.at(at).zone == self.deployment.zone;
+        let weighed: Vec<(BackendId, f64)> = able.into_iter().map(|at| (at, weigh(at))).collect();
+        let near_cool = |&(at, load): &(BackendId, f64)| near(at) && load < HOT;
+        let cool = |&(_, load): &(BackendId, f64)| load < HOT;
+        let mut list: Vec<(BackendId, f64)> = weighed.iter().copied().filter(near_cool).collect();
+        if list.is_empty() {
+            list = weighed.iter().copied().filter(cool).collect();
+        }
+        if list.is_empty() {
+            list = weighed;
+        }
+        if list.iter().any(|&(at, _)| self.at(at).heard.is_some()) {
+            list.retain(|&(at, _)| self.at(at).heard.is_some());
         } else {
-            (pooled, true)
-        };
-        let pair = match group.filter(|_| self.deployment.groups) {
+            list.iter_mut().for_each(|(at, load)| {
+                *load = f64::from(self.backends[at.index()].as_ref().map_or(0, |b| b.open))
+            });
+        }
+        let pair = match group {
             Some(group) => {
-                list.sort_by_key(|&at| mixed(self.at(at).mark, group));
-                (list[0], *list.get(1).unwrap_or(&list[0]))
+                list.sort_by_key(|&(at, _)| mixed(self.at(at).mark, group));
+                (*list.first()?, *list.get(1).unwrap_or(&list[0]))
             }
             None => {
                 let first = *self.any_of(&list)?;
-                list.retain(|&at| at != first);
+                list.retain(|&(at, _)| at != first.0);
                 (first, self.any_of(&list).copied().unwrap_or(first))
             }
         };
-        let weigh = |relay: &Relay, at: BackendId| {
-            let fee = match group.filter(|_| relay.deployment.groups) {
-                Some(group) if !relay.at(at).groups.contains_key(&group) => GROUP_FEE,
-                _ => 0.0,
-            };
-            if in_pool {
-                relay.load(now, at, mean, fee)
-            } else {
-                f64::from(relay.at(at).open) + fee
-            }
-        };
-        Some(if weigh(self, pair.1) < weigh(self, pair.0) {
-            pair.1
-        } else {
-            pair.0
-        })
+        Some(if pair.1.1 < pair.0.1 { pair.1.0 } else { pair.0.0 })
     }
 
     fn at(&self, id: BackendId) -> &Backend {
@@ -715,31 +700,42 @@
             .expect("picked among those listed")
     }
 
-    fn pool_mean(&self, now: Moment) -> f64 {
-        let fresh = |b: &Backend| b.heard.filter(|(at, _)| now.since(*at) < POOL_AGE);
-        let loads: Vec<f64> = self
-            .ids()
-            .filter_map(|(_, b)| fresh(b))
-            .filter_map(|(_, r)| r.connections.or(r.load))
-            .collect();
-        if loads.is_empty() {
-            0.0
+    /// What the pool tells of the fleet: its mean load, and the load that one connection adds.
+    fn pool_mean(&self, now: Moment) -> (f64, f64) {
+        let fresh = |b: &Backend| {
+            b.heard
+                .filter(|(at, _)| now.since(*at) < POOL_AGE)
+                .map(|(_, report)| report)
+        };
+        let (mut heard, mut load, mut count) = (0.0, 0.0, 0.0);
+        for report in self.ids().filter_map(|(_, b)| fresh(b)) {
+            heard += 1.0;
+            load += report.load.or(report.connections).unwrap_or(0.0);
+            count += report.connections.unwrap_or(0.0);
+        }
+        let open: u32 = self.ids().map(|(_, b)| b.open).sum();
+        if count == 0.0 {
+            let ready = self.ids().filter(|(_, b)| b.standing == Standing::Ready).count() as f64;
+            count = f64::from(open) * f64::from(self.deployment.relays) * heard / ready.max(1.0);
+        }
+        if heard == 0.0 {
+            (0.0, 0.0)
         } else {
-            loads.iter().sum::<f64>() / loads.len() as f64
+            (load / heard, load / f64::max(count, heard))
         }
     }
 
-    fn load(&self, now: Moment, id: BackendId, mean: f64, fee: f64) -> f64 {
+    fn load(&self, now: Moment, id: BackendId, (mean, each): (f64, f64), fee: f64) -> f64 {
         let backend = self.at(id);
-        let later = backend.placed.len() as f64 + fee;
-        let Some((_, report)) = backend.heard.filter(|(at, _)| now.since(*at) < POOL_AGE) else {
-            return mean + later;
-        };
-        match (report.connections, report.load) {
-            (Some(count), _) => count + later,
-            (None, Some(load)) => load + later * 0.02,
-            (None, None) => mean + later,
-        }
+        let later = (backend.placed.len() as f64 + fee) * each;
+        let report = backend
+            .heard
+            .filter(|(at, _)| now.since(*at) < POOL_AGE)
+            .map(|(_, report)| report);
+        report
+            .and_then(|report| report.load.or(report.connections))
+            .unwrap_or(mean)
+            + later
     }
 
     // ---- cold backends ----
