--- a/src/balance.rs
+++ b/src/balance.rs
@@ -12,7 +12,7 @@
 const BASE: Span = Span::from_ms(1_000);
 const CAP: Span = Span::from_ms(30_000);
 const COOL_DOWN: Span = Span::from_ms(5_000);
-const PROBE_EVERY: Span = Span::from_ms(1_000);
+const PROBE_EVERY: Span = Span::from_ms(250);
 const KEYS_HELD: usize = 20_000;
 const KEY_AGE: Span = Span::from_ms(120_000);
 const POOL_AGE: Span = Span::from_ms(30_000);
@@ -727,7 +727,7 @@
 
     fn load(&self, now: Moment, id: BackendId, (mean, each): (f64, f64), fee: f64) -> f64 {
         let backend = self.at(id);
-        let later = (backend.placed.len() as f64 + fee) * each;
+        let later = (backend.placed.len() as f64 * f64::from(self.deployment.relays) + fee) * each;
         let report = backend
             .heard
             .filter(|(at, _)| now.since(*at) < POOL_AGE)
