Refuse at once where no backend has room

Change: a session for which every predicted load is at least 0.95 is refused with the key's delay, and the refusal counts.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,6 +20,7 @@
 const REPORT_LAG: Span = Span::from_ms(1_000);
 const GROUP_FEE: f64 = 2.0;
 const HOT: f64 = 0.7;
+const FULL: f64 = 0.95;
 const STRIKES: u32 = 2;
 const EJECT: Span = Span::from_ms(4_000);
 const HOUSEKEEPING: Span = Span::from_ms(500);
@@ -437,6 +438,7 @@
             .since(now + self.deployment.tick + self.deployment.tick);
         let Some(backend) = self.pick(now, id) else {
             let wait = self.wait_of(id, now);
+            self.count_failure(now, id);
             return self.finish(id, Some(wait), front);
         };
         let session = &self.sessions[&id];
@@ -671,7 +673,9 @@
             list = weighed.iter().copied().filter(cool).collect();
         }
         if list.is_empty() {
-            list = weighed;
+            // A backend driven past what it can do serves nobody, and clients it drops come back at once: what finds
+            // no room anywhere is refused instead.
+            list = weighed.into_iter().filter(|&(_, load)| load < FULL).collect();
         }
         if list.iter().any(|&(at, _)| self.at(at).heard.is_some()) {
             list.retain(|&(at, _)| self.at(at).heard.is_some());
