Send away the excess of overdriven backends, least utility for load first

Cause: refusing stops new work, but a backend already past what it can do serves no message in time until clients leave by themselves.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -21,6 +21,7 @@
 const GROUP_FEE: f64 = 2.0;
 const HOT: f64 = 0.7;
 const FULL: f64 = 0.95;
+const OVERDRIVEN: f64 = 1.0;
 const STRIKES: u32 = 2;
 const EJECT: Span = Span::from_ms(4_000);
 const HOUSEKEEPING: Span = Span::from_ms(500);
@@ -83,6 +84,7 @@
     ejected_until: Moment,
     slow_note: Option<Moment>,
     cold_turn: Option<u64>,
+    relieved: Moment,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -159,6 +161,7 @@
                 ejected_until: Moment::default(),
                 slow_note: None,
                 cold_turn: None,
+                relieved: Moment::default(),
             });
             if backend.up_since != row.up_since {
                 // Another process under the same id: what was known of the last one misleads.
@@ -362,6 +365,7 @@
                     self.plan(now + PROBE_EVERY, Errand::Probe, front);
                 }
                 Errand::Housekeeping => {
+                    self.relieve(now, front);
                     self.clients
                         .retain(|_, client| now.since(client.touched) < KEY_AGE);
                     self.plan(now + HOUSEKEEPING, Errand::Housekeeping, front);
@@ -601,6 +605,51 @@
         }
     }
 
+    /// Backends driven past what they can do serve none of their messages in time: this relay sends away its part of
+    /// what is too much, the least utility for its load first. One report justifies one such step, and nobody is
+    /// moved before his cool-down, so that a wrong judgement costs little and clients don't go round in circles.
+    fn relieve<F: Front>(&mut self, now: Moment, front: &mut F) {
+        let mut over: BTreeMap<BackendId, f64> = BTreeMap::new();
+        for (at, backend) in self.backends.iter_mut().enumerate() {
+            let Some(backend) = backend else { continue };
+            let Some((heard, load)) = backend.heard.and_then(|(heard, r)| Some((heard, r.load?))) else {
+                continue;
+            };
+            if load > OVERDRIVEN && heard >= backend.relieved + REPORT_LAG && now.since(heard) < REPORT_LAG {
+                backend.relieved = now;
+                over.insert(BackendId(at as u32), 1.0 - HOT / load);
+            }
+        }
+        let mut asked: BTreeMap<BackendId, f64> = BTreeMap::new();
+        let mut movable: Vec<(f64, SessionId, BackendId, f64)> = Vec::new();
+        for (&id, session) in &self.sessions {
+            let State::Ready(dial, since) = session.state else {
+                continue;
+            };
+            if !over.contains_key(&dial.backend) {
+                continue;
+            }
+            let load = if session.load > 0.0 { session.load } else { 1.0 };
+            *asked.entry(dial.backend).or_default() += load;
+            if now.since(since) >= COOL_DOWN {
+                movable.push((self.row(session.listener).utility / load, id, dial.backend, load));
+            }
+        }
+        movable.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let mut excess: BTreeMap<BackendId, f64> = over
+            .iter()
+            .map(|(&at, part)| (at, part * asked.get(&at).unwrap_or(&0.0)))
+            .collect();
+        for (_, id, at, load) in movable {
+            let left = excess.entry(at).or_default();
+            if *left > load * 0.5 {
+                *left -= load;
+                front.send_away(id);
+                self.turn(id, State::Settled);
+            }
+        }
+    }
+
     fn ids(&self) -> impl Iterator<Item = (BackendId, &Backend)> {
         let numbered = self.backends.iter().enumerate();
         numbered.filter_map(|(at, backend)| Some((BackendId(at as u32), backend.as_ref()?)))
