--- a/src/balance.rs
+++ b/src/balance.rs
@@ -19,9 +19,9 @@
 // Ours.
 const REPORT_LAG: Span = Span::from_ms(1_000);
 const GROUP_FEE: f64 = 2.0;
-const HOT: f64 = 0.7;
+const HOT: f64 = 0.6;
 const FULL: f64 = 0.95;
-const OVERDRIVEN: f64 = 1.0;
+const OVERDRIVEN: f64 = 0.9;
 const STRIKES: u32 = 2;
 const EJECT: Span = Span::from_ms(4_000);
 const HOUSEKEEPING: Span = Span::from_ms(500);
