--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -46,16 +46,12 @@
         for (at, event) in batch.events().enumerate() {
             let number = event.u16(2);
             // A fault in the decisions stops the day with its text instead of a dead process.
-            let done = catch_unwind(AssertUnwindSafe(|| {
-                self.take(batch, event, number, now, &mut reply)
-            }));
+            let done = catch_unwind(AssertUnwindSafe(|| self.take(batch, event, number, now, &mut reply)));
             match done {
                 Ok(done) => done.map_err(|fault| format!("record {at}: {fault}"))?,
                 Err(panic) => {
                     let text = panic.downcast_ref::<String>().map(String::as_str);
-                    let text = text
-                        .or_else(|| panic.downcast_ref::<&str>().copied())
-                        .unwrap_or("fault");
+                    let text = text.or_else(|| panic.downcast_ref::<&str>().copied()).unwrap_or("fault");
                     reply.push_text(Action::new(1120, number), text);
                     self.instances.remove(&number);
                 }
@@ -78,33 +74,14 @@
                 let (deployment, places) = settings::read(text)?;
                 let mut names = Names::default();
                 let listeners = deployment.listeners.len();
-                let mut door = Door {
-                    number,
-                    names: &mut names,
-                    reply,
-                };
+                let mut door = Door { number, names: &mut names, reply };
                 let relay = Relay::new(deployment, event.u64(4), now, &mut door);
-                self.instances.insert(
-                    number,
-                    Instance {
-                        relay,
-                        names,
-                        places,
-                        listeners,
-                    },
-                );
+                self.instances.insert(number, Instance { relay, names, places, listeners });
                 Ok(())
             }
-            1090 => self
-                .instances
-                .remove(&number)
-                .map(|_| ())
-                .ok_or_else(|| not_started(number)),
+            1090 => self.instances.remove(&number).map(|_| ()).ok_or_else(|| not_started(number)),
             code => {
-                let instance = self
-                    .instances
-                    .get_mut(&number)
-                    .ok_or_else(|| not_started(number))?;
+                let instance = self.instances.get_mut(&number).ok_or_else(|| not_started(number))?;
                 instance.take(batch, code, event, number, now, reply)
             }
         }
@@ -125,12 +102,7 @@
         now: Moment,
         reply: &mut Reply,
     ) -> Result<(), String> {
-        let Instance {
-            relay,
-            names,
-            places,
-            listeners,
-        } = self;
+        let Instance { relay, names, places, listeners } = self;
         let known = |names: &Names, at: usize| names.sessions.get(&event.u64(at)).copied();
         match code {
             1010 => {
@@ -144,10 +116,8 @@
                     }
                     other => return Err(format!("list of unknown scope {other}")),
                 };
-                let rows: Result<Vec<Listing>, String> = batch
-                    .entries(event.u32(13), event.u32(17))?
-                    .map(|entry| names.listing(entry))
-                    .collect();
+                let rows: Result<Vec<Listing>, String> =
+                    batch.entries(event.u32(13), event.u32(17))?.map(|entry| names.listing(entry)).collect();
                 relay.listed(scope, &rows?);
             }
             1020 => {
@@ -249,10 +219,7 @@
             let value = f64::from(event.f32(at + 1 + 4 * place.filter(|&place| place < told)?));
             value.is_finite().then_some(value.max(0.0))
         };
-        Report {
-            connections: value(self.connections),
-            load: value(self.load),
-        }
+        Report { connections: value(self.connections), load: value(self.load) }
     }
 }
 
@@ -304,22 +271,16 @@
 
 impl Front for Door<'_> {
     fn dial(&mut self, session: SessionId, backend: BackendId, give_up_after: Span) {
-        let action = self
-            .session(1050, session)
-            .with(&self.names.addresses[backend.index()]);
+        let action = self.session(1050, session).with(&self.names.addresses[backend.index()]);
         self.reply.push(action.with(&short(give_up_after)));
     }
 
     fn withdraw(&mut self, session: SessionId, dial: u32) {
-        self.reply
-            .push(self.session(1040, session).with(&(dial as u16).to_le_bytes()));
+        self.reply.push(self.session(1040, session).with(&(dial as u16).to_le_bytes()));
     }
 
     fn refuse(&mut self, session: SessionId, retry_after: Option<Span>) {
-        self.reply.push(
-            self.session(1080, session)
-                .with(&short(retry_after.unwrap_or_default())),
-        );
+        self.reply.push(self.session(1080, session).with(&short(retry_after.unwrap_or_default())));
     }
 
     fn tear_down(&mut self, session: SessionId) {
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -41,13 +41,8 @@
 fn serve(mut input: impl Read, mut output: impl Write) -> Result<(), String> {
     let mut host = instance::Host::default();
     while let Some(batch) = frame::read_batch(&mut input)? {
-        let reply = host
-            .answer(&batch)
-            .map_err(|fault| format!("batch {}: {fault}", batch.number))?;
-        output
-            .write_all(&reply)
-            .and_then(|()| output.flush())
-            .map_err(|fault| format!("output: {fault}"))?;
+        let reply = host.answer(&batch).map_err(|fault| format!("batch {}: {fault}", batch.number))?;
+        output.write_all(&reply).and_then(|()| output.flush()).map_err(|fault| format!("output: {fault}"))?;
     }
     Ok(())
 }
--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -113,10 +113,7 @@
         return Err("settings: no listeners".into());
     }
     let place = |name: &str| facts.report.fields.iter().position(|field| field == name);
-    let places = ReportPlaces {
-        connections: place("rif"),
-        load: place("x0").or_else(|| place("busy")),
-    };
+    let places = ReportPlaces { connections: place("rif"), load: place("x0").or_else(|| place("busy")) };
     let listeners = facts.listeners.iter().enumerate().map(|(at, row)| Listener {
         handshake_target: Span::from_us(row.handshake_target_us),
         effect: effect_of(row),
@@ -161,10 +158,7 @@
                 Some(ScopeName::Cell) => Scope::Cell,
                 Some(ScopeName::All) | None => Scope::All,
             };
-            Effect::Referenced {
-                scope,
-                window: Span::from_us(row.dedup_window_us),
-            }
+            Effect::Referenced { scope, window: Span::from_us(row.dedup_window_us) }
         }
     }
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -205,24 +205,8 @@
 
     /// A connection that already runs through this relay as it starts.
     pub fn inherited(&mut self, now: Moment, id: SessionId, backend: BackendId, arrival: Arrival) {
-        self.sessions.insert(
-            id,
-            Session {
-                dials: 1,
-                ..Session::new(&arrival, now)
-            },
-        );
-        self.turn(
-            id,
-            State::Ready(
-                Dial {
-                    number: 0,
-                    backend,
-                    sent: now,
-                },
-                now,
-            ),
-        );
+        self.sessions.insert(id, Session { dials: 1, ..Session::new(&arrival, now) });
+        self.turn(id, State::Ready(Dial { number: 0, backend, sent: now }, now));
     }
 
     pub fn ready<F: Front>(&mut self, now: Moment, id: SessionId, number: u32, front: &mut F) {
@@ -366,17 +350,12 @@
                 }
                 Errand::Housekeeping => {
                     self.relieve(now, front);
-                    self.clients
-                        .retain(|_, client| now.since(client.touched) < KEY_AGE);
+                    self.clients.retain(|_, client| now.since(client.touched) < KEY_AGE);
                     self.plan(now + HOUSEKEEPING, Errand::Housekeeping, front);
                 }
                 Errand::Subscribe => front.subscribe(),
                 Errand::Redial(id) => {
-                    if self
-                        .sessions
-                        .get(&id)
-                        .is_some_and(|s| matches!(s.state, State::Held))
-                    {
+                    if self.sessions.get(&id).is_some_and(|s| matches!(s.state, State::Held)) {
                         self.dial(now, id, front);
                     }
                 }
@@ -413,18 +392,10 @@
             let Some(backend) = held.and_then(|at| self.backend(at)) else {
                 continue;
             };
-            backend.open = if more {
-                backend.open + 1
-            } else {
-                backend.open.saturating_sub(1)
-            };
+            backend.open = if more { backend.open + 1 } else { backend.open.saturating_sub(1) };
             if let Some(group) = group {
                 let members = backend.groups.entry(group).or_default();
-                *members = if more {
-                    *members + 1
-                } else {
-                    members.saturating_sub(1)
-                };
+                *members = if more { *members + 1 } else { members.saturating_sub(1) };
                 if *members == 0 {
                     backend.groups.remove(&group);
                 }
@@ -437,9 +408,7 @@
 
     fn dial<F: Front>(&mut self, now: Moment, id: SessionId, front: &mut F) {
         let session = &self.sessions[&id];
-        let left = session
-            .due
-            .since(now + self.deployment.tick + self.deployment.tick);
+        let left = session.due.since(now + self.deployment.tick + self.deployment.tick);
         let Some(backend) = self.pick(now, id) else {
             let wait = self.wait_of(id, now);
             self.count_failure(now, id);
@@ -461,14 +430,7 @@
             at.placed.push_back(now);
             at.cold_turn = turn.or(at.cold_turn);
         }
-        self.turn(
-            id,
-            State::Dialling(Dial {
-                number,
-                backend,
-                sent: now,
-            }),
-        );
+        self.turn(id, State::Dialling(Dial { number, backend, sent: now }));
         front.dial(id, backend, give_up);
     }
 
@@ -541,18 +503,10 @@
     fn client(&mut self, key: u64, now: Moment) -> &mut Client {
         if self.clients.len() >= KEYS_HELD && !self.clients.contains_key(&key) {
             // A flood of new keys must not grow the table: the stalest row makes room.
-            let stalest = self
-                .clients
-                .iter()
-                .min_by_key(|(_, client)| client.touched)
-                .map(|(&key, _)| key);
+            let stalest = self.clients.iter().min_by_key(|(_, client)| client.touched).map(|(&key, _)| key);
             stalest.map(|key| self.clients.remove(&key));
         }
-        let fresh = Client {
-            failures: 0,
-            ready_at: None,
-            touched: now,
-        };
+        let fresh = Client { failures: 0, ready_at: None, touched: now };
         let client = self.clients.entry(key).or_insert(fresh);
         client.touched = now;
         client
@@ -594,11 +548,8 @@
         if !self.deployment.may_probe {
             return;
         }
-        let ready: Vec<BackendId> = self
-            .ids()
-            .filter(|&(_, b)| b.standing == Standing::Ready)
-            .map(|(id, _)| id)
-            .collect();
+        let ready: Vec<BackendId> =
+            self.ids().filter(|&(_, b)| b.standing == Standing::Ready).map(|(id, _)| id).collect();
         let _ = now;
         if let Some(&id) = self.any_of(&ready) {
             front.probe(id);
@@ -636,10 +587,8 @@
             }
         }
         movable.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        let mut excess: BTreeMap<BackendId, f64> = over
-            .iter()
-            .map(|(&at, part)| (at, part * asked.get(&at).unwrap_or(&0.0)))
-            .collect();
+        let mut excess: BTreeMap<BackendId, f64> =
+            over.iter().map(|(&at, part)| (at, part * asked.get(&at).unwrap_or(&0.0))).collect();
         for (_, id, at, load) in movable {
             let left = excess.entry(at).or_default();
             if *left > load * 0.5 {
@@ -669,22 +618,9 @@
         let effect = self.row(listener).effect;
         let mut able: Vec<BackendId> = Vec::new();
         for (at, backend) in self.ids() {
-            let in_scope = match (
-                effect,
-                ran.and_then(|(first, _)| self.backends[first.index()].as_ref()),
-            ) {
-                (
-                    Effect::Referenced {
-                        scope: Scope::Zone, ..
-                    },
-                    Some(first),
-                ) => first.zone == backend.zone,
-                (
-                    Effect::Referenced {
-                        scope: Scope::Cell, ..
-                    },
-                    Some(first),
-                ) => first.cell == backend.cell,
+            let in_scope = match (effect, ran.and_then(|(first, _)| self.backends[first.index()].as_ref())) {
+                (Effect::Referenced { scope: Scope::Zone, .. }, Some(first)) => first.zone == backend.zone,
+                (Effect::Referenced { scope: Scope::Cell, .. }, Some(first)) => first.cell == backend.cell,
                 _ => true,
             };
             let turn_is_ours = self.cold_turn(now, at).is_none_or(|(_, open)| open);
@@ -692,17 +628,10 @@
                 able.push(at);
             }
         }
-        let healthy: Vec<BackendId> = able
-            .iter()
-            .copied()
-            .filter(|&at| self.at(at).ejected_until <= now)
-            .collect();
+        let healthy: Vec<BackendId> =
+            able.iter().copied().filter(|&at| self.at(at).ejected_until <= now).collect();
         // Most of the fleet failing at once is likelier a fault on our side than on theirs.
-        let mut able = if healthy.len() * 2 >= able.len() {
-            healthy
-        } else {
-            able
-        };
+        let mut able = if healthy.len() * 2 >= able.len() { healthy } else { able };
         if able.len() > 1 {
             able.retain(|&at| Some(at) != last);
         }
@@ -748,18 +677,13 @@
     }
 
     fn at(&self, id: BackendId) -> &Backend {
-        self.backends[id.index()]
-            .as_ref()
-            .expect("picked among those listed")
+        self.backends[id.index()].as_ref().expect("picked among those listed")
     }
 
     /// What the pool tells of the fleet: its mean load, and the load that one connection adds.
     fn pool_mean(&self, now: Moment) -> (f64, f64) {
-        let fresh = |b: &Backend| {
-            b.heard
-                .filter(|(at, _)| now.since(*at) < POOL_AGE)
-                .map(|(_, report)| report)
-        };
+        let fresh =
+            |b: &Backend| b.heard.filter(|(at, _)| now.since(*at) < POOL_AGE).map(|(_, report)| report);
         let (mut heard, mut load, mut count) = (0.0, 0.0, 0.0);
         for report in self.ids().filter_map(|(_, b)| fresh(b)) {
             heard += 1.0;
@@ -771,24 +695,14 @@
             let ready = self.ids().filter(|(_, b)| b.standing == Standing::Ready).count() as f64;
             count = f64::from(open) * f64::from(self.deployment.relays) * heard / ready.max(1.0);
         }
-        if heard == 0.0 {
-            (0.0, 0.0)
-        } else {
-            (load / heard, load / f64::max(count, heard))
-        }
+        if heard == 0.0 { (0.0, 0.0) } else { (load / heard, load / f64::max(count, heard)) }
     }
 
     fn load(&self, now: Moment, id: BackendId, (mean, each): (f64, f64), fee: f64) -> f64 {
         let backend = self.at(id);
         let later = (backend.placed.len() as f64 * f64::from(self.deployment.relays) + fee) * each;
-        let report = backend
-            .heard
-            .filter(|(at, _)| now.since(*at) < POOL_AGE)
-            .map(|(_, report)| report);
-        report
-            .and_then(|report| report.load.or(report.connections))
-            .unwrap_or(mean)
-            + later
+        let report = backend.heard.filter(|(at, _)| now.since(*at) < POOL_AGE).map(|(_, report)| report);
+        report.and_then(|report| report.load.or(report.connections)).unwrap_or(mean) + later
     }
 
     // ---- cold backends ----
