A group's first connection counts six; full from a load of 0.8

Cause: splitting a group costs more of a backend than the two connections assumed, and beyond four fifths of capacity messages come late. Kept fee 6 with full 0.8.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -18,9 +18,9 @@
 const POOL_AGE: Span = Span::from_ms(30_000);
 // Ours.
 const REPORT_LAG: Span = Span::from_ms(1_000);
-const GROUP_FEE: f64 = 2.0;
+const GROUP_FEE: f64 = 6.0;
 const HOT: f64 = 0.6;
-const FULL: f64 = 0.95;
+const FULL: f64 = 0.8;
 const OVERDRIVEN: f64 = 0.9;
 const STRIKES: u32 = 2;
 const EJECT: Span = Span::from_ms(4_000);
