Connections that exist at start may be moved at once

Other causes ruled out: no list change, reports and probes were there. Change: they count as standing for longer than the cool-down.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -206,7 +206,9 @@
     /// A connection that already runs through this relay as it starts.
     pub fn inherited(&mut self, now: Moment, id: SessionId, backend: BackendId, arrival: Arrival) {
         self.sessions.insert(id, Session { dials: 1, ..Session::new(&arrival, now) });
-        self.turn(id, State::Ready(Dial { number: 0, backend, sent: now }, now));
+        // It has stood for longer than this instance; a fresh cool-down would shield an overload at start from relief.
+        let long_ago = now - COOL_DOWN;
+        self.turn(id, State::Ready(Dial { number: 0, backend, sent: long_ago }, long_ago));
     }
 
     pub fn ready<F: Front>(&mut self, now: Moment, id: SessionId, number: u32, front: &mut F) {
