Relieve backends that are behind with messages until they can catch up

Cause: work piled up, which a load just under one works off only slowly. Change: a backend whose messages are later than the shortest target is relieved from a load of 0.6 on and down to 0.5.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -24,6 +24,8 @@
 const OVERDRIVEN: f64 = 0.9;
 const STRIKES: u32 = 2;
 const EJECT: Span = Span::from_ms(4_000);
+const DRAIN: f64 = 0.5;
+const NOTE_AGE: Span = Span::from_ms(2_000);
 const HOUSEKEEPING: Span = Span::from_ms(500);
 
 /// One dial, from its sending to its verdict.
@@ -82,7 +84,7 @@
     strikes: u32,
     ejections: u32,
     ejected_until: Moment,
-    slow_note: Option<Moment>,
+    message_delay: Option<(Moment, Span)>,
     cold_turn: Option<u64>,
     relieved: Moment,
 }
@@ -159,7 +161,7 @@
                 strikes: 0,
                 ejections: 0,
                 ejected_until: Moment::default(),
-                slow_note: None,
+                message_delay: None,
                 cold_turn: None,
                 relieved: Moment::default(),
             });
@@ -170,7 +172,7 @@
                 backend.strikes = 0;
                 backend.ejections = 0;
                 backend.ejected_until = Moment::default();
-                backend.slow_note = None;
+                backend.message_delay = None;
                 backend.cold_turn = None;
             }
             (backend.zone, backend.cell) = (row.zone, row.cell);
@@ -333,9 +335,8 @@
         let State::Ready(dial, _) = session.state else {
             return;
         };
-        let target = self.row(session.listener).message_target;
         if let Some(backend) = self.backend(dial.backend) {
-            backend.slow_note = (delay > target && target > Span::ZERO).then_some(now);
+            backend.message_delay = Some((now, delay));
         }
     }
 
@@ -562,15 +563,19 @@
     /// what is too much, the least utility for its load first. One report justifies one such step, and nobody is
     /// moved before his cool-down, so that a wrong judgement costs little and clients don't go round in circles.
     fn relieve<F: Front>(&mut self, now: Moment, front: &mut F) {
+        let shortest =
+            self.deployment.listeners.iter().map(|row| row.message_target).min().unwrap_or_default();
         let mut over: BTreeMap<BackendId, f64> = BTreeMap::new();
         for (at, backend) in self.backends.iter_mut().enumerate() {
             let Some(backend) = backend else { continue };
             let Some((heard, load)) = backend.heard.and_then(|(heard, r)| Some((heard, r.load?))) else {
                 continue;
             };
-            if load > OVERDRIVEN && heard >= backend.relieved + REPORT_LAG && now.since(heard) < REPORT_LAG {
+            let behind = backend.late_for(shortest, now);
+            let limit = if behind { HOT } else { OVERDRIVEN };
+            if load > limit && heard >= backend.relieved + REPORT_LAG && now.since(heard) < REPORT_LAG {
                 backend.relieved = now;
-                over.insert(BackendId(at as u32), 1.0 - HOT / load);
+                over.insert(BackendId(at as u32), 1.0 - if behind { DRAIN } else { HOT } / load);
             }
         }
         let mut asked: BTreeMap<BackendId, f64> = BTreeMap::new();
@@ -742,6 +747,13 @@
     }
 }
 
+impl Backend {
+    fn late_for(&self, target: Span, now: Moment) -> bool {
+        let recent = self.message_delay.filter(|(at, _)| now.since(*at) < NOTE_AGE);
+        target > Span::ZERO && recent.is_some_and(|(_, delay)| delay > target)
+    }
+}
+
 /// The same order of backends for a group at every relay, with nothing shared.
 fn mixed(mark: u64, group: u64) -> u64 {
     let mut x = mark ^ group.rotate_left(17) ^ 0x9e37_79b9_7f4a_7c15;
