--- a/src/balance.rs
+++ b/src/balance.rs
@@ -23,9 +23,12 @@
 const FULL: f64 = 0.8;
 const OVERDRIVEN: f64 = 0.9;
 const STRIKES: u32 = 2;
+/// One backend in so many may be ejected at a time.
+const MOST_OUT: u32 = 2;
 const EJECT: Span = Span::from_ms(4_000);
 const DRAIN: f64 = 0.5;
 const NOTE_AGE: Span = Span::from_ms(2_000);
+const PATIENCE: f64 = 4.0;
 const HOUSEKEEPING: Span = Span::from_ms(500);
 
 /// One dial, from its sending to its verdict.
@@ -107,6 +110,8 @@
     backends: Vec<Option<Backend>>,
     errands: BTreeSet<(Moment, Errand)>,
     failed_calls: u32,
+    /// How long a set-up takes of late, over all backends.
+    set_up: Span,
 }
 
 impl Relay {
@@ -118,6 +123,7 @@
             backends: Vec::new(),
             errands: BTreeSet::new(),
             failed_calls: 0,
+            set_up: Span::ZERO,
             deployment,
         };
         if relay.deployment.ask_within.is_some() {
@@ -230,6 +236,7 @@
             backend.strikes = 0;
             backend.ejections = 0;
         }
+        self.learn_set_up(now.since(dial.sent));
         self.turn(id, State::Ready(dial, now));
         self.plan(now + COOL_DOWN, Errand::CoolDown(id), front);
     }
@@ -259,6 +266,9 @@
                 if !matches!(verdict, Verdict::Ok | Verdict::Withdrawn | Verdict::NeverSent) {
                     self.strike(now, dial.backend, verdict);
                 }
+                if verdict == Verdict::Timeout {
+                    self.learn_set_up(now.since(dial.sent) * 2.0);
+                }
                 if over || verdict == Verdict::Ok {
                     self.turn(id, State::Over);
                     front.release(id);
@@ -420,7 +430,8 @@
         let session = &self.sessions[&id];
         let last = session.dials + 1 >= self.deployment.max_dials;
         let target = self.row(session.listener).handshake_target;
-        let give_up = if last { left } else { left.min(target) };
+        let patience = target.max(self.set_up * PATIENCE);
+        let give_up = if last { left } else { left.min(patience) };
         if give_up == Span::ZERO {
             return self.finish(id, None, front);
         }
@@ -476,6 +487,11 @@
         front.release(id);
     }
 
+    /// Where set-ups slow down everywhere, giving up early only sends the same work again to whatever is crowded.
+    fn learn_set_up(&mut self, took: Span) {
+        self.set_up = self.set_up * 0.875 + took * 0.125;
+    }
+
     fn jitter(&mut self, count: u32) -> Span {
         let most = CAP.min(BASE * f64::from(1u32 << count.min(16)));
         most * self.chance.rand_float()
@@ -537,14 +553,19 @@
     /// A backend that fails dials or probes in a row takes no part for a while, longer each time, since a backend that
     /// hangs or fails fast still answers its probes and looks the least loaded of all.
     fn strike(&mut self, now: Moment, id: BackendId, verdict: Verdict) {
+        let (mut ready, mut out) = (0, 0);
+        for (_, backend) in self.ids().filter(|(_, backend)| backend.standing == Standing::Ready) {
+            ready += 1;
+            out += u32::from(backend.ejected_until > now);
+        }
         let Some(backend) = self.backend(id) else { return };
         backend.strikes += 1;
-        if verdict == Verdict::Full || backend.strikes < STRIKES || backend.ejected_until > now {
-            return;
+        // Failures all over the fleet have a cause that no backend can be blamed for, ours or one they share.
+        let blamed = (out + 1) * MOST_OUT < ready.max(MOST_OUT + 1);
+        if verdict != Verdict::Full && backend.strikes >= STRIKES && backend.ejected_until <= now && blamed {
+            backend.ejected_until = now + EJECT * f64::from(1 << backend.ejections.min(3));
+            backend.ejections += 1;
         }
-        backend.ejected_until = now + EJECT * f64::from(1 << backend.ejections.min(3));
-        backend.ejections += 1;
-        backend.heard = None;
     }
 
     fn probe<F: Front>(&mut self, now: Moment, front: &mut F) {
@@ -637,8 +658,7 @@
         }
         let healthy: Vec<BackendId> =
             able.iter().copied().filter(|&at| self.at(at).ejected_until <= now).collect();
-        // Most of the fleet failing at once is likelier a fault on our side than on theirs.
-        let mut able = if healthy.len() * 2 >= able.len() { healthy } else { able };
+        let mut able = if healthy.is_empty() { able } else { healthy };
         if able.len() > 1 {
             able.retain(|&at| Some(at) != last);
         }
