Cold backends take more per turn as they warm

Change: a relay's turn holds half the budget that the settings allow for the backend's present share, judged by the rate at which new clients' connections stand and the fleet's load.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -29,6 +29,8 @@
 const DRAIN: f64 = 0.5;
 const NOTE_AGE: Span = Span::from_ms(2_000);
 const PATIENCE: f64 = 4.0;
+const RATE_OVER: Span = Span::from_ms(10_000);
+const COLD_CAUTION: f64 = 0.5;
 const HOUSEKEEPING: Span = Span::from_ms(500);
 
 /// One dial, from its sending to its verdict.
@@ -55,6 +57,7 @@
     listener: ListenerId,
     key: Option<u64>,
     group: Option<u64>,
+    returning: bool,
     due: Moment,
     state: State,
     dials: u32,
@@ -88,7 +91,8 @@
     ejections: u32,
     ejected_until: Moment,
     message_delay: Option<(Moment, Span)>,
-    cold_turn: Option<u64>,
+    /// The last turn in which this relay used it cold, and how often.
+    cold_turn: Option<(u64, u32)>,
     relieved: Moment,
 }
 
@@ -110,6 +114,8 @@
     backends: Vec<Option<Backend>>,
     errands: BTreeSet<(Moment, Errand)>,
     failed_calls: u32,
+    /// When new clients' connections came to stand, over the last while.
+    recent: VecDeque<Moment>,
     /// How long a set-up takes of late, over all backends.
     set_up: Span,
 }
@@ -123,6 +129,7 @@
             backends: Vec::new(),
             errands: BTreeSet::new(),
             failed_calls: 0,
+            recent: VecDeque::new(),
             set_up: Span::ZERO,
             deployment,
         };
@@ -229,6 +236,7 @@
         if dial.number != number {
             return;
         }
+        let returning = session.returning;
         if let Some(key) = session.key {
             self.client(key, now).ready_at = Some(now);
         }
@@ -237,6 +245,10 @@
             backend.ejections = 0;
         }
         self.learn_set_up(now.since(dial.sent));
+        self.recent.retain(|&at| now.since(at) < RATE_OVER);
+        if !returning {
+            self.recent.push_back(now);
+        }
         self.turn(id, State::Ready(dial, now));
         self.plan(now + COOL_DOWN, Errand::CoolDown(id), front);
     }
@@ -442,7 +454,10 @@
         let turn = self.cold_turn(now, backend).map(|(turn, _)| turn);
         if let Some(at) = self.backend(backend) {
             at.placed.push_back(now);
-            at.cold_turn = turn.or(at.cold_turn);
+            if let Some(turn) = turn {
+                let used = at.cold_turn.filter(|&(last, _)| last == turn).map_or(0, |(_, used)| used);
+                at.cold_turn = Some((turn, used + 1));
+            }
         }
         self.turn(id, State::Dialling(Dial { number, backend, sent: now }));
         front.dial(id, backend, give_up);
@@ -746,7 +761,24 @@
         let turn = age.us() / cold.window.us().max(1);
         let relays = u64::from(self.deployment.relays.max(1));
         let ours = (turn + backend.mark) % relays == u64::from(self.deployment.me);
-        Some((turn, ours && backend.cold_turn != Some(turn)))
+        let used = backend.cold_turn.filter(|&(at, _)| at == turn).map_or(0, |(_, used)| used);
+        let share = cold.start_share + (1.0 - cold.start_share) * age.secs() / cold.warm_up.secs();
+        // Any window overlaps two turns, and the estimate of what a warm backend takes is rough: half for either.
+        let budget = COLD_CAUTION * cold.factor * share * self.warm_rate(now) * cold.window.secs();
+        Some((turn, ours && f64::from(used) < budget.floor().max(1.0)))
+    }
+
+    /// New connections a second that would fill a warm backend of middling size, judged by what this relay set up, as
+    /// if every relay did as much, and the load of the fleet. Clients that come again don't count: a rush of them
+    /// would pass for capacity just when fresh backends come up.
+    fn warm_rate(&self, now: Moment) -> f64 {
+        let ready = self.ids().filter(|(_, b)| b.standing == Standing::Ready).count() as f64;
+        let recent = self.recent.iter().filter(|&&at| now.since(at) < RATE_OVER).count() as f64;
+        let (mean, _) = self.pool_mean(now);
+        if mean < 0.1 || ready == 0.0 {
+            return 0.0;
+        }
+        recent / RATE_OVER.secs() * f64::from(self.deployment.relays) / ready / mean
     }
 }
 
@@ -756,6 +788,7 @@
             listener: arrival.listener,
             key: arrival.key,
             group: arrival.group,
+            returning: arrival.returning,
             due: now + arrival.dial_timeout,
             state: State::New,
             dials: 0,
