Limits act only where loads are shares of capacity; tidier module

Guards against a deployment whose backends report connections only: limits that are shares would have refused everything. Unheard backends stay in the pool at its mean, as the design says; a key's count clears by when its latest connection became ready.

--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use thistlecroft::balance::Relay;
-use thistlecroft::front::{Arrival, Front, ListScope, Listing, Report, Standing, Verdict};
+use thistlecroft::front::{Arrival, Ending, Front, ListScope, Listing, Report, Standing, Verdict};
 use thistlecroft::ids::{BackendId, CellId, ListenerId, SessionId, ZoneId};
 use thistlecroft::units::{Moment, Span};
 
@@ -144,9 +144,8 @@
                 let verdict = verdict(event.u16(16))?;
                 if let Some(session) = known(names, 4) {
                     let (dial, over) = (u32::from(event.u16(24)), event.u8(26) != 0);
-                    let report = places.report(event, 27);
-                    let mut door = Door { number, names, reply };
-                    relay.ended(now, session, dial, verdict, over, report, &mut door);
+                    let ending = Ending { dial, verdict, over, report: places.report(event, 27) };
+                    relay.ended(now, session, ending, &mut Door { number, names, reply });
                 }
             }
             1050 => {
@@ -173,7 +172,7 @@
                 };
                 let backend = names.backend(event.array(12));
                 let session = names.session(event.u64(4));
-                relay.inherited(now, session, backend, arrival);
+                relay.inherited(now, session, backend, arrival, &mut Door { number, names, reply });
             }
             1110 => {
                 if let Some(session) = known(names, 4) {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -3,7 +3,7 @@
 //! a session or backend unknown by then is passed over. `docs/design.md` says which part follows the design and under
 //! what condition each departure acts. Order of reading: open settings, state by lifetime, events, dialling, picking.
 use crate::deployment::{Deployment, Effect, Listener, Scope};
-use crate::front::{Arrival, Front, ListScope, Listing, Report, Standing, Verdict};
+use crate::front::{Arrival, Ending, Front, ListScope, Listing, Report, Standing, Verdict};
 use crate::ids::{BackendId, CellId, ListenerId, SessionId, ZoneId};
 use crate::units::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -24,7 +24,7 @@
 const OVERDRIVEN: f64 = 0.9;
 const STRIKES: u32 = 2;
 /// One backend in so many may be ejected at a time.
-const MOST_OUT: u32 = 2;
+const MOST_OUT: usize = 2;
 const EJECT: Span = Span::from_ms(4_000);
 const DRAIN: f64 = 0.5;
 const NOTE_AGE: Span = Span::from_ms(2_000);
@@ -96,13 +96,30 @@
     relieved: Moment,
 }
 
+#[derive(Clone, Copy)]
+struct Pool {
+    mean: f64,
+    /// What one connection adds to a backend of middling size.
+    each: f64,
+    /// Loads are shares of what a backend can do, not connections.
+    tells_share: bool,
+    empty: bool,
+}
+
+/// A backend that a session may go to.
+#[derive(Clone, Copy)]
+struct Entry {
+    at: BackendId,
+    load: f64,
+    near: bool,
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Errand {
     Probe,
     Housekeeping,
     Subscribe,
     Redial(SessionId),
-    CoolDown(SessionId),
 }
 
 /// One instance, from its start to its end.
@@ -203,9 +220,7 @@
     /// meeting at a discovery that is already behind, and well within the span after which the relay would be deemed
     /// to know what it never heard.
     pub fn list_failed<F: Front>(&mut self, now: Moment, front: &mut F) {
-        let Some(within) = self.deployment.ask_within else {
-            return;
-        };
+        let Some(within) = self.deployment.ask_within else { return };
         let wait = self.jitter(self.failed_calls).min(within * 0.5);
         self.failed_calls += 1;
         self.plan(now + wait, Errand::Subscribe, front);
@@ -219,20 +234,24 @@
     }
 
     /// A connection that already runs through this relay as it starts.
-    pub fn inherited(&mut self, now: Moment, id: SessionId, backend: BackendId, arrival: Arrival) {
+    pub fn inherited<F: Front>(
+        &mut self,
+        now: Moment,
+        id: SessionId,
+        at: BackendId,
+        arrival: Arrival,
+        front: &mut F,
+    ) {
         self.sessions.insert(id, Session { dials: 1, ..Session::new(&arrival, now) });
         // It has stood for longer than this instance; a fresh cool-down would shield an overload at start from relief.
         let long_ago = now - COOL_DOWN;
-        self.turn(id, State::Ready(Dial { number: 0, backend, sent: long_ago }, long_ago));
+        let dial = Dial { number: 0, backend: at, sent: long_ago };
+        self.turn(id, State::Ready(dial, long_ago), front);
     }
 
     pub fn ready<F: Front>(&mut self, now: Moment, id: SessionId, number: u32, front: &mut F) {
-        let Some(session) = self.sessions.get(&id) else {
-            return;
-        };
-        let State::Dialling(dial) = session.state else {
-            return;
-        };
+        let Some(session) = self.sessions.get(&id) else { return };
+        let State::Dialling(dial) = session.state else { return };
         if dial.number != number {
             return;
         }
@@ -249,83 +268,65 @@
         if !returning {
             self.recent.push_back(now);
         }
-        self.turn(id, State::Ready(dial, now));
-        self.plan(now + COOL_DOWN, Errand::CoolDown(id), front);
+        self.turn(id, State::Ready(dial, now), front);
     }
 
-    #[allow(clippy::too_many_arguments)]
-    pub fn ended<F: Front>(
-        &mut self,
-        now: Moment,
-        id: SessionId,
-        number: u32,
-        verdict: Verdict,
-        over: bool,
-        report: Report,
-        front: &mut F,
-    ) {
-        let Some(session) = self.sessions.get_mut(&id) else {
-            return;
-        };
+    pub fn ended<F: Front>(&mut self, now: Moment, id: SessionId, ending: Ending, front: &mut F) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Ending { dial: number, verdict, over, report } = ending;
+        let answered = over || verdict == Verdict::Ok;
         match session.state {
             State::Dialling(dial) if dial.number == number => {
-                self.heard(now, dial.backend, report);
-                let session = self.sessions.get_mut(&id).expect("held above");
                 if verdict.may_have_run() {
                     session.ran.get_or_insert((dial.backend, dial.sent));
                 }
                 session.last_tried = Some(dial.backend);
+                self.heard(now, dial.backend, report);
                 if !matches!(verdict, Verdict::Ok | Verdict::Withdrawn | Verdict::NeverSent) {
                     self.strike(now, dial.backend, verdict);
                 }
                 if verdict == Verdict::Timeout {
                     self.learn_set_up(now.since(dial.sent) * 2.0);
                 }
-                if over || verdict == Verdict::Ok {
-                    self.turn(id, State::Over);
-                    front.release(id);
+                if answered {
+                    self.turn(id, State::Over, front);
                 } else {
                     self.further(now, id, front);
                 }
             }
             State::Ready(dial, since) if dial.number == number => {
+                let key = session.key;
                 self.heard(now, dial.backend, report);
                 if verdict == Verdict::Reset && now.since(since) < COOL_DOWN {
                     self.count_failure(now, id);
+                } else if let Some(key) = key {
+                    // Looked up first: that clears the count if the connection has stood long enough.
+                    self.client(key, now).ready_at = None;
                 }
-                if over || verdict == Verdict::Ok {
-                    self.turn(id, State::Over);
-                    front.release(id);
+                if answered {
+                    self.turn(id, State::Over, front);
                 } else {
                     self.finish(id, None, front);
                 }
             }
-            State::Settled => {
-                self.turn(id, State::Over);
-                front.release(id);
-            }
+            State::Settled => self.turn(id, State::Over, front),
             _ => {}
         }
     }
 
     /// The client has left, or the front has ended the session.
     pub fn left<F: Front>(&mut self, id: SessionId, front: &mut F) {
-        let Some(session) = self.sessions.get(&id) else {
-            return;
-        };
+        let Some(session) = self.sessions.get(&id) else { return };
         match session.state {
             State::Dialling(dial) => {
                 if self.deployment.may_withdraw {
                     front.withdraw(id, dial.number);
                 }
-                self.turn(id, State::Settled);
+                self.turn(id, State::Settled, front);
             }
-            State::Ready(..) => self.turn(id, State::Settled),
+            State::Ready(..) => self.turn(id, State::Settled, front),
             State::Settled => {}
-            State::New | State::Held | State::Over => {
-                self.turn(id, State::Over);
-                front.release(id);
-            }
+            State::New | State::Held | State::Over => self.turn(id, State::Over, front),
         }
     }
 
@@ -351,12 +352,8 @@
     }
 
     pub fn delay_noted(&mut self, now: Moment, id: SessionId, delay: Span) {
-        let Some(session) = self.sessions.get(&id) else {
-            return;
-        };
-        let State::Ready(dial, _) = session.state else {
-            return;
-        };
+        let Some(session) = self.sessions.get(&id) else { return };
+        let State::Ready(dial, _) = session.state else { return };
         if let Some(backend) = self.backend(dial.backend) {
             backend.message_delay = Some((now, delay));
         }
@@ -370,7 +367,7 @@
             self.errands.pop_first();
             match errand {
                 Errand::Probe => {
-                    self.probe(now, front);
+                    self.probe(front);
                     self.plan(now + PROBE_EVERY, Errand::Probe, front);
                 }
                 Errand::Housekeeping => {
@@ -384,14 +381,6 @@
                         self.dial(now, id, front);
                     }
                 }
-                Errand::CoolDown(id) => {
-                    let Some(session) = self.sessions.get(&id) else {
-                        continue;
-                    };
-                    if let (State::Ready(..), Some(key)) = (session.state, session.key) {
-                        self.client(key, now).failures = 0;
-                    }
-                }
             }
         }
     }
@@ -404,19 +393,15 @@
     // ---- dialling ----
 
     /// Every change of a session's state.
-    fn turn(&mut self, id: SessionId, next: State) {
-        let Some(session) = self.sessions.get_mut(&id) else {
-            return;
-        };
+    fn turn<F: Front>(&mut self, id: SessionId, next: State, front: &mut F) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
         let (was, group) = (std::mem::replace(&mut session.state, next), session.group);
         let on = |state: State| match state {
             State::Dialling(dial) | State::Ready(dial, _) => Some(dial.backend),
             _ => None,
         };
         for (held, more) in [(on(was), false), (on(next), true)] {
-            let Some(backend) = held.and_then(|at| self.backend(at)) else {
-                continue;
-            };
+            let Some(backend) = held.and_then(|at| self.backend(at)) else { continue };
             backend.open = if more { backend.open + 1 } else { backend.open.saturating_sub(1) };
             if let Some(group) = group {
                 let members = backend.groups.entry(group).or_default();
@@ -428,6 +413,7 @@
         }
         if matches!(next, State::Over) {
             self.sessions.remove(&id);
+            front.release(id);
         }
     }
 
@@ -459,7 +445,7 @@
                 at.cold_turn = Some((turn, used + 1));
             }
         }
-        self.turn(id, State::Dialling(Dial { number, backend, sent: now }));
+        self.turn(id, State::Dialling(Dial { number, backend, sent: now }), front);
         front.dial(id, backend, give_up);
     }
 
@@ -476,7 +462,7 @@
             (Effect::OnceOnly, Some(_)) => false,
         };
         if in_time && repeat_known {
-            self.turn(id, State::Held);
+            self.turn(id, State::Held, front);
             self.plan(now + wait, Errand::Redial(id), front);
         } else {
             self.finish(id, Some(wait), front);
@@ -498,8 +484,7 @@
             }
             _ => front.tear_down(id),
         }
-        self.turn(id, State::Over);
-        front.release(id);
+        self.turn(id, State::Over, front);
     }
 
     /// Where set-ups slow down everywhere, giving up early only sends the same work again to whatever is crowded.
@@ -522,13 +507,12 @@
     }
 
     fn count_failure(&mut self, now: Moment, id: SessionId) {
-        let Some(session) = self.sessions.get_mut(&id) else {
-            return;
-        };
+        let Some(session) = self.sessions.get_mut(&id) else { return };
         match session.key {
             Some(key) => {
                 let client = self.client(key, now);
                 client.failures = client.failures.saturating_add(1);
+                client.ready_at = None;
             }
             None => session.own_failures += 1,
         }
@@ -543,6 +527,9 @@
         let fresh = Client { failures: 0, ready_at: None, touched: now };
         let client = self.clients.entry(key).or_insert(fresh);
         client.touched = now;
+        if client.ready_at.is_some_and(|at| now.since(at) >= COOL_DOWN) {
+            *client = Client { failures: 0, ..fresh };
+        }
         client
     }
 
@@ -568,11 +555,8 @@
     /// A backend that fails dials or probes in a row takes no part for a while, longer each time, since a backend that
     /// hangs or fails fast still answers its probes and looks the least loaded of all.
     fn strike(&mut self, now: Moment, id: BackendId, verdict: Verdict) {
-        let (mut ready, mut out) = (0, 0);
-        for (_, backend) in self.ids().filter(|(_, backend)| backend.standing == Standing::Ready) {
-            ready += 1;
-            out += u32::from(backend.ejected_until > now);
-        }
+        let ready = self.ready_ones().count();
+        let out = self.ready_ones().filter(|(_, backend)| backend.ejected_until > now).count();
         let Some(backend) = self.backend(id) else { return };
         backend.strikes += 1;
         // Failures all over the fleet have a cause that no backend can be blamed for, ours or one they share.
@@ -583,14 +567,9 @@
         }
     }
 
-    fn probe<F: Front>(&mut self, now: Moment, front: &mut F) {
-        if !self.deployment.may_probe {
-            return;
-        }
-        let ready: Vec<BackendId> =
-            self.ids().filter(|&(_, b)| b.standing == Standing::Ready).map(|(id, _)| id).collect();
-        let _ = now;
-        if let Some(&id) = self.any_of(&ready) {
+    fn probe<F: Front>(&mut self, front: &mut F) {
+        let ready: Vec<BackendId> = self.ready_ones().map(|(id, _)| id).collect();
+        if let Some(&id) = self.any_of(&ready).filter(|_| self.deployment.may_probe) {
             front.probe(id);
         }
     }
@@ -617,9 +596,7 @@
         let mut asked: BTreeMap<BackendId, f64> = BTreeMap::new();
         let mut movable: Vec<(f64, SessionId, BackendId, f64)> = Vec::new();
         for (&id, session) in &self.sessions {
-            let State::Ready(dial, since) = session.state else {
-                continue;
-            };
+            let State::Ready(dial, since) = session.state else { continue };
             if !over.contains_key(&dial.backend) {
                 continue;
             }
@@ -637,7 +614,7 @@
             if *left > load * 0.5 {
                 *left -= load;
                 front.send_away(id);
-                self.turn(id, State::Settled);
+                self.turn(id, State::Settled, front);
             }
         }
     }
@@ -647,6 +624,10 @@
         numbered.filter_map(|(at, backend)| Some((BackendId(at as u32), backend.as_ref()?)))
     }
 
+    fn ready_ones(&self) -> impl Iterator<Item = (BackendId, &Backend)> {
+        self.ids().filter(|(_, backend)| backend.standing == Standing::Ready)
+    }
+
     fn any_of<'a, T>(&mut self, list: &'a [T]) -> Option<&'a T> {
         let top = list.len() as u64;
         (top > 0).then(|| &list[self.chance.rand_range(0..top) as usize])
@@ -677,74 +658,87 @@
         if able.len() > 1 {
             able.retain(|&at| Some(at) != last);
         }
-        let mean = self.pool_mean(now);
+        let pool = self.pool(now);
         let group = group.filter(|_| self.deployment.groups);
-        let weigh = |at: BackendId| {
-            let joins = group.is_none_or(|group| self.at(at).groups.contains_key(&group));
-            self.load(now, at, mean, if joins { 0.0 } else { GROUP_FEE })
+        let crossing_is_free = self.deployment.crossing_price <= 0.0;
+        let weighed: Vec<Entry> = able
+            .into_iter()
+            .map(|at| {
+                let backend = self.at(at);
+                let joins = group.is_none_or(|group| backend.groups.contains_key(&group));
+                let load = self.load(now, at, pool, if joins { 0.0 } else { GROUP_FEE });
+                Entry { at, load, near: crossing_is_free || backend.zone == self.deployment.zone }
+            })
+            .collect();
+        let among = |wanted: &dyn Fn(&Entry) -> bool| -> Vec<Entry> {
+            weighed.iter().copied().filter(wanted).collect()
         };
-        let near =
-            |at: BackendId| self.deployment.crossing_price <= 0.0 || self.at(at).zone == self.deployment.zone;
-        let weighed: Vec<(BackendId, f64)> = able.into_iter().map(|at| (at, weigh(at))).collect();
-        let near_cool = |&(at, load): &(BackendId, f64)| near(at) && load < HOT;
-        let cool = |&(_, load): &(BackendId, f64)| load < HOT;
-        let mut list: Vec<(BackendId, f64)> = weighed.iter().copied().filter(near_cool).collect();
-        if list.is_empty() {
-            list = weighed.iter().copied().filter(cool).collect();
-        }
-        if list.is_empty() {
+        let mut list = weighed.clone();
+        if pool.tells_share {
             // A backend driven past what it can do serves nobody, and clients it drops come back at once: what finds
             // no room anywhere is refused instead.
-            list = weighed.into_iter().filter(|&(_, load)| load < FULL).collect();
-        }
-        if list.iter().any(|&(at, _)| self.at(at).heard.is_some()) {
-            list.retain(|&(at, _)| self.at(at).heard.is_some());
-        } else {
-            list.iter_mut().for_each(|(at, load)| {
-                *load = f64::from(self.backends[at.index()].as_ref().map_or(0, |b| b.open))
-            });
+            list = among(&|entry| entry.near && entry.load < HOT);
+            for limit in [HOT, FULL] {
+                if list.is_empty() {
+                    list = among(&|entry| entry.load < limit);
+                }
+            }
+        } else if list.iter().any(|entry| entry.near) {
+            list.retain(|entry| entry.near);
         }
         let pair = match group {
             Some(group) => {
-                list.sort_by_key(|&(at, _)| mixed(self.at(at).mark, group));
+                list.sort_by_key(|entry| mixed(self.at(entry.at).mark, group));
                 (*list.first()?, *list.get(1).unwrap_or(&list[0]))
             }
             None => {
                 let first = *self.any_of(&list)?;
-                list.retain(|&(at, _)| at != first.0);
+                list.retain(|entry| entry.at != first.at);
                 (first, self.any_of(&list).copied().unwrap_or(first))
             }
         };
-        Some(if pair.1.1 < pair.0.1 { pair.1.0 } else { pair.0.0 })
+        Some(if pair.1.load < pair.0.load { pair.1.at } else { pair.0.at })
     }
 
     fn at(&self, id: BackendId) -> &Backend {
         self.backends[id.index()].as_ref().expect("picked among those listed")
     }
 
-    /// What the pool tells of the fleet: its mean load, and the load that one connection adds.
-    fn pool_mean(&self, now: Moment) -> (f64, f64) {
-        let fresh =
-            |b: &Backend| b.heard.filter(|(at, _)| now.since(*at) < POOL_AGE).map(|(_, report)| report);
-        let (mut heard, mut load, mut count) = (0.0, 0.0, 0.0);
-        for report in self.ids().filter_map(|(_, b)| fresh(b)) {
+    /// What the pool tells of the fleet, from entries that are not too old.
+    fn pool(&self, now: Moment) -> Pool {
+        let (mut heard, mut load, mut count, mut shares) = (0.0, 0.0, 0.0, 0.0);
+        for report in self.ids().filter_map(|(_, backend)| backend.report(now)) {
             heard += 1.0;
             load += report.load.or(report.connections).unwrap_or(0.0);
             count += report.connections.unwrap_or(0.0);
+            shares += f64::from(u8::from(report.load.is_some()));
+        }
+        if heard == 0.0 {
+            return Pool { mean: 0.0, each: 0.0, tells_share: false, empty: true };
         }
-        let open: u32 = self.ids().map(|(_, b)| b.open).sum();
         if count == 0.0 {
-            let ready = self.ids().filter(|(_, b)| b.standing == Standing::Ready).count() as f64;
+            let open: u32 = self.ids().map(|(_, b)| b.open).sum();
+            let ready = self.ready_ones().count() as f64;
             count = f64::from(open) * f64::from(self.deployment.relays) * heard / ready.max(1.0);
         }
-        if heard == 0.0 { (0.0, 0.0) } else { (load / heard, load / f64::max(count, heard)) }
+        Pool {
+            mean: load / heard,
+            each: load / f64::max(count, heard),
+            tells_share: shares > 0.0,
+            empty: false,
+        }
     }
 
-    fn load(&self, now: Moment, id: BackendId, (mean, each): (f64, f64), fee: f64) -> f64 {
+    /// What a backend counts for: its report and what this relay placed there since. Relays that share nothing draw
+    /// the same pair for a group at the same time, so own placements stand for those of all.
+    fn load(&self, now: Moment, id: BackendId, pool: Pool, fee: f64) -> f64 {
         let backend = self.at(id);
-        let later = (backend.placed.len() as f64 * f64::from(self.deployment.relays) + fee) * each;
-        let report = backend.heard.filter(|(at, _)| now.since(*at) < POOL_AGE).map(|(_, report)| report);
-        report.and_then(|report| report.load.or(report.connections)).unwrap_or(mean) + later
+        if pool.empty {
+            return f64::from(backend.open) + fee;
+        }
+        let later = (backend.placed.len() as f64 * f64::from(self.deployment.relays) + fee) * pool.each;
+        let told = backend.report(now).and_then(|report| report.load.or(report.connections));
+        told.unwrap_or(pool.mean) + later
     }
 
     // ---- cold backends ----
@@ -772,9 +766,9 @@
     /// if every relay did as much, and the load of the fleet. Clients that come again don't count: a rush of them
     /// would pass for capacity just when fresh backends come up.
     fn warm_rate(&self, now: Moment) -> f64 {
-        let ready = self.ids().filter(|(_, b)| b.standing == Standing::Ready).count() as f64;
+        let ready = self.ready_ones().count() as f64;
         let recent = self.recent.iter().filter(|&&at| now.since(at) < RATE_OVER).count() as f64;
-        let (mean, _) = self.pool_mean(now);
+        let mean = self.pool(now).mean;
         if mean < 0.1 || ready == 0.0 {
             return 0.0;
         }
@@ -801,6 +795,10 @@
 }
 
 impl Backend {
+    fn report(&self, now: Moment) -> Option<Report> {
+        self.heard.filter(|(at, _)| now.since(*at) < POOL_AGE).map(|(_, report)| report)
+    }
+
     fn late_for(&self, target: Span, now: Moment) -> bool {
         let recent = self.message_delay.filter(|(at, _)| now.since(*at) < NOTE_AGE);
         target > Span::ZERO && recent.is_some_and(|(_, delay)| delay > target)
--- a/src/front.rs
+++ b/src/front.rs
@@ -81,3 +81,13 @@
     /// Load asked over what it can do.
     pub load: Option<f64>,
 }
+
+/// How a dial ended, or the connection that it set up.
+#[derive(Clone, Copy, Debug)]
+pub struct Ending {
+    pub dial: u32,
+    pub verdict: Verdict,
+    /// The client has its answer by this ending or had it before.
+    pub over: bool,
+    pub report: Report,
+}
