A connection counts for at most 0.05 of a backend; tables of tests

Found by a table test: a relay that had just started, with load shares but no counts reported, took each connection for a large part of a backend and refused everything on an idle fleet.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -18,6 +18,7 @@
 const POOL_AGE: Span = Span::from_ms(30_000);
 // Ours.
 const REPORT_LAG: Span = Span::from_ms(1_000);
+const EACH_MOST: f64 = 0.05;
 const GROUP_FEE: f64 = 6.0;
 const HOT: f64 = 0.6;
 const FULL: f64 = 0.8;
@@ -721,12 +722,10 @@
             let ready = self.ready_ones().count() as f64;
             count = f64::from(open) * f64::from(self.deployment.relays) * heard / ready.max(1.0);
         }
-        Pool {
-            mean: load / heard,
-            each: load / f64::max(count, heard),
-            tells_share: shares > 0.0,
-            empty: false,
-        }
+        // A relay that has just started holds few connections and would take each for a large part of a backend.
+        let (tells_share, each) = (shares > 0.0, load / f64::max(count, heard));
+        let each = if tells_share { each.min(EACH_MOST) } else { each };
+        Pool { mean: load / heard, each, tells_share, empty: false }
     }
 
     /// What a backend counts for: its report and what this relay placed there since. Relays that share nothing draw
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,406 @@
+//! What the decisions owe their callers, as tables of cases, with no simulator.
+mod helper;
+
+use helper::{Asked, Bench, arrival, deployment, ms, row, rows};
+use std::collections::BTreeSet;
+use thistlecroft::deployment::{Deployment, Effect, Scope};
+use thistlecroft::front::{ListScope, Standing, Verdict};
+use thistlecroft::ids::{BackendId, SessionId};
+use thistlecroft::units::{Moment, Span};
+
+const REPEATABLE: Effect = Effect::Repeatable;
+const ONCE: Effect = Effect::OnceOnly;
+
+fn referenced(scope: Scope) -> Effect {
+    Effect::Referenced { scope, window: Span::from_ms(5_000) }
+}
+
+#[test]
+fn the_last_failed_dial_gets_the_answer_that_its_listener_allows() {
+    let refused = true;
+    let cases = [
+        (REPEATABLE, Verdict::Timeout, refused),
+        (REPEATABLE, Verdict::Reset, refused),
+        (REPEATABLE, Verdict::Full, refused),
+        (referenced(Scope::All), Verdict::Timeout, refused),
+        (referenced(Scope::Zone), Verdict::Timeout, !refused),
+        (referenced(Scope::Cell), Verdict::Error, !refused),
+        (referenced(Scope::Zone), Verdict::Unreachable, refused),
+        (ONCE, Verdict::Timeout, !refused),
+        (ONCE, Verdict::Error, !refused),
+        (ONCE, Verdict::Reset, !refused),
+        (ONCE, Verdict::Withdrawn, !refused),
+        (ONCE, Verdict::Full, refused),
+        (ONCE, Verdict::Unreachable, refused),
+        (ONCE, Verdict::NeverSent, refused),
+    ];
+    for (effect, verdict, may_refuse) in cases {
+        let mut bench = Bench::new(Deployment { max_dials: 1, ..deployment(effect) }, &rows(4));
+        bench.arrive(1, arrival(5, 0, ms(4_000)));
+        bench.pass(ms(300));
+        bench.end(1, 0, verdict, false);
+        bench.end(1, 0, verdict, false);
+        bench.pass(ms(10_000));
+        let answers = bench.answers(1);
+        assert_eq!(answers.len(), 1, "{effect:?} {verdict:?}: {answers:?}");
+        assert_eq!(matches!(answers[0], Asked::Refuse(..)), may_refuse, "{effect:?} {verdict:?}");
+    }
+}
+
+#[test]
+fn a_further_dial_goes_only_where_it_can_do_no_harm() {
+    // After the first dial's verdict: whether another dial may follow, and whether it must stay in the first's zone.
+    let cases = [
+        (REPEATABLE, Verdict::Timeout, true, false),
+        (ONCE, Verdict::Full, true, false),
+        (ONCE, Verdict::Timeout, false, false),
+        (ONCE, Verdict::Reset, false, false),
+        (referenced(Scope::Zone), Verdict::Timeout, true, true),
+        (referenced(Scope::Zone), Verdict::Full, true, false),
+    ];
+    for (effect, verdict, may_dial, same_zone) in cases {
+        let mut zones_differed = false;
+        for id in 1..40 {
+            let mut bench = Bench::new(deployment(effect), &rows(6));
+            let (first, _) = bench.arrive(id, arrival(u64::from(id), u64::from(id), ms(60_000))).unwrap();
+            bench.pass(ms(100));
+            bench.end(id, 0, verdict, false);
+            bench.pass(ms(2_000));
+            let dials = bench.dials(id);
+            assert_eq!(dials.len() > 1, may_dial, "{effect:?} {verdict:?}");
+            assert_eq!(bench.answers(id).is_empty(), may_dial, "{effect:?} {verdict:?}");
+            if let Some((second, _)) = dials.get(1) {
+                zones_differed |= first % 2 != second % 2;
+            }
+        }
+        assert_eq!(zones_differed, may_dial && !same_zone, "{effect:?} {verdict:?}");
+    }
+}
+
+#[test]
+fn past_its_window_a_referenced_session_is_not_sent_again() {
+    let mut bench = Bench::new(deployment(referenced(Scope::Cell)), &rows(8));
+    bench.arrive(1, arrival(1, 0, ms(60_000)));
+    bench.pass(ms(6_000));
+    bench.end(1, 0, Verdict::Timeout, false);
+    bench.pass(ms(50_000));
+    assert_eq!((bench.dials(1).len(), bench.answers(1)), (1, vec![Asked::TearDown(1)]));
+}
+
+#[test]
+fn every_session_is_answered_once_and_in_time() {
+    // Dial timeout, and the verdict that meets each dial once its time is up.
+    for (timeout, verdict) in [(1_200, Verdict::Timeout), (90, Verdict::Unreachable), (4_800, Verdict::Full)]
+    {
+        let mut bench = Bench::new(deployment(REPEATABLE), &rows(3));
+        let start = bench.now;
+        bench.arrive(1, arrival(9, 0, ms(timeout)));
+        for dial in 0..3 {
+            let Some(&(_, given)) = bench.dials(1).get(dial) else { break };
+            bench.pass(given);
+            bench.end(1, dial as u32, verdict, false);
+            bench.pass(Span::ZERO);
+            while bench.answers(1).is_empty() && bench.dials(1).len() == dial + 1 {
+                bench.pass(ms(1));
+                assert!(bench.now.since(start) <= ms(timeout), "{timeout} {verdict:?} still open");
+            }
+        }
+        assert_eq!(bench.answers(1).len(), 1, "{timeout} {verdict:?}");
+        assert!(bench.now.since(start) <= ms(timeout), "{timeout} {verdict:?} late");
+    }
+}
+
+#[test]
+fn stale_and_unknown_events_are_passed_over() {
+    let mut bench = Bench::new(deployment(REPEATABLE), &rows(3));
+    bench.arrive(1, arrival(1, 0, ms(1_200)));
+    bench.end(77, 0, Verdict::Ok, true);
+    bench.stand(77, 0);
+    bench.stand(1, 4);
+    bench.relay.left(SessionId(77), &mut bench.book);
+    bench.relay.load_noted(SessionId(77), 3.0);
+    bench.relay.delay_noted(bench.now, SessionId(77), ms(9));
+    bench.relay.probed(bench.now, BackendId(55), Verdict::Timeout, Default::default());
+    assert!(bench.answers(1).is_empty());
+    // The client leaves while its dial is out: the dial is withdrawn and its verdict ends the matter silently.
+    bench.relay.left(SessionId(1), &mut bench.book);
+    bench.relay.left(SessionId(1), &mut bench.book);
+    bench.end(1, 0, Verdict::Withdrawn, true);
+    bench.end(1, 0, Verdict::Withdrawn, true);
+    assert!(bench.answers(1).is_empty());
+    assert_eq!(bench.book.asked.iter().filter(|asked| **asked == Asked::Withdraw(1, 0)).count(), 1);
+    assert_eq!(bench.book.asked.iter().filter(|asked| **asked == Asked::Release(1)).count(), 1);
+}
+
+#[test]
+fn only_backends_that_the_list_holds_ready_are_dialled() {
+    use Standing::{Draining, Gone, Ready};
+    let line = |backend, standing| row(backend, standing, None);
+    let cases: [(&str, ListScope, Vec<_>, &[u32]); 5] = [
+        ("drains", ListScope::Changes, vec![line(0, Draining)], &[1, 2]),
+        ("gone", ListScope::Changes, vec![line(1, Gone), line(2, Gone)], &[0]),
+        ("missing from a complete list", ListScope::Whole, vec![line(2, Ready)], &[2]),
+        ("back after draining", ListScope::Changes, vec![line(0, Draining), line(0, Ready)], &[0, 1, 2]),
+        ("nothing left", ListScope::Whole, vec![], &[]),
+    ];
+    for (name, scope, list, expected) in cases {
+        let mut bench = Bench::new(deployment(REPEATABLE), &rows(3));
+        bench.relay.listed(scope, &list);
+        let dialled: BTreeSet<u32> =
+            (1..60).filter_map(|id| Some(bench.arrive(id, arrival(0, 0, ms(4_800)))?.0)).collect();
+        assert_eq!(dialled, expected.iter().copied().collect(), "{name}");
+        let answered = (1..60).filter(|&id| !bench.answers(id).is_empty()).count();
+        assert_eq!(answered, if expected.is_empty() { 59 } else { 0 }, "{name}");
+    }
+}
+
+#[test]
+fn discovery_that_failed_is_asked_again_in_time() {
+    for failures in 1..8 {
+        let within = ms(8_000);
+        let asked = Deployment { ask_within: Some(within), ..deployment(REPEATABLE) };
+        let mut bench = Bench::new(asked, &rows(3));
+        let count = |bench: &Bench| bench.book.asked.iter().filter(|a| **a == Asked::Subscribe).count();
+        for failure in 1..=failures {
+            assert_eq!(count(&bench), failure);
+            bench.relay.list_failed(bench.now, &mut bench.book);
+            bench.pass(ms(4_000));
+        }
+        assert_eq!(count(&bench), failures + 1);
+    }
+}
+
+#[test]
+fn the_delay_grows_with_the_count_and_clears_after_a_cool_down() {
+    // How long a connection stands, whether its end is a reset, and the most that the next refusal may ask for.
+    let cases = [(4_000, true, 16_000), (4_000, false, 8_000), (6_000, true, 1_000), (6_000, false, 1_000)];
+    for (stands, reset, most) in cases {
+        let mut longest = Span::ZERO;
+        for key in 1..200 {
+            let mut bench = Bench::new(Deployment { max_dials: 1, ..deployment(REPEATABLE) }, &rows(1));
+            for id in 1..=3 {
+                bench.arrive(id, arrival(key, 0, ms(4_800)));
+                bench.end(id, 0, Verdict::Full, false);
+            }
+            bench.arrive(4, arrival(key, 0, ms(4_800)));
+            bench.stand(4, 0);
+            bench.pass(ms(stands));
+            bench.end(4, 0, if reset { Verdict::Reset } else { Verdict::Ok }, true);
+            bench.arrive(5, arrival(key, 0, ms(4_800)));
+            bench.end(5, 0, Verdict::Full, false);
+            let [Asked::Refuse(_, Some(wait))] = bench.answers(5)[..] else { panic!("not refused") };
+            longest = longest.max(wait);
+        }
+        assert!(longest <= ms(most), "{stands} {reset}: {longest:?}");
+        assert!(longest > ms(most) * 0.01, "{stands} {reset}: {longest:?}");
+    }
+}
+
+#[test]
+fn what_finds_no_room_is_refused_only_where_loads_are_shares() {
+    // Every backend's report, and whether a session is still placed.
+    let cases = [
+        (None, Some(0.4), true),
+        (None, Some(0.95), false),
+        (Some(500.0), Some(0.95), false),
+        // Connections alone don't say how much is too much: guards against refusing a whole deployment.
+        (Some(500.0), None, true),
+        (None, None, true),
+    ];
+    for (connections, load, placed) in cases {
+        let mut bench = Bench::new(deployment(REPEATABLE), &rows(4));
+        (0..4).for_each(|backend| bench.report(backend, connections, load));
+        bench.arrive(1, arrival(1, 3, ms(4_800)));
+        assert_eq!(bench.answers(1).is_empty(), placed, "{connections:?} {load:?}");
+    }
+}
+
+#[test]
+fn the_less_loaded_of_two_takes_the_session() {
+    for (loads, expected) in [([0.5, 0.1], 1), ([0.1, 0.5], 0), ([0.1, 0.95], 0)] {
+        for group in [0, 4] {
+            let mut bench = Bench::new(deployment(REPEATABLE), &rows(2));
+            (0..2).for_each(|backend| bench.report(backend, None, Some(loads[backend as usize])));
+            let (backend, _) = bench.arrive(1, arrival(1, group, ms(4_800))).unwrap();
+            assert_eq!(backend, expected, "{loads:?} group {group}");
+        }
+    }
+}
+
+#[test]
+fn relays_that_share_nothing_keep_a_group_together() {
+    for group in 1..30 {
+        let mut homes = BTreeSet::new();
+        for me in 0..3 {
+            let mut list = rows(12);
+            list.rotate_left(me as usize * 5);
+            let mut bench = Bench::new(Deployment { me, relays: 3, ..deployment(REPEATABLE) }, &list);
+            (0..12).for_each(|backend| bench.report(backend, None, Some(0.2)));
+            for id in 1..4 {
+                homes.insert(bench.arrive(id, arrival(u64::from(id), group, ms(4_800))).unwrap().0);
+            }
+        }
+        assert!(homes.len() <= 2, "group {group}: {homes:?}");
+    }
+}
+
+#[test]
+fn the_own_zone_comes_first_where_crossing_costs() {
+    // Zone 0 holds the even backends. The price, the load there, and whether a session may cross.
+    for (price, load, crosses) in [(0.1, 0.2, false), (0.1, 0.7, true), (0.0, 0.2, true)] {
+        let mut bench = Bench::new(Deployment { crossing_price: price, ..deployment(REPEATABLE) }, &rows(6));
+        (0..6)
+            .for_each(|backend| bench.report(backend, None, Some(if backend % 2 == 0 { load } else { 0.2 })));
+        let crossed = (1..12).any(|id| bench.arrive(id, arrival(0, 0, ms(4_800))).unwrap().0 % 2 == 1);
+        assert_eq!(crossed, crosses, "{price} {load}");
+    }
+}
+
+#[test]
+fn a_failing_backend_is_ejected_unless_half_the_fleet_fails() {
+    // How many of six fail every dial, and whether they are still dialled afterwards.
+    for (failing, still_dialled) in [(1, false), (2, false), (6, true)] {
+        let mut bench = Bench::new(Deployment { max_dials: 1, ..deployment(REPEATABLE) }, &rows(6));
+        for id in 1..80 {
+            let (backend, _) = bench.arrive(id, arrival(0, 0, ms(4_800))).unwrap();
+            if backend < failing {
+                bench.end(id, 0, Verdict::Error, false);
+            } else {
+                bench.stand(id, 0);
+            }
+        }
+        let dialled = (80..140).any(|id| bench.arrive(id, arrival(0, 0, ms(4_800))).unwrap().0 < failing);
+        assert_eq!(dialled, still_dialled, "{failing} failing");
+        bench.pass(ms(40_000));
+        let again = (140..220).any(|id| bench.arrive(id, arrival(0, 0, ms(4_800))).unwrap().0 < failing);
+        assert!(again, "{failing} failing: tried again after a while");
+    }
+}
+
+#[test]
+fn dials_wait_longer_where_set_ups_are_slow_everywhere() {
+    for (took, verdict, longer) in [(20, None, false), (250, None, true), (300, Some(Verdict::Timeout), true)]
+    {
+        let mut bench = Bench::new(deployment(REPEATABLE), &rows(6));
+        for id in 1..40 {
+            bench.arrive(id, arrival(0, 0, ms(60_000)));
+            bench.pass(ms(took));
+            match verdict {
+                Some(verdict) => bench.end(id, 0, verdict, true),
+                None => bench.stand(id, 0),
+            }
+        }
+        let (_, given) = bench.arrive(99, arrival(0, 0, ms(60_000))).unwrap();
+        assert_eq!(given > ms(300), longer, "{took} {verdict:?}: {given:?}");
+    }
+}
+
+#[test]
+fn overdriven_backends_are_relieved_of_their_excess() {
+    // Load, delay of a message, how long the connections have stood (None: handed over at start), how many go of ten.
+    let cases = [
+        (0.85, 10, Some(9_000), 0..=0),
+        (1.2, 10, Some(9_000), 4..=6),
+        (1.2, 10, Some(1_000), 0..=0),
+        // Guards against an overload at start that nobody may be moved from.
+        (1.2, 10, None, 4..=6),
+        // Guards against work that stays piled up behind a load just under one.
+        (0.85, 400, Some(9_000), 3..=5),
+        (0.5, 400, Some(9_000), 0..=0),
+    ];
+    for (load, delay, stood, expected) in cases {
+        let mut bench = Bench::new(deployment(REPEATABLE), &rows(1));
+        for id in 0..10 {
+            if stood.is_some() {
+                bench.arrive(id, arrival(u64::from(id) + 1, 0, ms(4_800)));
+                bench.stand(id, 0);
+            } else {
+                bench.inherit(id, 0);
+            }
+        }
+        bench.pass(ms(stood.unwrap_or(0)));
+        bench.report(0, Some(10.0), Some(load));
+        bench.relay.delay_noted(bench.now, SessionId(3), ms(delay));
+        bench.pass(ms(600));
+        assert!(expected.contains(&bench.sent_away()), "{load} {delay} {stood:?}: {}", bench.sent_away());
+    }
+}
+
+/// Dials of all relays at one backend that has just started, as many sessions arriving everywhere as wanted.
+fn cold_dials(relays: u32, before: u32, returning: bool) -> Vec<(u64, u32)> {
+    let mut benches: Vec<Bench> = (0..relays)
+        .map(|me| Bench::new(Deployment { me, relays, ..deployment(REPEATABLE) }, &rows(4)))
+        .collect();
+    let mut sent = Vec::new();
+    for (me, bench) in benches.iter_mut().enumerate() {
+        (0..4).for_each(|backend| bench.report(backend, None, Some(0.5)));
+        for id in 0..before {
+            let who = thistlecroft::front::Arrival { returning, ..arrival(0, 0, ms(4_800)) };
+            bench.arrive(id, who);
+            bench.stand(id, 0);
+        }
+        let start = bench.now;
+        bench.relay.listed(ListScope::Whole, &[row(9, Standing::Ready, Some(start))]);
+        for id in 0..2_000 {
+            bench.pass(ms(5));
+            if bench.arrive(10_000 + id, arrival(0, 0, ms(4_800))).is_some() {
+                sent.push((bench.now.since(start).us(), me as u32));
+            }
+        }
+    }
+    sent.retain(|&(at, _)| at < 10_000_000);
+    sent.sort_unstable();
+    sent
+}
+
+#[test]
+fn a_cold_backend_gets_a_budget_and_one_relay_at_a_time() {
+    // Relays, new connections of each in the ten seconds before, whether their clients had only come back, and the
+    // most that any window of two seconds may hold: what is allowed at start, or one for each turn it overlaps.
+    for (relays, before, returning) in [(1, 0, false), (3, 0, false), (2, 40, false), (2, 400, true)] {
+        let sent = cold_dials(relays, before, returning);
+        assert!(!sent.is_empty(), "{relays} {before}: the backend is used at all");
+        let counted = if returning { 0.0 } else { f64::from(before * relays) };
+        let warm_rate = counted / 10.0 / 1.0 / 0.5;
+        for &(from, _) in &sent {
+            let window: Vec<_> =
+                sent.iter().filter(|(at, _)| (from..from + 2_000_000).contains(at)).collect();
+            let share = 0.25 + 0.75 * (from + 2_000_000) as f64 / 10_000_000.0;
+            let most = (4.0 * share * warm_rate * 2.0).max(2.0);
+            assert!(window.len() as f64 <= most, "{relays} {before}: {} over {most} at {from}", window.len());
+            let turn: BTreeSet<u32> =
+                sent.iter().filter(|(at, _)| at / 2_000_000 == from / 2_000_000).map(|(_, me)| *me).collect();
+            assert_eq!(turn.len(), 1, "{relays} {before}: relays {turn:?} in one turn");
+        }
+    }
+}
+
+#[test]
+fn a_restart_under_the_same_id_is_cold_again() {
+    let mut bench = Bench::new(deployment(REPEATABLE), &rows(1));
+    let dialled = |bench: &mut Bench, from: u32| {
+        (from..from + 20).filter(|&id| bench.arrive(id, arrival(0, 0, ms(4_800))).is_some()).count()
+    };
+    assert_eq!(dialled(&mut bench, 0), 20);
+    let restarted = row(0, Standing::Ready, Some(bench.now));
+    bench.relay.listed(ListScope::Changes, &[restarted]);
+    assert_eq!(dialled(&mut bench, 100), 1);
+    bench.pass(ms(11_000));
+    assert_eq!(dialled(&mut bench, 200), 20);
+}
+
+#[test]
+fn the_same_events_make_the_same_decisions() {
+    let run = || {
+        let mut bench = Bench::new(deployment(REPEATABLE), &rows(7));
+        for id in 0..200 {
+            bench.arrive(id, arrival(u64::from(id % 9), u64::from(id % 4), ms(4_800)));
+            bench.pass(ms(20));
+            bench.end(id, 0, if id % 3 == 0 { Verdict::Error } else { Verdict::Full }, false);
+        }
+        bench.pass(ms(5_000));
+        bench.book.asked
+    };
+    assert_eq!(run(), run());
+    assert!(Moment::from_us(1).since(Moment::from_us(5)) == Span::ZERO);
+}
