Crossing connections come home one at a time while the fleet is calm

Change: every half second the lightest crossing connection comes home if its pick is a near backend below 0.3 and the fleet's mean is below 0.45, where crossing costs more than a move.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,6 +20,8 @@
 const REPORT_LAG: Span = Span::from_ms(1_000);
 const EACH_MOST: f64 = 0.05;
 const GROUP_FEE: f64 = 6.0;
+const ROOMY: f64 = 0.3;
+const CALM: f64 = 0.45;
 const HOT: f64 = 0.6;
 const FULL: f64 = 0.8;
 const OVERDRIVEN: f64 = 0.9;
@@ -373,6 +375,7 @@
                 }
                 Errand::Housekeeping => {
                     self.relieve(now, front);
+                    self.bring_home(now, front);
                     self.clients.retain(|_, client| now.since(client.touched) < KEY_AGE);
                     self.plan(now + HOUSEKEEPING, Errand::Housekeeping, front);
                 }
@@ -620,6 +623,41 @@
         }
     }
 
+    /// Where crossing zones costs more than a move, connections that cross come back one at a time, the lightest first,
+    /// while the own zone has room; more at once would fill it on old reports.
+    fn bring_home<F: Front>(&mut self, now: Moment, front: &mut F) {
+        if self.deployment.crossing_price <= self.deployment.move_price {
+            return;
+        }
+        let home = self.deployment.zone;
+        let abroad = |session: &Session| match session.state {
+            State::Ready(dial, since) => {
+                let at = self.backends.get(dial.backend.index()).and_then(Option::as_ref);
+                now.since(since) >= COOL_DOWN && at.is_some_and(|backend| backend.zone != home)
+            }
+            _ => false,
+        };
+        let mut crossing: Vec<(f64, SessionId)> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| abroad(session))
+            .map(|(&id, session)| (session.load, id))
+            .collect();
+        crossing.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let pool = self.pool(now);
+        if pool.mean >= CALM {
+            return;
+        }
+        for (_, id) in crossing {
+            let Some(at) = self.pick(now, id) else { continue };
+            if self.at(at).zone == home && self.load(now, at, pool, 0.0) < ROOMY {
+                front.send_away(id);
+                self.turn(id, State::Settled, front);
+                return;
+            }
+        }
+    }
+
     fn ids(&self) -> impl Iterator<Item = (BackendId, &Backend)> {
         let numbered = self.backends.iter().enumerate();
         numbered.filter_map(|(at, backend)| Some((BackendId(at as u32), backend.as_ref()?)))
