--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -179,7 +179,10 @@
                     let value = f64::from(event.f32(21));
                     match event.u8(20) {
                         1 => relay.load_noted(session, value),
-                        2 => relay.delay_noted(now, session, Span::from_ms(1) * value),
+                        2 => {
+                            let delay = Span::from_ms(1) * value;
+                            relay.delay_noted(now, session, delay, &mut Door { number, names, reply });
+                        }
                         other => return Err(format!("note of unknown sort {other}")),
                     }
                 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -354,14 +354,23 @@
         }
     }
 
-    pub fn delay_noted(&mut self, now: Moment, id: SessionId, delay: Span) {
+    pub fn delay_noted<F: Front>(&mut self, now: Moment, id: SessionId, delay: Span, front: &mut F) {
         let Some(session) = self.sessions.get(&id) else { return };
         let State::Ready(dial, _) = session.state else { return };
-        if let Some(backend) = self.backend(dial.backend) {
-            backend.message_delay = Some((now, delay));
+        let (shortest, may_probe) = (self.shortest_target(), self.deployment.may_probe);
+        let Some(backend) = self.backend(dial.backend) else { return };
+        backend.message_delay = Some((now, delay));
+        // Its last report may be seconds old, and relief waits for a fresh one.
+        let stale = backend.heard.is_none_or(|(at, _)| now.since(at) >= REPORT_LAG);
+        if may_probe && stale && backend.late_for(shortest, now) && backend.standing == Standing::Ready {
+            front.probe(dial.backend);
         }
     }
 
+    fn shortest_target(&self) -> Span {
+        self.deployment.listeners.iter().map(|row| row.message_target).min().unwrap_or_default()
+    }
+
     pub fn woken<F: Front>(&mut self, now: Moment, front: &mut F) {
         while let Some(&(at, errand)) = self.errands.first() {
             if at > now {
@@ -582,8 +591,7 @@
     /// what is too much, the least utility for its load first. One report justifies one such step, and nobody is
     /// moved before his cool-down, so that a wrong judgement costs little and clients don't go round in circles.
     fn relieve<F: Front>(&mut self, now: Moment, front: &mut F) {
-        let shortest =
-            self.deployment.listeners.iter().map(|row| row.message_target).min().unwrap_or_default();
+        let shortest = self.shortest_target();
         let mut over: BTreeMap<BackendId, f64> = BTreeMap::new();
         for (at, backend) in self.backends.iter_mut().enumerate() {
             let Some(backend) = backend else { continue };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -119,7 +119,7 @@
     bench.stand(1, 4);
     bench.relay.left(SessionId(77), &mut bench.book);
     bench.relay.load_noted(SessionId(77), 3.0);
-    bench.relay.delay_noted(bench.now, SessionId(77), ms(9));
+    bench.relay.delay_noted(bench.now, SessionId(77), ms(9), &mut bench.book);
     bench.relay.probed(bench.now, BackendId(55), Verdict::Timeout, Default::default());
     assert!(bench.answers(1).is_empty());
     // The client leaves while its dial is out: the dial is withdrawn and its verdict ends the matter silently.
@@ -320,7 +320,7 @@
         }
         bench.pass(ms(stood.unwrap_or(0)));
         bench.report(0, Some(10.0), Some(load));
-        bench.relay.delay_noted(bench.now, SessionId(3), ms(delay));
+        bench.relay.delay_noted(bench.now, SessionId(3), ms(delay), &mut bench.book);
         bench.pass(ms(600));
         assert!(expected.contains(&bench.sent_away()), "{load} {delay} {stood:?}: {}", bench.sent_away());
     }
