--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,7 +4,7 @@
 //! what condition each departure acts. Order of reading: open settings, state by lifetime, events, dialling, picking.
 use crate::deployment::{Deployment, Effect, Listener, Scope};
 use crate::front::{Arrival, Ending, Front, ListScope, Listing, Report, Standing, Verdict};
-use crate::ids::{BackendId, CellId, ListenerId, SessionId, ZoneId};
+use crate::ids::{BackendId, ListenerId, SessionId};
 use crate::units::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -57,10 +57,7 @@
 
 /// One session, from its arrival to the last word about it.
 struct Session {
-    listener: ListenerId,
-    key: Option<u64>,
-    group: Option<u64>,
-    returning: bool,
+    arrival: Arrival,
     due: Moment,
     state: State,
     dials: u32,
@@ -68,7 +65,8 @@
     /// The first dial that may have run, where and when.
     ran: Option<(BackendId, Moment)>,
     last_tried: Option<BackendId>,
-    load: f64,
+    /// What its connection asks for, as far as the front tells.
+    load: Option<f64>,
 }
 
 /// One client key, until it is old.
@@ -81,14 +79,11 @@
 
 /// One backend, as long as the instance lives.
 struct Backend {
-    mark: u64,
-    zone: ZoneId,
-    cell: CellId,
-    standing: Standing,
-    up_since: Option<Moment>,
+    listing: Listing,
     open: u32,
     groups: BTreeMap<u64, u32>,
     heard: Option<(Moment, Report)>,
+    /// Own placements that its report may not hold yet.
     placed: VecDeque<Moment>,
     strikes: u32,
     ejections: u32,
@@ -141,7 +136,7 @@
 }
 
 impl Relay {
-    pub fn new<F: Front>(deployment: Deployment, seed: u64, now: Moment, front: &mut F) -> Relay {
+    pub fn new(deployment: Deployment, seed: u64, now: Moment, front: &mut dyn Front) -> Relay {
         let mut relay = Relay {
             chance: oorandom::Rand64::new(u128::from(seed)),
             sessions: BTreeMap::new(),
@@ -172,7 +167,7 @@
                 if let Some(backend) = backend
                     && !named.contains(&BackendId(at as u32))
                 {
-                    backend.standing = Standing::Gone;
+                    backend.listing.standing = Standing::Gone;
                 }
             }
         }
@@ -181,38 +176,13 @@
             if self.backends.len() <= at {
                 self.backends.resize_with(at + 1, || None);
             }
-            let backend = self.backends[at].get_or_insert_with(|| Backend {
-                mark: row.mark,
-                zone: row.zone,
-                cell: row.cell,
-                standing: row.standing,
-                up_since: row.up_since,
-                open: 0,
-                groups: BTreeMap::new(),
-                heard: None,
-                placed: VecDeque::new(),
-                strikes: 0,
-                ejections: 0,
-                ejected_until: Moment::default(),
-                message_delay: None,
-                cold_turn: None,
-                relieved: Moment::default(),
-            });
-            if backend.up_since != row.up_since {
+            let backend = self.backends[at].get_or_insert_with(|| Backend::new(*row));
+            if backend.listing.up_since != row.up_since {
                 // Another process under the same id: what was known of the last one misleads.
-                backend.heard = None;
-                backend.placed.clear();
-                backend.strikes = 0;
-                backend.ejections = 0;
-                backend.ejected_until = Moment::default();
-                backend.message_delay = None;
-                backend.cold_turn = None;
-            }
-            (backend.zone, backend.cell) = (row.zone, row.cell);
-            (backend.standing, backend.up_since) = (row.standing, row.up_since);
-            if row.standing != Standing::Ready {
-                backend.heard = None;
+                let groups = std::mem::take(&mut backend.groups);
+                *backend = Backend { open: backend.open, groups, ..Backend::new(*row) };
             }
+            backend.listing = *row;
         }
         if self.deployment.ask_within.is_some() && scope != ListScope::Cached {
             self.failed_calls = 0;
@@ -222,7 +192,7 @@
     /// A call to discovery failed or the subscription broke. Asking again with full jitter keeps the relays from
     /// meeting at a discovery that is already behind, and well within the span after which the relay would be deemed
     /// to know what it never heard.
-    pub fn list_failed<F: Front>(&mut self, now: Moment, front: &mut F) {
+    pub fn list_failed(&mut self, now: Moment, front: &mut dyn Front) {
         let Some(within) = self.deployment.ask_within else { return };
         let wait = self.jitter(self.failed_calls).min(within * 0.5);
         self.failed_calls += 1;
@@ -231,35 +201,35 @@
 
     // ---- sessions ----
 
-    pub fn arrived<F: Front>(&mut self, now: Moment, id: SessionId, arrival: Arrival, front: &mut F) {
-        self.sessions.insert(id, Session::new(&arrival, now));
+    pub fn arrived(&mut self, now: Moment, id: SessionId, arrival: Arrival, front: &mut dyn Front) {
+        self.sessions.insert(id, Session::new(arrival, now));
         self.dial(now, id, front);
     }
 
     /// A connection that already runs through this relay as it starts.
-    pub fn inherited<F: Front>(
+    pub fn inherited(
         &mut self,
         now: Moment,
         id: SessionId,
         at: BackendId,
         arrival: Arrival,
-        front: &mut F,
+        front: &mut dyn Front,
     ) {
-        self.sessions.insert(id, Session { dials: 1, ..Session::new(&arrival, now) });
+        self.sessions.insert(id, Session { dials: 1, ..Session::new(arrival, now) });
         // It has stood for longer than this instance; a fresh cool-down would shield an overload at start from relief.
         let long_ago = now - COOL_DOWN;
         let dial = Dial { number: 0, backend: at, sent: long_ago };
         self.turn(id, State::Ready(dial, long_ago), front);
     }
 
-    pub fn ready<F: Front>(&mut self, now: Moment, id: SessionId, number: u32, front: &mut F) {
+    pub fn ready(&mut self, now: Moment, id: SessionId, number: u32, front: &mut dyn Front) {
         let Some(session) = self.sessions.get(&id) else { return };
         let State::Dialling(dial) = session.state else { return };
         if dial.number != number {
             return;
         }
-        let returning = session.returning;
-        if let Some(key) = session.key {
+        let returning = session.arrival.returning;
+        if let Some(key) = session.arrival.key {
             self.client(key, now).ready_at = Some(now);
         }
         if let Some(backend) = self.backend(dial.backend) {
@@ -274,7 +244,7 @@
         self.turn(id, State::Ready(dial, now), front);
     }
 
-    pub fn ended<F: Front>(&mut self, now: Moment, id: SessionId, ending: Ending, front: &mut F) {
+    pub fn ended(&mut self, now: Moment, id: SessionId, ending: Ending, front: &mut dyn Front) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let Ending { dial: number, verdict, over, report } = ending;
         let answered = over || verdict == Verdict::Ok;
@@ -298,7 +268,7 @@
                 }
             }
             State::Ready(dial, since) if dial.number == number => {
-                let key = session.key;
+                let key = session.arrival.key;
                 self.heard(now, dial.backend, report);
                 if verdict == Verdict::Reset && now.since(since) < COOL_DOWN {
                     self.count_failure(now, id);
@@ -318,7 +288,7 @@
     }
 
     /// The client has left, or the front has ended the session.
-    pub fn left<F: Front>(&mut self, id: SessionId, front: &mut F) {
+    pub fn left(&mut self, id: SessionId, front: &mut dyn Front) {
         let Some(session) = self.sessions.get(&id) else { return };
         match session.state {
             State::Dialling(dial) => {
@@ -350,11 +320,11 @@
 
     pub fn load_noted(&mut self, id: SessionId, load: f64) {
         if let Some(session) = self.sessions.get_mut(&id) {
-            session.load = load;
+            session.load = Some(load);
         }
     }
 
-    pub fn delay_noted<F: Front>(&mut self, now: Moment, id: SessionId, delay: Span, front: &mut F) {
+    pub fn delay_noted(&mut self, now: Moment, id: SessionId, delay: Span, front: &mut dyn Front) {
         let Some(session) = self.sessions.get(&id) else { return };
         let State::Ready(dial, _) = session.state else { return };
         let (shortest, may_probe) = (self.shortest_target(), self.deployment.may_probe);
@@ -362,7 +332,11 @@
         backend.message_delay = Some((now, delay));
         // Its last report may be seconds old, and relief waits for a fresh one.
         let stale = backend.heard.is_none_or(|(at, _)| now.since(at) >= REPORT_LAG);
-        if may_probe && stale && backend.late_for(shortest, now) && backend.standing == Standing::Ready {
+        if may_probe
+            && stale
+            && backend.late_for(shortest, now)
+            && backend.listing.standing == Standing::Ready
+        {
             front.probe(dial.backend);
         }
     }
@@ -371,7 +345,7 @@
         self.deployment.listeners.iter().map(|row| row.message_target).min().unwrap_or_default()
     }
 
-    pub fn woken<F: Front>(&mut self, now: Moment, front: &mut F) {
+    pub fn woken(&mut self, now: Moment, front: &mut dyn Front) {
         while let Some(&(at, errand)) = self.errands.first() {
             if at > now {
                 break;
@@ -398,7 +372,7 @@
         }
     }
 
-    fn plan<F: Front>(&mut self, at: Moment, errand: Errand, front: &mut F) {
+    fn plan(&mut self, at: Moment, errand: Errand, front: &mut dyn Front) {
         self.errands.insert((at, errand));
         front.wake(at);
     }
@@ -406,9 +380,9 @@
     // ---- dialling ----
 
     /// Every change of a session's state.
-    fn turn<F: Front>(&mut self, id: SessionId, next: State, front: &mut F) {
+    fn turn(&mut self, id: SessionId, next: State, front: &mut dyn Front) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
-        let (was, group) = (std::mem::replace(&mut session.state, next), session.group);
+        let (was, group) = (std::mem::replace(&mut session.state, next), session.arrival.group);
         let on = |state: State| match state {
             State::Dialling(dial) | State::Ready(dial, _) => Some(dial.backend),
             _ => None,
@@ -430,7 +404,7 @@
         }
     }
 
-    fn dial<F: Front>(&mut self, now: Moment, id: SessionId, front: &mut F) {
+    fn dial(&mut self, now: Moment, id: SessionId, front: &mut dyn Front) {
         let session = &self.sessions[&id];
         let left = session.due.since(now + self.deployment.tick + self.deployment.tick);
         let Some(backend) = self.pick(now, id) else {
@@ -440,7 +414,7 @@
         };
         let session = &self.sessions[&id];
         let last = session.dials + 1 >= self.deployment.max_dials;
-        let target = self.row(session.listener).handshake_target;
+        let target = self.row(session.arrival.listener).handshake_target;
         let patience = target.max(self.set_up * PATIENCE);
         let give_up = if last { left } else { left.min(patience) };
         if give_up == Span::ZERO {
@@ -463,13 +437,13 @@
     }
 
     /// A set-up has failed: another dial after the design's delay, or an answer at once.
-    fn further<F: Front>(&mut self, now: Moment, id: SessionId, front: &mut F) {
+    fn further(&mut self, now: Moment, id: SessionId, front: &mut dyn Front) {
         let wait = self.wait_of(id, now);
         self.count_failure(now, id);
         let session = &self.sessions[&id];
         let room = self.deployment.connect_timeout + self.deployment.tick * 2.0;
         let in_time = now + wait + room < session.due && session.dials < self.deployment.max_dials;
-        let repeat_known = match (self.row(session.listener).effect, session.ran) {
+        let repeat_known = match (self.row(session.arrival.listener).effect, session.ran) {
             (Effect::Repeatable, _) | (_, None) => true,
             (Effect::Referenced { window, .. }, Some((_, at))) => now + wait < at + window,
             (Effect::OnceOnly, Some(_)) => false,
@@ -483,9 +457,9 @@
     }
 
     /// The final answer: a refusal where trying again is known to be harmless, a teardown otherwise.
-    fn finish<F: Front>(&mut self, id: SessionId, wait: Option<Span>, front: &mut F) {
+    fn finish(&mut self, id: SessionId, wait: Option<Span>, front: &mut dyn Front) {
         let session = &self.sessions[&id];
-        let harmless = match (self.row(session.listener).effect, session.ran) {
+        let harmless = match (self.row(session.arrival.listener).effect, session.ran) {
             (Effect::Repeatable, _) | (_, None) => true,
             (Effect::Referenced { scope, .. }, Some(_)) => scope == Scope::All,
             (Effect::OnceOnly, Some(_)) => false,
@@ -512,7 +486,7 @@
 
     fn wait_of(&mut self, id: SessionId, now: Moment) -> Span {
         let session = &self.sessions[&id];
-        let count = match session.key {
+        let count = match session.arrival.key {
             Some(key) => self.client(key, now).failures,
             None => session.own_failures,
         };
@@ -521,7 +495,7 @@
 
     fn count_failure(&mut self, now: Moment, id: SessionId) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
-        match session.key {
+        match session.arrival.key {
             Some(key) => {
                 let client = self.client(key, now);
                 client.failures = client.failures.saturating_add(1);
@@ -580,7 +554,7 @@
         }
     }
 
-    fn probe<F: Front>(&mut self, front: &mut F) {
+    fn probe(&mut self, front: &mut dyn Front) {
         let ready: Vec<BackendId> = self.ready_ones().map(|(id, _)| id).collect();
         if let Some(&id) = self.any_of(&ready).filter(|_| self.deployment.may_probe) {
             front.probe(id);
@@ -590,7 +564,7 @@
     /// Backends driven past what they can do serve none of their messages in time: this relay sends away its part of
     /// what is too much, the least utility for its load first. One report justifies one such step, and nobody is
     /// moved before his cool-down, so that a wrong judgement costs little and clients don't go round in circles.
-    fn relieve<F: Front>(&mut self, now: Moment, front: &mut F) {
+    fn relieve(&mut self, now: Moment, front: &mut dyn Front) {
         let shortest = self.shortest_target();
         let mut over: BTreeMap<BackendId, f64> = BTreeMap::new();
         for (at, backend) in self.backends.iter_mut().enumerate() {
@@ -612,10 +586,10 @@
             if !over.contains_key(&dial.backend) {
                 continue;
             }
-            let load = if session.load > 0.0 { session.load } else { 1.0 };
+            let load = session.load.unwrap_or(1.0).max(f64::MIN_POSITIVE);
             *asked.entry(dial.backend).or_default() += load;
             if now.since(since) >= COOL_DOWN {
-                movable.push((self.row(session.listener).utility / load, id, dial.backend, load));
+                movable.push((self.row(session.arrival.listener).utility / load, id, dial.backend, load));
             }
         }
         movable.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -633,32 +607,26 @@
 
     /// Where crossing zones costs more than a move, connections that cross come back one at a time, the lightest first,
     /// while the own zone has room; more at once would fill it on old reports.
-    fn bring_home<F: Front>(&mut self, now: Moment, front: &mut F) {
+    fn bring_home(&mut self, now: Moment, front: &mut dyn Front) {
         if self.deployment.crossing_price <= self.deployment.move_price {
             return;
         }
-        let home = self.deployment.zone;
-        let abroad = |session: &Session| match session.state {
-            State::Ready(dial, since) => {
-                let at = self.backends.get(dial.backend.index()).and_then(Option::as_ref);
-                now.since(since) >= COOL_DOWN && at.is_some_and(|backend| backend.zone != home)
-            }
-            _ => false,
-        };
-        let mut crossing: Vec<(f64, SessionId)> = self
-            .sessions
-            .iter()
-            .filter(|(_, session)| abroad(session))
-            .map(|(&id, session)| (session.load, id))
-            .collect();
-        crossing.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        let pool = self.pool(now);
+        let (home, pool) = (self.deployment.zone, self.pool(now));
         if pool.mean >= CALM {
             return;
         }
+        let mut crossing: Vec<(f64, SessionId)> = Vec::new();
+        for (&id, session) in &self.sessions {
+            let State::Ready(dial, since) = session.state else { continue };
+            let at = self.backends.get(dial.backend.index()).and_then(Option::as_ref);
+            if now.since(since) >= COOL_DOWN && at.is_some_and(|at| at.listing.zone != home) {
+                crossing.push((session.load.unwrap_or(0.0), id));
+            }
+        }
+        crossing.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         for (_, id) in crossing {
             let Some(at) = self.pick(now, id) else { continue };
-            if self.at(at).zone == home && self.load(now, at, pool, 0.0) < ROOMY {
+            if self.at(at).listing.zone == home && self.load(now, at, pool, 0.0) < ROOMY {
                 front.send_away(id);
                 self.turn(id, State::Settled, front);
                 return;
@@ -672,7 +640,7 @@
     }
 
     fn ready_ones(&self) -> impl Iterator<Item = (BackendId, &Backend)> {
-        self.ids().filter(|(_, backend)| backend.standing == Standing::Ready)
+        self.ids().filter(|(_, backend)| backend.listing.standing == Standing::Ready)
     }
 
     fn any_of<'a, T>(&mut self, list: &'a [T]) -> Option<&'a T> {
@@ -685,17 +653,22 @@
     /// Where a session goes: the less loaded of two entries of the pool.
     fn pick(&mut self, now: Moment, id: SessionId) -> Option<BackendId> {
         let session = &self.sessions[&id];
-        let (group, last, listener, ran) = (session.group, session.last_tried, session.listener, session.ran);
+        let (group, last, listener, ran) =
+            (session.arrival.group, session.last_tried, session.arrival.listener, session.ran);
         let effect = self.row(listener).effect;
         let mut able: Vec<BackendId> = Vec::new();
         for (at, backend) in self.ids() {
             let in_scope = match (effect, ran.and_then(|(first, _)| self.backends[first.index()].as_ref())) {
-                (Effect::Referenced { scope: Scope::Zone, .. }, Some(first)) => first.zone == backend.zone,
-                (Effect::Referenced { scope: Scope::Cell, .. }, Some(first)) => first.cell == backend.cell,
+                (Effect::Referenced { scope: Scope::Zone, .. }, Some(first)) => {
+                    first.listing.zone == backend.listing.zone
+                }
+                (Effect::Referenced { scope: Scope::Cell, .. }, Some(first)) => {
+                    first.listing.cell == backend.listing.cell
+                }
                 _ => true,
             };
             let turn_is_ours = self.cold_turn(now, at).is_none_or(|(_, open)| open);
-            if backend.standing == Standing::Ready && in_scope && turn_is_ours {
+            if backend.listing.standing == Standing::Ready && in_scope && turn_is_ours {
                 able.push(at);
             }
         }
@@ -714,7 +687,7 @@
                 let backend = self.at(at);
                 let joins = group.is_none_or(|group| backend.groups.contains_key(&group));
                 let load = self.load(now, at, pool, if joins { 0.0 } else { GROUP_FEE });
-                Entry { at, load, near: crossing_is_free || backend.zone == self.deployment.zone }
+                Entry { at, load, near: crossing_is_free || backend.listing.zone == self.deployment.zone }
             })
             .collect();
         let among = |wanted: &dyn Fn(&Entry) -> bool| -> Vec<Entry> {
@@ -735,7 +708,7 @@
         }
         let pair = match group {
             Some(group) => {
-                list.sort_by_key(|entry| mixed(self.at(entry.at).mark, group));
+                list.sort_by_key(|entry| mixed(self.at(entry.at).listing.mark, group));
                 (*list.first()?, *list.get(1).unwrap_or(&list[0]))
             }
             None => {
@@ -754,7 +727,7 @@
     /// What the pool tells of the fleet, from entries that are not too old.
     fn pool(&self, now: Moment) -> Pool {
         let (mut heard, mut load, mut count, mut shares) = (0.0, 0.0, 0.0, 0.0);
-        for report in self.ids().filter_map(|(_, backend)| backend.report(now)) {
+        for report in self.ready_ones().filter_map(|(_, backend)| backend.report(now)) {
             heard += 1.0;
             load += report.load.or(report.connections).unwrap_or(0.0);
             count += report.connections.unwrap_or(0.0);
@@ -793,13 +766,13 @@
     fn cold_turn(&self, now: Moment, id: BackendId) -> Option<(u64, bool)> {
         let backend = self.at(id);
         let cold = &self.deployment.cold;
-        let age = now.since(backend.up_since?);
+        let age = now.since(backend.listing.up_since?);
         if age >= cold.warm_up {
             return None;
         }
         let turn = age.us() / cold.window.us().max(1);
         let relays = u64::from(self.deployment.relays.max(1));
-        let ours = (turn + backend.mark) % relays == u64::from(self.deployment.me);
+        let ours = (turn + backend.listing.mark) % relays == u64::from(self.deployment.me);
         let used = backend.cold_turn.filter(|&(at, _)| at == turn).map_or(0, |(_, used)| used);
         let share = cold.start_share + (1.0 - cold.start_share) * age.secs() / cold.warm_up.secs();
         // Any window overlaps two turns, and the estimate of what a warm backend takes is rough: half for either.
@@ -822,24 +795,39 @@
 }
 
 impl Session {
-    fn new(arrival: &Arrival, now: Moment) -> Session {
+    fn new(arrival: Arrival, now: Moment) -> Session {
+        let due = now + arrival.dial_timeout;
         Session {
-            listener: arrival.listener,
-            key: arrival.key,
-            group: arrival.group,
-            returning: arrival.returning,
-            due: now + arrival.dial_timeout,
+            arrival,
+            due,
             state: State::New,
             dials: 0,
             own_failures: 0,
             ran: None,
             last_tried: None,
-            load: 0.0,
+            load: None,
         }
     }
 }
 
 impl Backend {
+    fn new(listing: Listing) -> Backend {
+        let never = Moment::default();
+        Backend {
+            listing,
+            open: 0,
+            groups: BTreeMap::new(),
+            heard: None,
+            placed: VecDeque::new(),
+            strikes: 0,
+            ejections: 0,
+            ejected_until: never,
+            message_delay: None,
+            cold_turn: None,
+            relieved: never,
+        }
+    }
+
     fn report(&self, now: Moment) -> Option<Report> {
         self.heard.filter(|(at, _)| now.since(*at) < POOL_AGE).map(|(_, report)| report)
     }
