Probes grow with the fleet: each ready backend about every two seconds

Cause: at a fixed rate a relay heard each of 20 backends every five seconds and each of 9 every two; twice the rate helped the larger fleets and cost the small one.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -12,7 +12,8 @@
 const BASE: Span = Span::from_ms(1_000);
 const CAP: Span = Span::from_ms(30_000);
 const COOL_DOWN: Span = Span::from_ms(5_000);
-const PROBE_EVERY: Span = Span::from_ms(250);
+/// How often a backend is heard of each time round, so that the rate of probes grows with the fleet.
+const HEAR_EVERY: Span = Span::from_ms(2_000);
 const KEYS_HELD: usize = 20_000;
 const KEY_AGE: Span = Span::from_ms(120_000);
 const POOL_AGE: Span = Span::from_ms(30_000);
@@ -151,7 +152,7 @@
         if relay.deployment.ask_within.is_some() {
             front.subscribe();
         }
-        let first = PROBE_EVERY * relay.chance.rand_float();
+        let first = HEAR_EVERY * relay.chance.rand_float() * 0.1;
         relay.plan(now + first, Errand::Probe, front);
         relay.plan(now + HOUSEKEEPING, Errand::Housekeeping, front);
         relay
@@ -354,7 +355,8 @@
             match errand {
                 Errand::Probe => {
                     self.probe(front);
-                    self.plan(now + PROBE_EVERY, Errand::Probe, front);
+                    let every = HEAR_EVERY * (1.0 / self.ready_ones().count().max(1) as f64);
+                    self.plan(now + every.max(self.deployment.tick), Errand::Probe, front);
                 }
                 Errand::Housekeeping => {
                     self.relieve(now, front);
