--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -11,9 +11,6 @@
 
 type Address = [u8; 6];
 
-/// The bits for a client's retry and for one that returns after a break or a move.
-const RETURNING: u8 = 2 | 16;
-
 #[derive(Default)]
 pub struct Host {
     instances: BTreeMap<u16, Instance>,
@@ -129,7 +126,6 @@
                     key: present(event.u64(16)),
                     dial_timeout: Span::from_us(u64::from(event.u32(24))),
                     group: present(event.u64(32)),
-                    returning: event.u8(40) & RETURNING != 0,
                 };
                 let session = names.session(event.u64(4));
                 relay.arrived(now, session, arrival, &mut Door { number, names, reply });
@@ -168,7 +164,6 @@
                     key: present(event.u64(38)),
                     dial_timeout: Span::from_us(u64::from(event.u32(34))),
                     group: present(event.u64(18)),
-                    returning: event.u8(46) & RETURNING != 0,
                 };
                 let backend = names.backend(event.array(12));
                 let session = names.session(event.u64(4));
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -33,7 +33,7 @@
 const DRAIN: f64 = 0.5;
 const NOTE_AGE: Span = Span::from_ms(2_000);
 const PATIENCE: f64 = 4.0;
-const RATE_OVER: Span = Span::from_ms(10_000);
+const RATE_SPAN: Span = Span::from_ms(2_000);
 const COLD_CAUTION: f64 = 0.5;
 const HOUSEKEEPING: Span = Span::from_ms(500);
 
@@ -130,7 +130,7 @@
     backends: Vec<Option<Backend>>,
     errands: BTreeSet<(Moment, Errand)>,
     failed_calls: u32,
-    /// When new clients' connections came to stand, over the last while.
+    /// When connections came to stand, over the last while.
     recent: VecDeque<Moment>,
     /// How long a set-up takes of late, over all backends.
     set_up: Span,
@@ -229,7 +229,6 @@
         if dial.number != number {
             return;
         }
-        let returning = session.arrival.returning;
         if let Some(key) = session.arrival.key {
             self.client(key, now).ready_at = Some(now);
         }
@@ -238,10 +237,8 @@
             backend.ejections = 0;
         }
         self.learn_set_up(now.since(dial.sent));
-        self.recent.retain(|&at| now.since(at) < RATE_OVER);
-        if !returning {
-            self.recent.push_back(now);
-        }
+        self.recent.retain(|&at| now.since(at) < RATE_SPAN * 5.0);
+        self.recent.push_back(now);
         self.turn(id, State::Ready(dial, now), front);
     }
 
@@ -782,17 +779,19 @@
         Some((turn, ours && f64::from(used) < budget.floor().max(1.0)))
     }
 
-    /// New connections a second that would fill a warm backend of middling size, judged by what this relay set up, as
-    /// if every relay did as much, and the load of the fleet. Clients that come again don't count: a rush of them
-    /// would pass for capacity just when fresh backends come up.
+    /// New connections a second that would fill a warm backend of middling size: what this relay set up, as if every
+    /// relay did as much, over the load of the fleet. The two fullest of five spans don't count: a rush of clients that
+    /// come back would pass for capacity just when fresh backends come up.
     fn warm_rate(&self, now: Moment) -> f64 {
-        let ready = self.ready_ones().count() as f64;
-        let recent = self.recent.iter().filter(|&&at| now.since(at) < RATE_OVER).count() as f64;
-        let mean = self.pool(now).mean;
-        if mean < 0.1 || ready == 0.0 {
-            return 0.0;
-        }
-        recent / RATE_OVER.secs() * f64::from(self.deployment.relays) / ready / mean
+        let (ready, mean) = (self.ready_ones().count() as f64, self.pool(now).mean);
+        let mut spans = [0.0; 5];
+        for at in &self.recent {
+            let span = now.since(*at).us() / RATE_SPAN.us();
+            spans[span.min(4) as usize] += 1.0;
+        }
+        spans.sort_by(f64::total_cmp);
+        let rate = spans[..3].iter().sum::<f64>() / (3.0 * RATE_SPAN.secs());
+        if mean < 0.1 || ready == 0.0 { 0.0 } else { rate * f64::from(self.deployment.relays) / ready / mean }
     }
 }
 
--- a/src/front.rs
+++ b/src/front.rs
@@ -24,8 +24,6 @@
     pub key: Option<u64>,
     pub group: Option<u64>,
     pub dial_timeout: Span,
-    /// The client tries again, or was cut off or moved; false where fronts can't tell.
-    pub returning: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -327,7 +327,7 @@
 }
 
 /// Dials of all relays at one backend that has just started, as many sessions arriving everywhere as wanted.
-fn cold_dials(relays: u32, before: u32, returning: bool) -> Vec<(u64, u32)> {
+fn cold_dials(relays: u32, before: u32, rush: bool) -> Vec<(u64, u32)> {
     let mut benches: Vec<Bench> = (0..relays)
         .map(|me| Bench::new(Deployment { me, relays, ..deployment(REPEATABLE) }, &rows(4)))
         .collect();
@@ -335,9 +335,9 @@
     for (me, bench) in benches.iter_mut().enumerate() {
         (0..4).for_each(|backend| bench.report(backend, None, Some(0.5)));
         for id in 0..before {
-            let who = thistlecroft::front::Arrival { returning, ..arrival(0, 0, ms(4_800)) };
-            bench.arrive(id, who);
+            bench.arrive(id, arrival(0, 0, ms(4_800)));
             bench.stand(id, 0);
+            bench.pass(if rush { Span::ZERO } else { ms(10_000 / u64::from(before)) });
         }
         let start = bench.now;
         bench.relay.listed(ListScope::Whole, &[row(9, Standing::Ready, Some(start))]);
@@ -355,12 +355,12 @@
 
 #[test]
 fn a_cold_backend_gets_a_budget_and_one_relay_at_a_time() {
-    // Relays, new connections of each in the ten seconds before, whether their clients had only come back, and the
-    // most that any window of two seconds may hold: what is allowed at start, or one for each turn it overlaps.
-    for (relays, before, returning) in [(1, 0, false), (3, 0, false), (2, 40, false), (2, 400, true)] {
-        let sent = cold_dials(relays, before, returning);
+    // Relays, connections of each in the ten seconds before, and whether they came in a rush, which says nothing of what
+    // a backend takes. A window of two seconds may hold its budget, or one for each turn that it overlaps.
+    for (relays, before, rush) in [(1, 0, false), (3, 0, false), (2, 40, false), (2, 400, true)] {
+        let sent = cold_dials(relays, before, rush);
         assert!(!sent.is_empty(), "{relays} {before}: the backend is used at all");
-        let counted = if returning { 0.0 } else { f64::from(before * relays) };
+        let counted = if rush { 0.0 } else { f64::from(before * relays) };
         let warm_rate = counted / 10.0 / 1.0 / 0.5;
         for &(from, _) in &sent {
             let window: Vec<_> =
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -82,7 +82,7 @@
 
 pub fn arrival(key: u64, group: u64, dial_timeout: Span) -> Arrival {
     let some = |value: u64| (value > 0).then_some(value);
-    Arrival { listener: ListenerId(0), key: some(key), group: some(group), dial_timeout, returning: false }
+    Arrival { listener: ListenerId(0), key: some(key), group: some(group), dial_timeout }
 }
 
 pub fn row(backend: u32, standing: Standing, up_since: Option<Moment>) -> Listing {
