--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -1,5 +1,5 @@
-//! The instances of one process: each turns its events straight into calls on its relay, and what the relay asks for
-//! straight into records. Ids of the wire become small indices here; instances share nothing.
+//! The instances of one process: each turns its events straight into calls on its relay, and what the relay
+//! asks for straight into records. Ids of the wire become small indices here; instances share nothing.
 use crate::frame::{Action, Batch, Fields, Reply};
 use crate::settings::{self, ReportPlaces};
 use std::collections::{BTreeMap, HashMap};
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,4 +1,5 @@
-//! Runs the decisions on a simulator's wire: batches on standard input, one reply for each on standard output.
+//! Runs the decisions on a simulator's wire: batches on standard input, one reply for each on standard
+//! output.
 mod frame;
 mod instance;
 mod settings;
--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -15,7 +15,6 @@
 #[serde(rename_all = "camelCase")]
 struct Facts {
     az: u16,
-    zones: Vec<String>,
     balancers: u32,
     me: u32,
     tick_us: u64,
@@ -125,7 +124,6 @@
         me: facts.me,
         relays: facts.balancers,
         zone: ZoneId(facts.az),
-        zones: facts.zones.len(),
         tick: Span::from_us(facts.tick_us),
         listeners: listeners.collect(),
         cold: ColdStart {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,7 +1,8 @@
-//! All decisions of a relay. A front (`front.rs`) calls the methods of `Relay` as things happen, each with the present
-//! moment and itself; `Relay` answers by calling the front's `Front` before it returns. A call may be late or repeated;
-//! a session or backend unknown by then is passed over. `docs/design.md` says which part follows the design and under
-//! what condition each departure acts. Order of reading: open settings, state by lifetime, events, dialling, picking.
+//! All decisions of a relay. A front (`front.rs`) calls the methods of `Relay` as things happen, each with
+//! the present moment and itself; `Relay` answers by calling the front's `Front` before it returns. A call
+//! may be late or repeated; a session or backend unknown by then is passed over. `docs/design.md` says which
+//! part follows the design and under what condition each departure acts. Order of reading: open settings,
+//! state by lifetime, events, dialling, picking.
 use crate::deployment::{Deployment, Effect, Listener, Scope};
 use crate::front::{Arrival, Ending, Front, ListScope, Listing, Report, Standing, Verdict};
 use crate::ids::{BackendId, ListenerId, SessionId};
@@ -190,9 +191,9 @@
         }
     }
 
-    /// A call to discovery failed or the subscription broke. Asking again with full jitter keeps the relays from
-    /// meeting at a discovery that is already behind, and well within the span after which the relay would be deemed
-    /// to know what it never heard.
+    /// A call to discovery failed or the subscription broke. Asking again with full jitter keeps the relays
+    /// from meeting at a discovery that is already behind, and well within the span after which the relay
+    /// would be deemed to know what it never heard.
     pub fn list_failed(&mut self, now: Moment, front: &mut dyn Front) {
         let Some(within) = self.deployment.ask_within else { return };
         let wait = self.jitter(self.failed_calls).min(within * 0.5);
@@ -217,7 +218,8 @@
         front: &mut dyn Front,
     ) {
         self.sessions.insert(id, Session { dials: 1, ..Session::new(arrival, now) });
-        // It has stood for longer than this instance; a fresh cool-down would shield an overload at start from relief.
+        // It has stood for longer than this instance; a fresh cool-down would shield an overload at start
+        // from relief.
         let long_ago = now - COOL_DOWN;
         let dial = Dial { number: 0, backend: at, sent: long_ago };
         self.turn(id, State::Ready(dial, long_ago), front);
@@ -473,7 +475,8 @@
         self.turn(id, State::Over, front);
     }
 
-    /// Where set-ups slow down everywhere, giving up early only sends the same work again to whatever is crowded.
+    /// Where set-ups slow down everywhere, giving up early only sends the same work again to whatever is
+    /// crowded.
     fn learn_set_up(&mut self, took: Span) {
         self.set_up = self.set_up * 0.875 + took * 0.125;
     }
@@ -538,8 +541,8 @@
         backend.placed.retain(|&at| at + REPORT_LAG > now);
     }
 
-    /// A backend that fails dials or probes in a row takes no part for a while, longer each time, since a backend that
-    /// hangs or fails fast still answers its probes and looks the least loaded of all.
+    /// A backend that fails dials or probes in a row takes no part for a while, longer each time, since a
+    /// backend that hangs or fails fast still answers its probes and looks the least loaded of all.
     fn strike(&mut self, now: Moment, id: BackendId, verdict: Verdict) {
         let ready = self.ready_ones().count();
         let out = self.ready_ones().filter(|(_, backend)| backend.ejected_until > now).count();
@@ -560,9 +563,10 @@
         }
     }
 
-    /// Backends driven past what they can do serve none of their messages in time: this relay sends away its part of
-    /// what is too much, the least utility for its load first. One report justifies one such step, and nobody is
-    /// moved before his cool-down, so that a wrong judgement costs little and clients don't go round in circles.
+    /// Backends driven past what they can do serve none of their messages in time: this relay sends away its
+    /// part of what is too much, the least utility for its load first. One report justifies one such step,
+    /// and nobody is moved before his cool-down, so that a wrong judgement costs little and clients don't go
+    /// round in circles.
     fn relieve(&mut self, now: Moment, front: &mut dyn Front) {
         let shortest = self.shortest_target();
         let mut over: BTreeMap<BackendId, f64> = BTreeMap::new();
@@ -604,8 +608,8 @@
         }
     }
 
-    /// Where crossing zones costs more than a move, connections that cross come back one at a time, the lightest first,
-    /// while the own zone has room; more at once would fill it on old reports.
+    /// Where crossing zones costs more than a move, connections that cross come back one at a time, the
+    /// lightest first, while the own zone has room; more at once would fill it on old reports.
     fn bring_home(&mut self, now: Moment, front: &mut dyn Front) {
         if self.deployment.crossing_price <= self.deployment.move_price {
             return;
@@ -694,8 +698,8 @@
         };
         let mut list = weighed.clone();
         if pool.tells_share {
-            // A backend driven past what it can do serves nobody, and clients it drops come back at once: what finds
-            // no room anywhere is refused instead.
+            // A backend driven past what it can do serves nobody, and clients it drops come back at once:
+            // what finds no room anywhere is refused instead.
             list = among(&|entry| entry.near && entry.load < HOT);
             for limit in [HOT, FULL] {
                 if list.is_empty() {
@@ -740,14 +744,15 @@
             let ready = self.ready_ones().count() as f64;
             count = f64::from(open) * f64::from(self.deployment.relays) * heard / ready.max(1.0);
         }
-        // A relay that has just started holds few connections and would take each for a large part of a backend.
+        // A relay that has just started holds few connections and would take each for a large part of a
+        // backend.
         let (tells_share, each) = (shares > 0.0, load / f64::max(count, heard));
         let each = if tells_share { each.min(EACH_MOST) } else { each };
         Pool { mean: load / heard, each, tells_share, empty: false }
     }
 
-    /// What a backend counts for: its report and what this relay placed there since. Relays that share nothing draw
-    /// the same pair for a group at the same time, so own placements stand for those of all.
+    /// What a backend counts for: its report and what this relay placed there since. Relays that share
+    /// nothing draw the same pair for a group at the same time, so own placements stand for those of all.
     fn load(&self, now: Moment, id: BackendId, pool: Pool, fee: f64) -> f64 {
         let backend = self.at(id);
         if pool.empty {
@@ -760,8 +765,9 @@
 
     // ---- cold backends ----
 
-    /// The turn that runs at a cold backend, and whether this relay may still use it; None where it is warm. All
-    /// relays see the same start of the same backend, so its age cuts time into turns without a word between them.
+    /// The turn that runs at a cold backend, and whether this relay may still use it; None where it is warm.
+    /// All relays see the same start of the same backend, so its age cuts time into turns without a word
+    /// between them.
     fn cold_turn(&self, now: Moment, id: BackendId) -> Option<(u64, bool)> {
         let backend = self.at(id);
         let cold = &self.deployment.cold;
@@ -774,14 +780,15 @@
         let ours = (turn + backend.listing.mark) % relays == u64::from(self.deployment.me);
         let used = backend.cold_turn.filter(|&(at, _)| at == turn).map_or(0, |(_, used)| used);
         let share = cold.start_share + (1.0 - cold.start_share) * age.secs() / cold.warm_up.secs();
-        // Any window overlaps two turns, and the estimate of what a warm backend takes is rough: half for either.
+        // Any window overlaps two turns, and the estimate of what a warm backend takes is rough: half for
+        // either.
         let budget = COLD_CAUTION * cold.factor * share * self.warm_rate(now) * cold.window.secs();
         Some((turn, ours && f64::from(used) < budget.floor().max(1.0)))
     }
 
-    /// New connections a second that would fill a warm backend of middling size: what this relay set up, as if every
-    /// relay did as much, over the load of the fleet. The two fullest of five spans don't count: a rush of clients that
-    /// come back would pass for capacity just when fresh backends come up.
+    /// New connections a second that would fill a warm backend of middling size: what this relay set up, as
+    /// if every relay did as much, over the load of the fleet. The two fullest of five spans don't count: a
+    /// rush of clients that come back would pass for capacity just when fresh backends come up.
     fn warm_rate(&self, now: Moment) -> f64 {
         let (ready, mean) = (self.ready_ones().count() as f64, self.pool(now).mean);
         let mut spans = [0.0; 5];
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -44,7 +44,6 @@
     pub me: u32,
     pub relays: u32,
     pub zone: ZoneId,
-    pub zones: usize,
     pub tick: Span,
     pub listeners: Vec<Listener>,
     pub cold: ColdStart,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -49,7 +49,8 @@
 
 #[test]
 fn a_further_dial_goes_only_where_it_can_do_no_harm() {
-    // After the first dial's verdict: whether another dial may follow, and whether it must stay in the first's zone.
+    // After the first dial's verdict: whether another dial may follow, and whether it must stay in the
+    // first's zone.
     let cases = [
         (REPEATABLE, Verdict::Timeout, true, false),
         (ONCE, Verdict::Full, true, false),
@@ -122,7 +123,8 @@
     bench.relay.delay_noted(bench.now, SessionId(77), ms(9), &mut bench.book);
     bench.relay.probed(bench.now, BackendId(55), Verdict::Timeout, Default::default());
     assert!(bench.answers(1).is_empty());
-    // The client leaves while its dial is out: the dial is withdrawn and its verdict ends the matter silently.
+    // The client leaves while its dial is out: the dial is withdrawn and its verdict ends the matter
+    // silently.
     bench.relay.left(SessionId(1), &mut bench.book);
     bench.relay.left(SessionId(1), &mut bench.book);
     bench.end(1, 0, Verdict::Withdrawn, true);
@@ -172,7 +174,8 @@
 
 #[test]
 fn the_delay_grows_with_the_count_and_clears_after_a_cool_down() {
-    // How long a connection stands, whether its end is a reset, and the most that the next refusal may ask for.
+    // How long a connection stands, whether its end is a reset, and the most that the next refusal may ask
+    // for.
     let cases = [(4_000, true, 16_000), (4_000, false, 8_000), (6_000, true, 1_000), (6_000, false, 1_000)];
     for (stands, reset, most) in cases {
         let mut longest = Span::ZERO;
@@ -297,7 +300,8 @@
 
 #[test]
 fn overdriven_backends_are_relieved_of_their_excess() {
-    // Load, delay of a message, how long the connections have stood (None: handed over at start), how many go of ten.
+    // Load, delay of a message, how long the connections have stood (None: handed over at start), how many go
+    // of ten.
     let cases = [
         (0.85, 10, Some(9_000), 0..=0),
         (1.2, 10, Some(9_000), 4..=6),
@@ -355,8 +359,9 @@
 
 #[test]
 fn a_cold_backend_gets_a_budget_and_one_relay_at_a_time() {
-    // Relays, connections of each in the ten seconds before, and whether they came in a rush, which says nothing of what
-    // a backend takes. A window of two seconds may hold its budget, or one for each turn that it overlaps.
+    // Relays, connections of each in the ten seconds before, and whether they came in a rush, which says
+    // nothing of what a backend takes. A window of two seconds may hold its budget, or one for each turn that
+    // it overlaps.
     for (relays, before, rush) in [(1, 0, false), (3, 0, false), (2, 40, false), (2, 400, true)] {
         let sent = cold_dials(relays, before, rush);
         assert!(!sent.is_empty(), "{relays} {before}: the backend is used at all");
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -63,7 +63,6 @@
         me: 0,
         relays: 1,
         zone: ZoneId(0),
-        zones: 2,
         tick: ms(2),
         listeners: vec![row],
         cold: ColdStart { start_share: 0.25, warm_up: ms(10_000), factor: 4.0, window: ms(2_000) },
