A cold turn tells its use once; its budget is reckoned only in the own turn

Found on a read of the whole change: the use of a turn was looked up in two places, and the fleet's rate was worked out for every cold backend at every pick, also out of turn.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -425,11 +425,10 @@
         if let Some(session) = self.sessions.get_mut(&id) {
             session.dials += 1;
         }
-        let turn = self.cold_turn(now, backend).map(|(turn, _)| turn);
+        let turn = self.cold_turn(now, backend);
         if let Some(at) = self.backend(backend) {
             at.placed.push_back(now);
-            if let Some(turn) = turn {
-                let used = at.cold_turn.filter(|&(last, _)| last == turn).map_or(0, |(_, used)| used);
+            if let Some((turn, used, _)) = turn {
                 at.cold_turn = Some((turn, used + 1));
             }
         }
@@ -670,7 +669,7 @@
                 }
                 _ => true,
             };
-            let turn_is_ours = self.cold_turn(now, at).is_none_or(|(_, open)| open);
+            let turn_is_ours = self.cold_turn(now, at).is_none_or(|(_, _, open)| open);
             if backend.listing.standing == Standing::Ready && in_scope && turn_is_ours {
                 able.push(at);
             }
@@ -765,10 +764,10 @@
 
     // ---- cold backends ----
 
-    /// The turn that runs at a cold backend, and whether this relay may still use it; None where it is warm.
+    /// The turn that runs at a cold backend, its use so far, and if this relay may use it; None where warm.
     /// All relays see the same start of the same backend, so its age cuts time into turns without a word
     /// between them.
-    fn cold_turn(&self, now: Moment, id: BackendId) -> Option<(u64, bool)> {
+    fn cold_turn(&self, now: Moment, id: BackendId) -> Option<(u64, u32, bool)> {
         let backend = self.at(id);
         let cold = &self.deployment.cold;
         let age = now.since(backend.listing.up_since?);
@@ -779,11 +778,14 @@
         let relays = u64::from(self.deployment.relays.max(1));
         let ours = (turn + backend.listing.mark) % relays == u64::from(self.deployment.me);
         let used = backend.cold_turn.filter(|&(at, _)| at == turn).map_or(0, |(_, used)| used);
+        if !ours {
+            return Some((turn, used, false));
+        }
         let share = cold.start_share + (1.0 - cold.start_share) * age.secs() / cold.warm_up.secs();
         // Any window overlaps two turns, and the estimate of what a warm backend takes is rough: half for
         // either.
         let budget = COLD_CAUTION * cold.factor * share * self.warm_rate(now) * cold.window.secs();
-        Some((turn, ours && f64::from(used) < budget.floor().max(1.0)))
+        Some((turn, used, f64::from(used) < budget.floor().max(1.0)))
     }
 
     /// New connections a second that would fill a warm backend of middling size: what this relay set up, as
