Probes are paid for by sessions: two hundredths of the result at most

Cause: with a fixed time between hearings of each backend the probes grow as relays x backends. Change: each session that stands pays for a few probes by their price; what is saved is spent over ten seconds, between the old rate and one in five seconds, the design's bound.

--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -91,6 +91,7 @@
 struct Prices {
     cross_zone: f64,
     moves: f64,
+    probe: f64,
 }
 
 #[derive(Default, Deserialize)]
@@ -141,6 +142,7 @@
         longest_retry_after: Span::from_us(facts.permissions.max_retry_after_us),
         crossing_price: facts.prices.cross_zone,
         move_price: facts.prices.moves,
+        probe_price: facts.prices.probe,
         groups: facts.extra.groups,
     };
     Ok((deployment, places))
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -13,8 +13,13 @@
 const BASE: Span = Span::from_ms(1_000);
 const CAP: Span = Span::from_ms(30_000);
 const COOL_DOWN: Span = Span::from_ms(5_000);
-/// How often a backend is heard of each time round, so that the rate of probes grows with the fleet.
+/// How often a backend is heard of each time round at most, so that the rate of probes grows with the fleet.
 const HEAR_EVERY: Span = Span::from_ms(2_000);
+/// The part of the result that probes may cost, the time over which what is saved for them is spent, and the
+/// longest wait between two.
+const PROBES_WORTH: f64 = 0.02;
+const SPENT_OVER: Span = Span::from_ms(10_000);
+const PROBE_AT_LEAST: Span = Span::from_ms(5_000);
 const KEYS_HELD: usize = 20_000;
 const KEY_AGE: Span = Span::from_ms(120_000);
 const POOL_AGE: Span = Span::from_ms(30_000);
@@ -130,6 +135,8 @@
     clients: BTreeMap<u64, Client>,
     backends: Vec<Option<Backend>>,
     errands: BTreeSet<(Moment, Errand)>,
+    /// Probes that the sessions so far pay for and that are not yet sent.
+    probes_due: f64,
     failed_calls: u32,
     /// When connections came to stand, over the last while.
     recent: VecDeque<Moment>,
@@ -145,6 +152,7 @@
             clients: BTreeMap::new(),
             backends: Vec::new(),
             errands: BTreeSet::new(),
+            probes_due: 0.0,
             failed_calls: 0,
             recent: VecDeque::new(),
             set_up: Span::ZERO,
@@ -222,6 +230,7 @@
         // from relief.
         let long_ago = now - COOL_DOWN;
         let dial = Dial { number: 0, backend: at, sent: long_ago };
+        self.save_for_probes();
         self.turn(id, State::Ready(dial, long_ago), front);
     }
 
@@ -241,6 +250,7 @@
         self.learn_set_up(now.since(dial.sent));
         self.recent.retain(|&at| now.since(at) < RATE_SPAN * 5.0);
         self.recent.push_back(now);
+        self.save_for_probes();
         self.turn(id, State::Ready(dial, now), front);
     }
 
@@ -354,7 +364,10 @@
             match errand {
                 Errand::Probe => {
                     self.probe(front);
-                    let every = HEAR_EVERY * (1.0 / self.ready_ones().count().max(1) as f64);
+                    let most = HEAR_EVERY * (1.0 / self.ready_ones().count().max(1) as f64);
+                    let paid = SPENT_OVER * (1.0 / self.probes_due.max(f64::MIN_POSITIVE));
+                    let every = paid.max(most).min(PROBE_AT_LEAST);
+                    self.probes_due = (self.probes_due - 1.0).max(0.0);
                     self.plan(now + every.max(self.deployment.tick), Errand::Probe, front);
                 }
                 Errand::Housekeeping => {
@@ -555,6 +568,14 @@
         }
     }
 
+    /// Each session pays for so many probes: hundreds of relays that each hear of all backends as often as a
+    /// few did would spend more on probes than the service earns, and keep the backends busy answering.
+    fn save_for_probes(&mut self) {
+        let each = PROBES_WORTH / self.deployment.probe_price.max(f64::MIN_POSITIVE);
+        let most = self.ready_ones().count().max(1) as f64 * (SPENT_OVER.secs() / HEAR_EVERY.secs());
+        self.probes_due = (self.probes_due + each).min(most);
+    }
+
     fn probe(&mut self, front: &mut dyn Front) {
         let ready: Vec<BackendId> = self.ready_ones().map(|(id, _)| id).collect();
         if let Some(&id) = self.any_of(&ready).filter(|_| self.deployment.may_probe) {
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -57,6 +57,7 @@
     pub longest_retry_after: Span,
     pub crossing_price: f64,
     pub move_price: f64,
+    pub probe_price: f64,
     /// Connections of one group share work on the backend that holds them.
     pub groups: bool,
 }
