--- a/src/balance.rs
+++ b/src/balance.rs
@@ -28,6 +28,8 @@
 const EACH_MOST: f64 = 0.05;
 const GROUP_FEE: f64 = 6.0;
 const ROOMY: f64 = 0.3;
+/// The part of its connections that a relay brings home in one go, one at most.
+const HOME_PART: f64 = 0.025;
 const CALM: f64 = 0.45;
 const HOT: f64 = 0.6;
 const FULL: f64 = 0.8;
@@ -619,9 +621,12 @@
         let mut excess: BTreeMap<BackendId, f64> =
             over.iter().map(|(&at, part)| (at, part * asked.get(&at).unwrap_or(&0.0))).collect();
         for (_, id, at, load) in movable {
+            // What is left below one connection is settled by chance: rounded, hundreds of relays that hold one
+            // connection each would all send it away at once, or none would.
             let left = excess.entry(at).or_default();
-            if *left > load * 0.5 {
-                *left -= load;
+            let chance = *left / load;
+            *left -= load;
+            if chance >= 1.0 || chance > 0.0 && self.chance.rand_float() < chance {
                 front.send_away(id);
                 self.turn(id, State::Settled, front);
             }
@@ -646,6 +651,12 @@
                 crossing.push((session.load.unwrap_or(0.0), id));
             }
         }
+        // A relay that holds few connections waits its time: hundreds that each send one away every half
+        // second would swamp whatever their set-ups share.
+        let held = self.sessions.len() as f64;
+        if self.chance.rand_float() >= held * HOME_PART {
+            return;
+        }
         crossing.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         for (_, id) in crossing {
             let Some(at) = self.pick(now, id) else { continue };
