Live weights of the list scale old reports and stand for backends unheard from

Cause: at 62 to 110 backends and a probe every second or two a relay has heard lately of few backends, and all others counted as the mean; it could not tell a full one from an empty one. Change: where the list's weights are live, load times weight at the hearing is kept, and divided by the weight of now; an unheard backend takes the pool's mean of that product. Elsewhere all weights are one and nothing changes.

--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -116,8 +116,10 @@
                     }
                     other => return Err(format!("list of unknown scope {other}")),
                 };
-                let rows: Result<Vec<Listing>, String> =
-                    batch.entries(event.u32(13), event.u32(17))?.map(|entry| names.listing(entry)).collect();
+                let rows: Result<Vec<Listing>, String> = batch
+                    .entries(event.u32(13), event.u32(17))?
+                    .map(|entry| names.listing(entry, places))
+                    .collect();
                 relay.listed(scope, &rows?);
             }
             1020 => {
@@ -215,6 +217,10 @@
 }
 
 impl ReportPlaces {
+    fn weight(&self, told: f64) -> f64 {
+        if self.weights_live && told.is_finite() && told > 0.0 { told } else { 1.0 }
+    }
+
     fn report(&self, event: Fields, at: usize) -> Report {
         let told = usize::from(event.u8(at)).min(4);
         let value = |place: Option<usize>| {
@@ -241,7 +247,7 @@
         })
     }
 
-    fn listing(&mut self, entry: Fields) -> Result<Listing, String> {
+    fn listing(&mut self, entry: Fields, places: &ReportPlaces) -> Result<Listing, String> {
         let address: Address = entry.array(0);
         let mut mark = [0; 8];
         mark[..6].copy_from_slice(&address);
@@ -256,6 +262,7 @@
                 2 => Standing::Draining,
                 other => return Err(format!("entry of unknown readiness {other}")),
             },
+            weight: places.weight(f64::from(entry.f32(12))),
             up_since: present(entry.u64(16)).map(Moment::from_us),
         })
     }
--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -4,11 +4,13 @@
 use thistlecroft::ids::ZoneId;
 use thistlecroft::units::Span;
 
-/// Which places of a load report the decisions read.
+/// Which places of a load report the decisions read, and how the list's weights are meant.
 #[derive(Clone, Copy, Default)]
 pub struct ReportPlaces {
     pub connections: Option<usize>,
     pub load: Option<usize>,
+    /// The list's weights fall as connections held grow.
+    pub weights_live: bool,
 }
 
 #[derive(Deserialize)]
@@ -28,6 +30,8 @@
     extra: Extra,
     #[serde(default)]
     report: ReportFacts,
+    #[serde(default)]
+    weights: String,
 }
 
 #[derive(Deserialize, PartialEq)]
@@ -113,7 +117,11 @@
         return Err("settings: no listeners".into());
     }
     let place = |name: &str| facts.report.fields.iter().position(|field| field == name);
-    let places = ReportPlaces { connections: place("rif"), load: place("x0").or_else(|| place("busy")) };
+    let places = ReportPlaces {
+        connections: place("rif"),
+        load: place("x0").or_else(|| place("busy")),
+        weights_live: facts.weights == "live",
+    };
     let listeners = facts.listeners.iter().enumerate().map(|(at, row)| Listener {
         handshake_target: Span::from_us(row.handshake_target_us),
         effect: effect_of(row),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -92,6 +92,8 @@
     open: u32,
     groups: BTreeMap<u64, u32>,
     heard: Option<(Moment, Report)>,
+    /// The listed weight when it was heard of.
+    weight_heard: f64,
     /// Own placements that its report may not hold yet.
     placed: VecDeque<Moment>,
     strikes: u32,
@@ -106,6 +108,8 @@
 #[derive(Clone, Copy)]
 struct Pool {
     mean: f64,
+    /// The mean, as of a weight of one.
+    weighted: f64,
     /// What one connection adds to a backend of middling size.
     each: f64,
     /// Loads are shares of what a backend can do, not connections.
@@ -552,6 +556,7 @@
             return;
         }
         backend.heard = Some((now, report));
+        backend.weight_heard = backend.listing.weight;
         backend.placed.retain(|&at| at + REPORT_LAG > now);
     }
 
@@ -760,15 +765,18 @@
 
     /// What the pool tells of the fleet, from entries that are not too old.
     fn pool(&self, now: Moment) -> Pool {
-        let (mut heard, mut load, mut count, mut shares) = (0.0, 0.0, 0.0, 0.0);
-        for report in self.ready_ones().filter_map(|(_, backend)| backend.report(now)) {
+        let (mut heard, mut load, mut count, mut shares, mut weighted) = (0.0, 0.0, 0.0, 0.0, 0.0);
+        for (_, backend) in self.ready_ones() {
+            let Some(report) = backend.report(now) else { continue };
             heard += 1.0;
-            load += report.load.or(report.connections).unwrap_or(0.0);
+            let told = report.load.or(report.connections).unwrap_or(0.0);
+            load += told;
+            weighted += told * backend.weight_heard;
             count += report.connections.unwrap_or(0.0);
             shares += f64::from(u8::from(report.load.is_some()));
         }
         if heard == 0.0 {
-            return Pool { mean: 0.0, each: 0.0, tells_share: false, empty: true };
+            return Pool { mean: 0.0, weighted: 0.0, each: 0.0, tells_share: false, empty: true };
         }
         if count == 0.0 {
             let open: u32 = self.ids().map(|(_, b)| b.open).sum();
@@ -779,7 +787,7 @@
         // backend.
         let (tells_share, each) = (shares > 0.0, load / f64::max(count, heard));
         let each = if tells_share { each.min(EACH_MOST) } else { each };
-        Pool { mean: load / heard, each, tells_share, empty: false }
+        Pool { mean: load / heard, weighted: weighted / heard, each, tells_share, empty: false }
     }
 
     /// What a backend counts for: its report and what this relay placed there since. Relays that share
@@ -791,7 +799,10 @@
         }
         let later = (backend.placed.len() as f64 * f64::from(self.deployment.relays) + fee) * pool.each;
         let told = backend.report(now).and_then(|report| report.load.or(report.connections));
-        told.unwrap_or(pool.mean) + later
+        // Where the list lowers a weight with the connections held, it tells what came and went since the
+        // report, and of backends unheard from.
+        let weight = backend.listing.weight.max(f64::MIN_POSITIVE);
+        told.map_or(pool.weighted, |told| told * backend.weight_heard) / weight + later
     }
 
     // ---- cold backends ----
@@ -860,6 +871,7 @@
             open: 0,
             groups: BTreeMap::new(),
             heard: None,
+            weight_heard: 1.0,
             placed: VecDeque::new(),
             strikes: 0,
             ejections: 0,
--- a/src/front.rs
+++ b/src/front.rs
@@ -50,6 +50,8 @@
     pub zone: ZoneId,
     pub cell: CellId,
     pub standing: Standing,
+    /// Falls as connections held there grow; one where the list does not tell.
+    pub weight: f64,
     /// None where it started long ago.
     pub up_since: Option<Moment>,
 }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -88,7 +88,15 @@
 pub fn row(backend: u32, standing: Standing, up_since: Option<Moment>) -> Listing {
     // Even numbers are in zone 0, odd ones in zone 1, cells hold four.
     let (zone, cell) = (ZoneId((backend % 2) as u16), CellId((backend / 4) as u16));
-    Listing { backend: BackendId(backend), mark: u64::from(backend) * 7919, zone, cell, standing, up_since }
+    Listing {
+        backend: BackendId(backend),
+        mark: u64::from(backend) * 7919,
+        zone,
+        cell,
+        standing,
+        weight: 1.0,
+        up_since,
+    }
 }
 
 pub fn rows(count: u32) -> Vec<Listing> {
