The first backend in a group's order is taken to hold it; opening elsewhere counts fifteen connections

Cause: every backend that holds a member of a group pays for the whole group. Change: the first in the group's order over all able backends counts as holding it, in the limits too.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -26,7 +26,7 @@
 // Ours.
 const REPORT_LAG: Span = Span::from_ms(1_000);
 const EACH_MOST: f64 = 0.05;
-const GROUP_FEE: f64 = 6.0;
+const GROUP_FEE: f64 = 15.0;
 const ROOMY: f64 = 0.3;
 /// The part of its connections that a relay brings home in one go, one at most.
 const HOME_PART: f64 = 0.025;
@@ -665,7 +665,7 @@
         crossing.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         for (_, id) in crossing {
             let Some(at) = self.pick(now, id) else { continue };
-            if self.at(at).listing.zone == home && self.load(now, at, pool, 0.0) < ROOMY {
+            if self.at(at).listing.zone == home && self.load(now, at, pool) < ROOMY {
                 front.send_away(id);
                 self.turn(id, State::Settled, front);
                 return;
@@ -720,13 +720,19 @@
         let pool = self.pool(now);
         let group = group.filter(|_| self.deployment.groups);
         let crossing_is_free = self.deployment.crossing_price <= 0.0;
+        if let Some(group) = group {
+            able.sort_by_cached_key(|&at| mixed(self.at(at).listing.mark, group));
+        }
         let weighed: Vec<Entry> = able
-            .into_iter()
-            .map(|at| {
+            .iter()
+            .map(|&at| {
                 let backend = self.at(at);
-                let joins = group.is_none_or(|group| backend.groups.contains_key(&group));
-                let load = self.load(now, at, pool, if joins { 0.0 } else { GROUP_FEE });
-                Entry { at, load, near: crossing_is_free || backend.listing.zone == self.deployment.zone }
+                // Of hundreds of relays one knows next to nothing of where a group is held: most likely with
+                // the first in its order.
+                let joins = at == able[0] || group.is_none_or(|group| backend.groups.contains_key(&group));
+                let fee = if joins { 0.0 } else { GROUP_FEE * if pool.empty { 1.0 } else { pool.each } };
+                let near = crossing_is_free || backend.listing.zone == self.deployment.zone;
+                Entry { at, load: self.load(now, at, pool) + fee, near }
             })
             .collect();
         let among = |wanted: &dyn Fn(&Entry) -> bool| -> Vec<Entry> {
@@ -746,10 +752,7 @@
             list.retain(|entry| entry.near);
         }
         let pair = match group {
-            Some(group) => {
-                list.sort_by_key(|entry| mixed(self.at(entry.at).listing.mark, group));
-                (*list.first()?, *list.get(1).unwrap_or(&list[0]))
-            }
+            Some(_) => (*list.first()?, *list.get(1).unwrap_or(&list[0])),
             None => {
                 let first = *self.any_of(&list)?;
                 list.retain(|entry| entry.at != first.at);
@@ -792,12 +795,12 @@
 
     /// What a backend counts for: its report and what this relay placed there since. Relays that share
     /// nothing draw the same pair for a group at the same time, so own placements stand for those of all.
-    fn load(&self, now: Moment, id: BackendId, pool: Pool, fee: f64) -> f64 {
+    fn load(&self, now: Moment, id: BackendId, pool: Pool) -> f64 {
         let backend = self.at(id);
         if pool.empty {
-            return f64::from(backend.open) + fee;
+            return f64::from(backend.open);
         }
-        let later = (backend.placed.len() as f64 * f64::from(self.deployment.relays) + fee) * pool.each;
+        let later = backend.placed.len() as f64 * f64::from(self.deployment.relays) * pool.each;
         let told = backend.report(now).and_then(|report| report.load.or(report.connections));
         // Where the list lowers a weight with the connections held, it tells what came and went since the
         // report, and of backends unheard from.
