Opening a group counts for three tenths of a backend at most

Fifteen connections are 0.7 of a backend there by the relay's rough figure of a connection, so only the first of a group's order ever had room. Ruled out: the hanging backends (eight of 56) leave room enough; tries were refused before any hung. The table of two entries now reports connections too.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -27,6 +27,7 @@
 const REPORT_LAG: Span = Span::from_ms(1_000);
 const EACH_MOST: f64 = 0.05;
 const GROUP_FEE: f64 = 15.0;
+const FEE_MOST: f64 = 0.3;
 const ROOMY: f64 = 0.3;
 /// The part of its connections that a relay brings home in one go, one at most.
 const HOME_PART: f64 = 0.025;
@@ -730,7 +731,13 @@
                 // Of hundreds of relays one knows next to nothing of where a group is held: most likely with
                 // the first in its order.
                 let joins = at == able[0] || group.is_none_or(|group| backend.groups.contains_key(&group));
-                let fee = if joins { 0.0 } else { GROUP_FEE * if pool.empty { 1.0 } else { pool.each } };
+                let fee = if joins {
+                    0.0
+                } else if pool.tells_share {
+                    (GROUP_FEE * pool.each).min(FEE_MOST)
+                } else {
+                    GROUP_FEE * pool.each
+                };
                 let near = crossing_is_free || backend.listing.zone == self.deployment.zone;
                 Entry { at, load: self.load(now, at, pool) + fee, near }
             })
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -223,7 +223,7 @@
     for (loads, expected) in [([0.5, 0.1], 1), ([0.1, 0.5], 0), ([0.1, 0.95], 0)] {
         for group in [0, 4] {
             let mut bench = Bench::new(deployment(REPEATABLE), &rows(2));
-            (0..2).for_each(|backend| bench.report(backend, None, Some(loads[backend as usize])));
+            (0..2).for_each(|backend| bench.report(backend, Some(99.0), Some(loads[backend as usize])));
             let (backend, _) = bench.arrive(1, arrival(1, group, ms(4_800))).unwrap();
             assert_eq!(backend, expected, "{loads:?} group {group}");
         }
