Opening a group weighs half a backend; cold turns for as many relays as the budget holds

Kept: (1) opening a group elsewhere than at the first of its order, or where members are held, weighs half a backend; (2) weights change a report at most twofold; (3) a cold backend's budget follows from the connections that a full one holds and the rate at which they leave by themselves, which a relay with a handful of connections can tell, and as many relays have a turn as the budget holds, one connection each, where it was one relay a turn.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -26,8 +26,9 @@
 // Ours.
 const REPORT_LAG: Span = Span::from_ms(1_000);
 const EACH_MOST: f64 = 0.05;
-const GROUP_FEE: f64 = 15.0;
-const FEE_MOST: f64 = 0.3;
+/// What opening a group at a backend weighs: of the backend, or in connections where only those are told.
+const OPENING: f64 = 0.5;
+const OPENING_COUNT: f64 = 15.0;
 const ROOMY: f64 = 0.3;
 /// The part of its connections that a relay brings home in one go, one at most.
 const HOME_PART: f64 = 0.025;
@@ -42,8 +43,9 @@
 const DRAIN: f64 = 0.5;
 const NOTE_AGE: Span = Span::from_ms(2_000);
 const PATIENCE: f64 = 4.0;
-const RATE_SPAN: Span = Span::from_ms(2_000);
-const COLD_CAUTION: f64 = 0.5;
+/// What counts still after a housekeeping of what was learnt of how long connections stand.
+const KEPT: f64 = 0.99;
+const COLD_CAUTION: f64 = 1.0;
 const HOUSEKEEPING: Span = Span::from_ms(500);
 
 /// One dial, from its sending to its verdict.
@@ -113,6 +115,8 @@
     weighted: f64,
     /// What one connection adds to a backend of middling size.
     each: f64,
+    /// The same without a bound.
+    each_heard: f64,
     /// Loads are shares of what a backend can do, not connections.
     tells_share: bool,
     empty: bool,
@@ -145,8 +149,9 @@
     /// Probes that the sessions so far pay for and that are not yet sent.
     probes_due: f64,
     failed_calls: u32,
-    /// When connections came to stand, over the last while.
-    recent: VecDeque<Moment>,
+    /// How long connections stood here, all together, and how many of them left by themselves, of late.
+    stood: f64,
+    left_alone: f64,
     /// How long a set-up takes of late, over all backends.
     set_up: Span,
 }
@@ -161,7 +166,8 @@
             errands: BTreeSet::new(),
             probes_due: 0.0,
             failed_calls: 0,
-            recent: VecDeque::new(),
+            stood: 0.0,
+            left_alone: 0.0,
             set_up: Span::ZERO,
             deployment,
         };
@@ -255,8 +261,6 @@
             backend.ejections = 0;
         }
         self.learn_set_up(now.since(dial.sent));
-        self.recent.retain(|&at| now.since(at) < RATE_SPAN * 5.0);
-        self.recent.push_back(now);
         self.save_for_probes();
         self.turn(id, State::Ready(dial, now), front);
     }
@@ -287,6 +291,7 @@
             State::Ready(dial, since) if dial.number == number => {
                 let key = session.arrival.key;
                 self.heard(now, dial.backend, report);
+                self.left_alone += f64::from(u8::from(verdict == Verdict::Ok));
                 if verdict == Verdict::Reset && now.since(since) < COOL_DOWN {
                     self.count_failure(now, id);
                 } else if let Some(key) = key {
@@ -378,6 +383,8 @@
                     self.plan(now + every.max(self.deployment.tick), Errand::Probe, front);
                 }
                 Errand::Housekeeping => {
+                    self.stood = self.stood * KEPT + self.sessions.len() as f64 * HOUSEKEEPING.secs();
+                    self.left_alone *= KEPT;
                     self.relieve(now, front);
                     self.bring_home(now, front);
                     self.clients.retain(|_, client| now.since(client.touched) < KEY_AGE);
@@ -725,19 +732,15 @@
             able.sort_by_cached_key(|&at| mixed(self.at(at).listing.mark, group));
         }
         let weighed: Vec<Entry> = able
-            .iter()
-            .map(|&at| {
+            .into_iter()
+            .enumerate()
+            .map(|(place, at)| {
                 let backend = self.at(at);
                 // Of hundreds of relays one knows next to nothing of where a group is held: most likely with
                 // the first in its order.
-                let joins = at == able[0] || group.is_none_or(|group| backend.groups.contains_key(&group));
-                let fee = if joins {
-                    0.0
-                } else if pool.tells_share {
-                    (GROUP_FEE * pool.each).min(FEE_MOST)
-                } else {
-                    GROUP_FEE * pool.each
-                };
+                let joins = place == 0 || group.is_none_or(|group| backend.groups.contains_key(&group));
+                let opening = if pool.tells_share { OPENING } else { OPENING_COUNT };
+                let fee = if joins { 0.0 } else { opening };
                 let near = crossing_is_free || backend.listing.zone == self.deployment.zone;
                 Entry { at, load: self.load(now, at, pool) + fee, near }
             })
@@ -779,14 +782,21 @@
         for (_, backend) in self.ready_ones() {
             let Some(report) = backend.report(now) else { continue };
             heard += 1.0;
-            let told = report.load.or(report.connections).unwrap_or(0.0);
+            let told = backend.told(now).unwrap_or(0.0);
             load += told;
-            weighted += told * backend.weight_heard;
+            weighted += told * backend.listing.weight;
             count += report.connections.unwrap_or(0.0);
             shares += f64::from(u8::from(report.load.is_some()));
         }
         if heard == 0.0 {
-            return Pool { mean: 0.0, weighted: 0.0, each: 0.0, tells_share: false, empty: true };
+            return Pool {
+                mean: 0.0,
+                weighted: 0.0,
+                each: 0.0,
+                each_heard: 0.0,
+                tells_share: false,
+                empty: true,
+            };
         }
         if count == 0.0 {
             let open: u32 = self.ids().map(|(_, b)| b.open).sum();
@@ -795,9 +805,9 @@
         }
         // A relay that has just started holds few connections and would take each for a large part of a
         // backend.
-        let (tells_share, each) = (shares > 0.0, load / f64::max(count, heard));
-        let each = if tells_share { each.min(EACH_MOST) } else { each };
-        Pool { mean: load / heard, weighted: weighted / heard, each, tells_share, empty: false }
+        let (tells_share, each_heard) = (shares > 0.0, load / f64::max(count, heard));
+        let each = if tells_share { each_heard.min(EACH_MOST) } else { each_heard };
+        Pool { mean: load / heard, weighted: weighted / heard, each, each_heard, tells_share, empty: false }
     }
 
     /// What a backend counts for: its report and what this relay placed there since. Relays that share
@@ -808,11 +818,7 @@
             return f64::from(backend.open);
         }
         let later = backend.placed.len() as f64 * f64::from(self.deployment.relays) * pool.each;
-        let told = backend.report(now).and_then(|report| report.load.or(report.connections));
-        // Where the list lowers a weight with the connections held, it tells what came and went since the
-        // report, and of backends unheard from.
-        let weight = backend.listing.weight.max(f64::MIN_POSITIVE);
-        told.map_or(pool.weighted, |told| told * backend.weight_heard) / weight + later
+        backend.told(now).unwrap_or(pool.weighted / backend.listing.weight) + later
     }
 
     // ---- cold backends ----
@@ -828,32 +834,23 @@
             return None;
         }
         let turn = age.us() / cold.window.us().max(1);
-        let relays = u64::from(self.deployment.relays.max(1));
-        let ours = (turn + backend.listing.mark) % relays == u64::from(self.deployment.me);
         let used = backend.cold_turn.filter(|&(at, _)| at == turn).map_or(0, |(_, used)| used);
-        if !ours {
-            return Some((turn, used, false));
-        }
         let share = cold.start_share + (1.0 - cold.start_share) * age.secs() / cold.warm_up.secs();
         // Any window overlaps two turns, and the estimate of what a warm backend takes is rough: half for
-        // either.
+        // either. As many relays have the turn as the budget holds connections.
         let budget = COLD_CAUTION * cold.factor * share * self.warm_rate(now) * cold.window.secs();
-        Some((turn, used, f64::from(used) < budget.floor().max(1.0)))
+        let relays = u64::from(self.deployment.relays);
+        let (slots, each) = ((budget as u64).clamp(1, relays), (budget / relays as f64).max(1.0));
+        let place = (u64::from(self.deployment.me) + relays - (turn * slots + backend.listing.mark) % relays)
+            % relays;
+        Some((turn, used, place < slots && f64::from(used) < each.floor()))
     }
 
-    /// New connections a second that would fill a warm backend of middling size: what this relay set up, as
-    /// if every relay did as much, over the load of the fleet. The two fullest of five spans don't count: a
-    /// rush of clients that come back would pass for capacity just when fresh backends come up.
+    /// New connections a second that would fill a warm backend of middling size: as many as it holds when full
+    /// times the rate at which they leave by themselves. A rush of clients that come back shows in neither.
     fn warm_rate(&self, now: Moment) -> f64 {
-        let (ready, mean) = (self.ready_ones().count() as f64, self.pool(now).mean);
-        let mut spans = [0.0; 5];
-        for at in &self.recent {
-            let span = now.since(*at).us() / RATE_SPAN.us();
-            spans[span.min(4) as usize] += 1.0;
-        }
-        spans.sort_by(f64::total_cmp);
-        let rate = spans[..3].iter().sum::<f64>() / (3.0 * RATE_SPAN.secs());
-        if mean < 0.1 || ready == 0.0 { 0.0 } else { rate * f64::from(self.deployment.relays) / ready / mean }
+        let each = self.pool(now).each_heard;
+        if each <= 0.0 || self.stood <= 0.0 { 0.0 } else { self.left_alone / self.stood / each }
     }
 }
 
@@ -896,6 +893,13 @@
         self.heard.filter(|(at, _)| now.since(*at) < POOL_AGE).map(|(_, report)| report)
     }
 
+    /// Its reported load as of now. Where the list lowers a weight with the connections held, it tells what came
+    /// and went since the report; not more than twofold, since at a relay's start the list may be far behind.
+    fn told(&self, now: Moment) -> Option<f64> {
+        let change = (self.weight_heard / self.listing.weight).clamp(0.5, 2.0);
+        self.report(now).and_then(|report| report.load.or(report.connections)).map(|told| told * change)
+    }
+
     fn late_for(&self, target: Span, now: Moment) -> bool {
         let recent = self.message_delay.filter(|(at, _)| now.since(*at) < NOTE_AGE);
         target > Span::ZERO && recent.is_some_and(|(_, delay)| delay > target)
