--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -94,7 +94,6 @@
 #[serde(rename_all = "camelCase", default)]
 struct Prices {
     cross_zone: f64,
-    moves: f64,
     probe: f64,
 }
 
@@ -149,7 +148,6 @@
         tells_retry_after: facts.permissions.retry_after,
         longest_retry_after: Span::from_us(facts.permissions.max_retry_after_us),
         crossing_price: facts.prices.cross_zone,
-        move_price: facts.prices.moves,
         probe_price: facts.prices.probe,
         groups: facts.extra.groups,
     };
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -29,10 +29,6 @@
 /// What opening a group at a backend weighs: of the backend, or in connections where only those are told.
 const OPENING: f64 = 0.5;
 const OPENING_COUNT: f64 = 15.0;
-const ROOMY: f64 = 0.3;
-/// The part of its connections that a relay brings home in one go, one at most.
-const HOME_PART: f64 = 0.025;
-const CALM: f64 = 0.45;
 const HOT: f64 = 0.6;
 const FULL: f64 = 0.8;
 const OVERDRIVEN: f64 = 0.9;
@@ -110,13 +106,10 @@
 
 #[derive(Clone, Copy)]
 struct Pool {
+    /// Of the loads, as if all weights were one.
     mean: f64,
-    /// The mean, as of a weight of one.
-    weighted: f64,
     /// What one connection adds to a backend of middling size.
     each: f64,
-    /// The same without a bound.
-    each_heard: f64,
     /// Loads are shares of what a backend can do, not connections.
     tells_share: bool,
     empty: bool,
@@ -386,7 +379,6 @@
                     self.stood = self.stood * KEPT + self.sessions.len() as f64 * HOUSEKEEPING.secs();
                     self.left_alone *= KEPT;
                     self.relieve(now, front);
-                    self.bring_home(now, front);
                     self.clients.retain(|_, client| now.since(client.touched) < KEY_AGE);
                     self.plan(now + HOUSEKEEPING, Errand::Housekeeping, front);
                 }
@@ -452,7 +444,7 @@
         if let Some(session) = self.sessions.get_mut(&id) {
             session.dials += 1;
         }
-        let turn = self.cold_turn(now, backend);
+        let turn = self.cold_turn(now, backend, self.pool(now));
         if let Some(at) = self.backend(backend) {
             at.placed.push_back(now);
             if let Some((turn, used, _)) = turn {
@@ -646,41 +638,6 @@
         }
     }
 
-    /// Where crossing zones costs more than a move, connections that cross come back one at a time, the
-    /// lightest first, while the own zone has room; more at once would fill it on old reports.
-    fn bring_home(&mut self, now: Moment, front: &mut dyn Front) {
-        if self.deployment.crossing_price <= self.deployment.move_price {
-            return;
-        }
-        let (home, pool) = (self.deployment.zone, self.pool(now));
-        if pool.mean >= CALM {
-            return;
-        }
-        let mut crossing: Vec<(f64, SessionId)> = Vec::new();
-        for (&id, session) in &self.sessions {
-            let State::Ready(dial, since) = session.state else { continue };
-            let at = self.backends.get(dial.backend.index()).and_then(Option::as_ref);
-            if now.since(since) >= COOL_DOWN && at.is_some_and(|at| at.listing.zone != home) {
-                crossing.push((session.load.unwrap_or(0.0), id));
-            }
-        }
-        // A relay that holds few connections waits its time: hundreds that each send one away every half
-        // second would swamp whatever their set-ups share.
-        let held = self.sessions.len() as f64;
-        if self.chance.rand_float() >= held * HOME_PART {
-            return;
-        }
-        crossing.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        for (_, id) in crossing {
-            let Some(at) = self.pick(now, id) else { continue };
-            if self.at(at).listing.zone == home && self.load(now, at, pool) < ROOMY {
-                front.send_away(id);
-                self.turn(id, State::Settled, front);
-                return;
-            }
-        }
-    }
-
     fn ids(&self) -> impl Iterator<Item = (BackendId, &Backend)> {
         let numbered = self.backends.iter().enumerate();
         numbered.filter_map(|(at, backend)| Some((BackendId(at as u32), backend.as_ref()?)))
@@ -702,7 +659,7 @@
         let session = &self.sessions[&id];
         let (group, last, listener, ran) =
             (session.arrival.group, session.last_tried, session.arrival.listener, session.ran);
-        let effect = self.row(listener).effect;
+        let (effect, pool) = (self.row(listener).effect, self.pool(now));
         let mut able: Vec<BackendId> = Vec::new();
         for (at, backend) in self.ids() {
             let in_scope = match (effect, ran.and_then(|(first, _)| self.backends[first.index()].as_ref())) {
@@ -714,7 +671,7 @@
                 }
                 _ => true,
             };
-            let turn_is_ours = self.cold_turn(now, at).is_none_or(|(_, _, open)| open);
+            let turn_is_ours = self.cold_turn(now, at, pool).is_none_or(|(_, _, open)| open);
             if backend.listing.standing == Standing::Ready && in_scope && turn_is_ours {
                 able.push(at);
             }
@@ -725,7 +682,6 @@
         if able.len() > 1 {
             able.retain(|&at| Some(at) != last);
         }
-        let pool = self.pool(now);
         let group = group.filter(|_| self.deployment.groups);
         let crossing_is_free = self.deployment.crossing_price <= 0.0;
         if let Some(group) = group {
@@ -778,7 +734,7 @@
 
     /// What the pool tells of the fleet, from entries that are not too old.
     fn pool(&self, now: Moment) -> Pool {
-        let (mut heard, mut load, mut count, mut shares, mut weighted) = (0.0, 0.0, 0.0, 0.0, 0.0);
+        let (mut heard, mut load, mut weighted, mut count, mut shares) = (0.0, 0.0, 0.0, 0.0, 0.0);
         for (_, backend) in self.ready_ones() {
             let Some(report) = backend.report(now) else { continue };
             heard += 1.0;
@@ -789,14 +745,7 @@
             shares += f64::from(u8::from(report.load.is_some()));
         }
         if heard == 0.0 {
-            return Pool {
-                mean: 0.0,
-                weighted: 0.0,
-                each: 0.0,
-                each_heard: 0.0,
-                tells_share: false,
-                empty: true,
-            };
+            return Pool { mean: 0.0, each: 0.0, tells_share: false, empty: true };
         }
         if count == 0.0 {
             let open: u32 = self.ids().map(|(_, b)| b.open).sum();
@@ -805,9 +754,9 @@
         }
         // A relay that has just started holds few connections and would take each for a large part of a
         // backend.
-        let (tells_share, each_heard) = (shares > 0.0, load / f64::max(count, heard));
-        let each = if tells_share { each_heard.min(EACH_MOST) } else { each_heard };
-        Pool { mean: load / heard, weighted: weighted / heard, each, each_heard, tells_share, empty: false }
+        let (each, tells_share) = (load / f64::max(count, heard), shares > 0.0);
+        let each = if tells_share { each.min(EACH_MOST) } else { each };
+        Pool { mean: weighted / heard, each, tells_share, empty: false }
     }
 
     /// What a backend counts for: its report and what this relay placed there since. Relays that share
@@ -818,7 +767,7 @@
             return f64::from(backend.open);
         }
         let later = backend.placed.len() as f64 * f64::from(self.deployment.relays) * pool.each;
-        backend.told(now).unwrap_or(pool.weighted / backend.listing.weight) + later
+        backend.told(now).unwrap_or(pool.mean / backend.listing.weight) + later
     }
 
     // ---- cold backends ----
@@ -826,7 +775,7 @@
     /// The turn that runs at a cold backend, its use so far, and if this relay may use it; None where warm.
     /// All relays see the same start of the same backend, so its age cuts time into turns without a word
     /// between them.
-    fn cold_turn(&self, now: Moment, id: BackendId) -> Option<(u64, u32, bool)> {
+    fn cold_turn(&self, now: Moment, id: BackendId, pool: Pool) -> Option<(u64, u32, bool)> {
         let backend = self.at(id);
         let cold = &self.deployment.cold;
         let age = now.since(backend.listing.up_since?);
@@ -838,7 +787,7 @@
         let share = cold.start_share + (1.0 - cold.start_share) * age.secs() / cold.warm_up.secs();
         // Any window overlaps two turns, and the estimate of what a warm backend takes is rough: half for
         // either. As many relays have the turn as the budget holds connections.
-        let budget = COLD_CAUTION * cold.factor * share * self.warm_rate(now) * cold.window.secs();
+        let budget = COLD_CAUTION * cold.factor * share * self.warm_rate(pool) * cold.window.secs();
         let relays = u64::from(self.deployment.relays);
         let (slots, each) = ((budget as u64).clamp(1, relays), (budget / relays as f64).max(1.0));
         let place = (u64::from(self.deployment.me) + relays - (turn * slots + backend.listing.mark) % relays)
@@ -848,9 +797,8 @@
 
     /// New connections a second that would fill a warm backend of middling size: as many as it holds when full
     /// times the rate at which they leave by themselves. A rush of clients that come back shows in neither.
-    fn warm_rate(&self, now: Moment) -> f64 {
-        let each = self.pool(now).each_heard;
-        if each <= 0.0 || self.stood <= 0.0 { 0.0 } else { self.left_alone / self.stood / each }
+    fn warm_rate(&self, pool: Pool) -> f64 {
+        if pool.each <= 0.0 || self.stood <= 0.0 { 0.0 } else { self.left_alone / self.stood / pool.each }
     }
 }
 
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -56,7 +56,6 @@
     pub tells_retry_after: bool,
     pub longest_retry_after: Span,
     pub crossing_price: f64,
-    pub move_price: f64,
     pub probe_price: f64,
     /// Connections of one group share work on the backend that holds them.
     pub groups: bool,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -74,7 +74,6 @@
         tells_retry_after: true,
         longest_retry_after: ms(600_000),
         crossing_price: 0.0,
-        move_price: 0.0,
         probe_price: 0.0,
         groups: true,
     }
