Opening a group further down its order weighs less the more backends its share of sessions takes

Its largest groups hold a fifth of all connections, ten backends' worth, and half a backend's weight for each opening kept them on the first of their order and on whatever relays knew to hold them. Change: each relay counts the sessions met of each group, of all, ageing over 50 s; a group counts as one in twenty until more is known. From its share and the fleet's load follows how many backends it takes, and the weight of opening at a place p of its order is half a backend x p / (p + takes). What is lost is the balance between backends' fees and hot first backends.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -27,6 +27,8 @@
 const REPORT_LAG: Span = Span::from_ms(1_000);
 const EACH_MOST: f64 = 0.05;
 /// What opening a group at a backend weighs: of the backend, or in connections where only those are told.
+/// A group counts as one session in so many until more is known of it.
+const MET_DOUBT: f64 = 20.0;
 const OPENING: f64 = 0.5;
 const OPENING_COUNT: f64 = 15.0;
 const HOT: f64 = 0.6;
@@ -109,6 +111,7 @@
 
 #[derive(Clone, Copy)]
 struct Pool {
+    load: f64,
     /// Of the loads, as if all weights were one.
     mean: f64,
     /// What one connection adds to a backend of middling size.
@@ -123,6 +126,8 @@
 struct Entry {
     at: BackendId,
     load: f64,
+    /// The same as if the group were surely not held there.
+    opened: f64,
     near: bool,
 }
 
@@ -145,6 +150,9 @@
     /// Probes that the sessions so far pay for and that are not yet sent.
     probes_due: f64,
     failed_calls: u32,
+    /// How many sessions of each group were met of late, and of all groups.
+    met: BTreeMap<u64, f64>,
+    met_all: f64,
     /// How long connections stood here, all together, and how many of them left by themselves, of late.
     stood: f64,
     left_alone: f64,
@@ -162,6 +170,8 @@
             errands: BTreeSet::new(),
             probes_due: 0.0,
             failed_calls: 0,
+            met: BTreeMap::new(),
+            met_all: 0.0,
             stood: 0.0,
             left_alone: 0.0,
             set_up: Span::ZERO,
@@ -221,6 +231,7 @@
     // ---- sessions ----
 
     pub fn arrived(&mut self, now: Moment, id: SessionId, arrival: Arrival, front: &mut dyn Front) {
+        self.meet(arrival.group);
         self.sessions.insert(id, Session::new(arrival, now));
         self.dial(now, id, front);
     }
@@ -234,6 +245,7 @@
         arrival: Arrival,
         front: &mut dyn Front,
     ) {
+        self.meet(arrival.group);
         self.sessions.insert(id, Session { dials: 1, ..Session::new(arrival, now) });
         // It has stood for longer than this instance; a fresh cool-down would shield an overload at start
         // from relief.
@@ -243,6 +255,13 @@
         self.turn(id, State::Ready(dial, long_ago), front);
     }
 
+    fn meet(&mut self, group: Option<u64>) {
+        if let Some(group) = group {
+            *self.met.entry(group).or_default() += 1.0;
+            self.met_all += 1.0;
+        }
+    }
+
     pub fn ready(&mut self, now: Moment, id: SessionId, number: u32, front: &mut dyn Front) {
         let Some(session) = self.sessions.get(&id) else { return };
         let State::Dialling(dial) = session.state else { return };
@@ -381,6 +400,9 @@
                 Errand::Housekeeping => {
                     self.stood = self.stood * KEPT + self.sessions.len() as f64 * HOUSEKEEPING.secs();
                     self.left_alone *= KEPT;
+                    self.met_all *= KEPT;
+                    self.met.values_mut().for_each(|met| *met *= KEPT);
+                    self.met.retain(|_, met| *met > 0.1);
                     self.relieve(now, front);
                     self.clients.retain(|_, client| now.since(client.touched) < KEY_AGE);
                     self.plan(now + HOUSEKEEPING, Errand::Housekeeping, front);
@@ -663,19 +685,15 @@
         let (group, last, listener, ran) =
             (session.arrival.group, session.last_tried, session.arrival.listener, session.ran);
         let (effect, pool) = (self.row(listener).effect, self.pool(now));
+        let first = ran.map(|(first, _)| self.at(first).listing);
         let mut able: Vec<BackendId> = Vec::new();
-        for (at, backend) in self.ids() {
-            let in_scope = match (effect, ran.and_then(|(first, _)| self.backends[first.index()].as_ref())) {
-                (Effect::Referenced { scope: Scope::Zone, .. }, Some(first)) => {
-                    first.listing.zone == backend.listing.zone
-                }
-                (Effect::Referenced { scope: Scope::Cell, .. }, Some(first)) => {
-                    first.listing.cell == backend.listing.cell
-                }
+        for (at, Backend { listing, .. }) in self.ready_ones() {
+            let in_scope = match (effect, first) {
+                (Effect::Referenced { scope: Scope::Zone, .. }, Some(first)) => first.zone == listing.zone,
+                (Effect::Referenced { scope: Scope::Cell, .. }, Some(first)) => first.cell == listing.cell,
                 _ => true,
             };
-            let turn_is_ours = self.cold_turn(now, at, pool).is_none_or(|(_, _, open)| open);
-            if backend.listing.standing == Standing::Ready && in_scope && turn_is_ours {
+            if in_scope && self.cold_turn(now, at, pool).is_none_or(|(_, _, open)| open) {
                 able.push(at);
             }
         }
@@ -687,6 +705,7 @@
         }
         let group = group.filter(|_| self.deployment.groups);
         let crossing_is_free = self.deployment.crossing_price <= 0.0;
+        let takes = group.map_or(0.0, |group| self.takes(group, pool));
         if let Some(group) = group {
             able.sort_by_cached_key(|&at| mixed(self.at(at).listing.mark, group));
         }
@@ -696,27 +715,27 @@
             .map(|(place, at)| {
                 let backend = self.at(at);
                 // Of hundreds of relays one knows next to nothing of where a group is held: most likely with
-                // the first in its order.
-                let joins = place == 0 || group.is_none_or(|group| backend.groups.contains_key(&group));
+                // the first of its order, and with as many more as its part of all sessions takes.
+                let held = place == 0 || group.is_none_or(|group| backend.groups.contains_key(&group));
                 let opening = if pool.tells_share { OPENING } else { OPENING_COUNT };
-                let fee = if joins { 0.0 } else { opening };
+                let opening = if held { 0.0 } else { opening };
+                let (told, place) = (self.load(now, at, pool), place as f64);
                 let near = crossing_is_free || backend.listing.zone == self.deployment.zone;
-                Entry { at, load: self.load(now, at, pool) + fee, near }
+                let load = told + opening * place / (place + takes).max(1.0);
+                Entry { at, load, opened: told + opening, near }
             })
             .collect();
-        let among = |wanted: &dyn Fn(&Entry) -> bool| -> Vec<Entry> {
-            weighed.iter().copied().filter(wanted).collect()
-        };
         let mut list = weighed.clone();
         if pool.tells_share {
             // A backend driven past what it can do serves nobody, and clients it drops come back at once:
-            // what finds no room anywhere is refused instead.
-            list = among(&|entry| entry.near && entry.load < HOT);
-            for limit in [HOT, FULL] {
-                if list.is_empty() {
-                    list = among(&|entry| entry.load < limit);
-                }
-            }
+            // what finds no room anywhere is refused instead. Where little room is left a group gets no new
+            // backend on a guess.
+            let passes: [&dyn Fn(&Entry) -> bool; 3] =
+                [&|entry| entry.near && entry.load < HOT, &|entry| entry.load < HOT, &|entry| {
+                    entry.opened < FULL
+                }];
+            let among = |wanted| weighed.iter().copied().filter(wanted).collect::<Vec<Entry>>();
+            list = passes.into_iter().map(among).find(|list| !list.is_empty())?;
         } else if list.iter().any(|entry| entry.near) {
             list.retain(|entry| entry.near);
         }
@@ -731,6 +750,12 @@
         Some(if pair.1.load < pair.0.load { pair.1.at } else { pair.0.at })
     }
 
+    /// How many backends the members of a group fill, by its part of the sessions met and the load of the fleet.
+    fn takes(&self, group: u64, pool: Pool) -> f64 {
+        let share = self.met.get(&group).unwrap_or(&0.0) / (self.met_all + MET_DOUBT);
+        share * pool.load * self.ready_ones().count() as f64 / HOT
+    }
+
     fn at(&self, id: BackendId) -> &Backend {
         self.backends[id.index()].as_ref().expect("picked among those listed")
     }
@@ -748,7 +773,7 @@
             shares += f64::from(u8::from(report.load.is_some()));
         }
         if heard == 0.0 {
-            return Pool { mean: 0.0, each: 0.0, tells_share: false, empty: true };
+            return Pool { load: 0.0, mean: 0.0, each: 0.0, tells_share: false, empty: true };
         }
         if count == 0.0 {
             let open: u32 = self.ids().map(|(_, b)| b.open).sum();
@@ -759,7 +784,7 @@
         // backend.
         let (each, tells_share) = (load / f64::max(count, heard), shares > 0.0);
         let each = if tells_share { each.min(EACH_MOST) } else { each };
-        Pool { mean: weighted / heard, each, tells_share, empty: false }
+        Pool { load: load / heard, mean: weighted / heard, each, tells_share, empty: false }
     }
 
     /// What a backend counts for: its report and what this relay placed there since. Relays that share
