--- a/src/balance.rs
+++ b/src/balance.rs
@@ -17,7 +17,7 @@
 const HEAR_EVERY: Span = Span::from_ms(2_000);
 /// The part of the result that probes may cost, the time over which what is saved for them is spent, and the
 /// longest wait between two.
-const PROBES_WORTH: f64 = 0.02;
+const PROBES_WORTH: f64 = 0.005;
 const SPENT_OVER: Span = Span::from_ms(10_000);
 const PROBE_AT_LEAST: Span = Span::from_ms(5_000);
 const KEYS_HELD: usize = 20_000;
