--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -115,6 +115,9 @@
     if facts.listeners.is_empty() {
         return Err("settings: no listeners".into());
     }
+    if facts.me >= facts.balancers {
+        return Err(format!("settings: relay {} of {}", facts.me, facts.balancers));
+    }
     let place = |name: &str| facts.report.fields.iter().position(|field| field == name);
     let places = ReportPlaces {
         connections: place("rif"),
--- a/adapter/src/tests.rs
+++ b/adapter/src/tests.rs
@@ -144,6 +144,8 @@
         ("not started", batch(1, 0, &[bytes(INBOUND)], &[]), "instance 3, which is not started"),
         ("settings no JSON", settings("{"), "settings"),
         ("settings without a key", settings("{\"az\": 0}"), "missing field"),
+        ("no relays", settings(&SETTINGS.replace("\"balancers\": 1", "\"balancers\": 0")), "relay 0 of 0"),
+        ("relay out of range", settings(&SETTINGS.replace("\"me\": 0", "\"me\": 1")), "relay 1 of 1"),
         ("no listeners", settings(&SETTINGS.replace(LISTENERS, "[]")), "no listeners"),
     ];
     for (name, input, expected) in cases {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -43,7 +43,6 @@
 const PATIENCE: f64 = 4.0;
 /// What counts still after a housekeeping of what was learnt of how long connections stand.
 const KEPT: f64 = 0.99;
-const COLD_CAUTION: f64 = 1.0;
 const HOUSEKEEPING: Span = Span::from_ms(500);
 
 /// One dial, from its sending to its verdict.
@@ -813,9 +812,11 @@
         let turn = age.us() / cold.window.us().max(1);
         let used = backend.cold_turn.filter(|&(at, _)| at == turn).map_or(0, |(_, used)| used);
         let share = cold.start_share + (1.0 - cold.start_share) * age.secs() / cold.warm_up.secs();
-        // Any window overlaps two turns, and the estimate of what a warm backend takes is rough: half for
-        // either. As many relays have the turn as the budget holds connections.
-        let budget = COLD_CAUTION * cold.factor * share * self.warm_rate(pool) * cold.window.secs();
+        // Any window overlaps two turns: half for either. Where groups share work, what they cost lowers the
+        // estimate by about as much, and the rule does not count it. As many relays have the turn as the budget
+        // holds connections.
+        let part = if self.deployment.groups { 1.0 } else { 0.5 };
+        let budget = part * cold.factor * share * self.warm_rate(pool) * cold.window.secs();
         let relays = u64::from(self.deployment.relays);
         let (slots, each) = ((budget as u64).clamp(1, relays), (budget / relays as f64).max(1.0));
         let place = (u64::from(self.deployment.me) + relays - (turn * slots + backend.listing.mark) % relays)
