Crossing connections come home again, at relays that hold twenty or more; settings with their reasons

Code: one function counts a failure and draws the delay; housekeeping starts at a chance phase; each open setting says why it is there.

--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -94,6 +94,7 @@
 #[serde(rename_all = "camelCase", default)]
 struct Prices {
     cross_zone: f64,
+    moves: f64,
     probe: f64,
 }
 
@@ -124,11 +125,12 @@
         load: place("x0").or_else(|| place("busy")),
         weights_live: facts.weights == "live",
     };
-    let listeners = facts.listeners.iter().enumerate().map(|(at, row)| Listener {
+    let targets = facts.extra.message_aim_us.iter().take(facts.listeners.len());
+    let shortest = targets.map(|&us| us as u64).min().unwrap_or_default();
+    let listeners = facts.listeners.iter().map(|row| Listener {
         handshake_target: Span::from_us(row.handshake_target_us),
         effect: effect_of(row),
         utility: row.utility,
-        message_target: Span::from_us(facts.extra.message_aim_us.get(at).map_or(0, |&us| us as u64)),
     });
     let rules = &facts.invariants;
     let deployment = Deployment {
@@ -137,6 +139,7 @@
         zone: ZoneId(facts.az),
         tick: Span::from_us(facts.tick_us),
         listeners: listeners.collect(),
+        shortest_target: Span::from_us(shortest),
         cold: ColdStart {
             start_share: rules.start_capacity,
             warm_up: Span::from_us(rules.cold_us),
@@ -151,6 +154,7 @@
         tells_retry_after: facts.permissions.retry_after,
         longest_retry_after: Span::from_us(facts.permissions.max_retry_after_us),
         crossing_price: facts.prices.cross_zone,
+        move_price: facts.prices.moves,
         probe_price: facts.prices.probe,
         groups: facts.extra.groups,
     };
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -9,41 +9,36 @@
 use crate::units::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-// The design's open settings.
-const BASE: Span = Span::from_ms(1_000);
-const CAP: Span = Span::from_ms(30_000);
-const COOL_DOWN: Span = Span::from_ms(5_000);
-/// How often a backend is heard of each time round at most, so that the rate of probes grows with the fleet.
-const HEAR_EVERY: Span = Span::from_ms(2_000);
-/// The part of the result that probes may cost, the time over which what is saved for them is spent, and the
-/// longest wait between two.
-const PROBES_WORTH: f64 = 0.005;
-const SPENT_OVER: Span = Span::from_ms(10_000);
-const PROBE_AT_LEAST: Span = Span::from_ms(5_000);
-const KEYS_HELD: usize = 20_000;
-const KEY_AGE: Span = Span::from_ms(120_000);
-const POOL_AGE: Span = Span::from_ms(30_000);
+// The design's open settings; the runs behind them are in docs/results.md.
+const BASE: Span = Span::from_ms(1_000); // first delay after a failure, before jitter
+const CAP: Span = Span::from_ms(30_000); // no client is told to stay away longer
+const COOL_DOWN: Span = Span::from_ms(5_000); // a connection that drops sooner was never of use
+const HEAR_EVERY: Span = Span::from_ms(2_000); // each backend, at most: reports are renewed about as often
+const PROBE_AT_LEAST: Span = Span::from_ms(5_000); // the design's slowest
+const PROBES_WORTH: f64 = 0.005; // the part of the result that probes may cost
+const SPENT_OVER: Span = Span::from_ms(10_000); // what sessions pay for probes, so that a rush is no burst
+const KEYS_HELD: usize = 20_000; // against floods of new keys
+const KEY_AGE: Span = Span::from_ms(120_000); // several times the cap: an older count has no more to say
+const POOL_AGE: Span = Span::from_ms(30_000); // an older report counts as none
 // Ours.
-const REPORT_LAG: Span = Span::from_ms(1_000);
-const EACH_MOST: f64 = 0.05;
-/// What opening a group at a backend weighs: of the backend, or in connections where only those are told.
-/// A group counts as one session in so many until more is known of it.
-const MET_DOUBT: f64 = 20.0;
-const OPENING: f64 = 0.5;
-const OPENING_COUNT: f64 = 15.0;
-const HOT: f64 = 0.6;
-const FULL: f64 = 0.8;
-const OVERDRIVEN: f64 = 0.9;
-const STRIKES: u32 = 2;
-/// One backend in so many may be ejected at a time.
-const MOST_OUT: usize = 2;
-const EJECT: Span = Span::from_ms(4_000);
-const DRAIN: f64 = 0.5;
-const NOTE_AGE: Span = Span::from_ms(2_000);
-const PATIENCE: f64 = 4.0;
-/// What counts still after a housekeeping of what was learnt of how long connections stand.
-const KEPT: f64 = 0.99;
-const HOUSEKEEPING: Span = Span::from_ms(500);
+const REPORT_LAG: Span = Span::from_ms(1_000); // reports may be so old when they come
+const EACH_MOST: f64 = 0.05; // of a backend for one connection: a fresh relay knows few
+const OPENING: f64 = 0.5; // of a backend for a group new to it, against spilling groups over the fleet
+const OPENING_COUNT: f64 = 15.0; // the same in connections, where only those are told
+const MET_DOUBT: f64 = 20.0; // a group counts as one session in so many until more is known of it
+const HELD_FOR_HOME: usize = 20; // connections: a relay with fewer knows too little of groups to move any
+const ROOMY: f64 = 0.3; // load below which the own zone takes crossing connections back
+const HOT: f64 = 0.6; // load from which a backend's messages begin to be late
+const FULL: f64 = 0.8; // load from which nothing is placed: between reports it may rise by the rest
+const OVERDRIVEN: f64 = 0.9; // load from which connections are sent away
+const DRAIN: f64 = 0.5; // load down to which, where work has piled up
+const STRIKES: u32 = 2; // failures in a row that eject: a single one may be chance
+const MOST_OUT: usize = 2; // one backend in so many may be ejected at a time
+const EJECT: Span = Span::from_ms(4_000); // the first time, doubling: longer than a short pause
+const NOTE_AGE: Span = Span::from_ms(2_000); // notes on late messages come once a second
+const PATIENCE: f64 = 4.0; // times the set-up time of late: a dial as slow as that is lost
+const KEPT: f64 = 0.99; // of what is counted of late, each housekeeping
+const HOUSEKEEPING: Span = Span::from_ms(500); // often enough to act on a report while it is fresh
 
 /// One dial, from its sending to its verdict.
 #[derive(Clone, Copy)]
@@ -181,7 +176,8 @@
         }
         let first = HEAR_EVERY * relay.chance.rand_float() * 0.1;
         relay.plan(now + first, Errand::Probe, front);
-        relay.plan(now + HOUSEKEEPING, Errand::Housekeeping, front);
+        let phase = HOUSEKEEPING * relay.chance.rand_float();
+        relay.plan(now + phase, Errand::Housekeeping, front);
         relay
     }
 
@@ -212,7 +208,7 @@
             }
             backend.listing = *row;
         }
-        if self.deployment.ask_within.is_some() && scope != ListScope::Cached {
+        if scope != ListScope::Cached {
             self.failed_calls = 0;
         }
     }
@@ -285,9 +281,7 @@
         let answered = over || verdict == Verdict::Ok;
         match session.state {
             State::Dialling(dial) if dial.number == number => {
-                if verdict.may_have_run() {
-                    session.ran.get_or_insert((dial.backend, dial.sent));
-                }
+                session.ran = session.ran.or(verdict.may_have_run().then_some((dial.backend, dial.sent)));
                 session.last_tried = Some(dial.backend);
                 self.heard(now, dial.backend, report);
                 if !matches!(verdict, Verdict::Ok | Verdict::Withdrawn | Verdict::NeverSent) {
@@ -363,24 +357,17 @@
     pub fn delay_noted(&mut self, now: Moment, id: SessionId, delay: Span, front: &mut dyn Front) {
         let Some(session) = self.sessions.get(&id) else { return };
         let State::Ready(dial, _) = session.state else { return };
-        let (shortest, may_probe) = (self.shortest_target(), self.deployment.may_probe);
+        let (shortest, may_probe) = (self.deployment.shortest_target, self.deployment.may_probe);
         let Some(backend) = self.backend(dial.backend) else { return };
         backend.message_delay = Some((now, delay));
         // Its last report may be seconds old, and relief waits for a fresh one.
         let stale = backend.heard.is_none_or(|(at, _)| now.since(at) >= REPORT_LAG);
-        if may_probe
-            && stale
-            && backend.late_for(shortest, now)
-            && backend.listing.standing == Standing::Ready
-        {
+        let ready = backend.listing.standing == Standing::Ready;
+        if may_probe && stale && ready && backend.late_for(shortest, now) {
             front.probe(dial.backend);
         }
     }
 
-    fn shortest_target(&self) -> Span {
-        self.deployment.listeners.iter().map(|row| row.message_target).min().unwrap_or_default()
-    }
-
     pub fn woken(&mut self, now: Moment, front: &mut dyn Front) {
         while let Some(&(at, errand)) = self.errands.first() {
             if at > now {
@@ -388,14 +375,7 @@
             }
             self.errands.pop_first();
             match errand {
-                Errand::Probe => {
-                    self.probe(front);
-                    let most = HEAR_EVERY * (1.0 / self.ready_ones().count().max(1) as f64);
-                    let paid = SPENT_OVER * (1.0 / self.probes_due.max(f64::MIN_POSITIVE));
-                    let every = paid.max(most).min(PROBE_AT_LEAST);
-                    self.probes_due = (self.probes_due - 1.0).max(0.0);
-                    self.plan(now + every.max(self.deployment.tick), Errand::Probe, front);
-                }
+                Errand::Probe => self.probe(now, front),
                 Errand::Housekeeping => {
                     self.stood = self.stood * KEPT + self.sessions.len() as f64 * HOUSEKEEPING.secs();
                     self.left_alone *= KEPT;
@@ -403,6 +383,7 @@
                     self.met.values_mut().for_each(|met| *met *= KEPT);
                     self.met.retain(|_, met| *met > 0.1);
                     self.relieve(now, front);
+                    self.bring_home(now, front);
                     self.clients.retain(|_, client| now.since(client.touched) < KEY_AGE);
                     self.plan(now + HOUSEKEEPING, Errand::Housekeeping, front);
                 }
@@ -452,8 +433,7 @@
         let session = &self.sessions[&id];
         let left = session.due.since(now + self.deployment.tick + self.deployment.tick);
         let Some(backend) = self.pick(now, id) else {
-            let wait = self.wait_of(id, now);
-            self.count_failure(now, id);
+            let wait = self.count_failure(now, id);
             return self.finish(id, Some(wait), front);
         };
         let session = &self.sessions[&id];
@@ -481,8 +461,7 @@
 
     /// A set-up has failed: another dial after the design's delay, or an answer at once.
     fn further(&mut self, now: Moment, id: SessionId, front: &mut dyn Front) {
-        let wait = self.wait_of(id, now);
-        self.count_failure(now, id);
+        let wait = self.count_failure(now, id);
         let session = &self.sessions[&id];
         let room = self.deployment.connect_timeout + self.deployment.tick * 2.0;
         let in_time = now + wait + room < session.due && session.dials < self.deployment.max_dials;
@@ -528,25 +507,20 @@
         most * self.chance.rand_float()
     }
 
-    fn wait_of(&mut self, id: SessionId, now: Moment) -> Span {
-        let session = &self.sessions[&id];
-        let count = match session.arrival.key {
-            Some(key) => self.client(key, now).failures,
-            None => session.own_failures,
-        };
-        self.jitter(count)
-    }
-
-    fn count_failure(&mut self, now: Moment, id: SessionId) {
-        let Some(session) = self.sessions.get_mut(&id) else { return };
-        match session.arrival.key {
+    /// Counts a failure of the session's client; the answer is the design's delay before a further try.
+    fn count_failure(&mut self, now: Moment, id: SessionId) -> Span {
+        let Some(session) = self.sessions.get_mut(&id) else { return Span::ZERO };
+        let failures = match session.arrival.key {
             Some(key) => {
                 let client = self.client(key, now);
-                client.failures = client.failures.saturating_add(1);
                 client.ready_at = None;
+                &mut client.failures
             }
-            None => session.own_failures += 1,
-        }
+            None => &mut session.own_failures,
+        };
+        let before = *failures;
+        *failures = before.saturating_add(1);
+        self.jitter(before)
     }
 
     fn client(&mut self, key: u64, now: Moment) -> &mut Client {
@@ -575,10 +549,8 @@
     }
 
     fn heard(&mut self, now: Moment, id: BackendId, report: Report) {
-        let Some(backend) = self.backend(id) else { return };
-        if report.connections.is_none() && report.load.is_none() {
-            return;
-        }
+        let told = report.connections.or(report.load).is_some();
+        let Some(backend) = self.backend(id).filter(|_| told) else { return };
         backend.heard = Some((now, report));
         backend.weight_heard = backend.listing.weight;
         backend.placed.retain(|&at| at + REPORT_LAG > now);
@@ -607,11 +579,16 @@
         self.probes_due = (self.probes_due + each).min(most);
     }
 
-    fn probe(&mut self, front: &mut dyn Front) {
+    fn probe(&mut self, now: Moment, front: &mut dyn Front) {
         let ready: Vec<BackendId> = self.ready_ones().map(|(id, _)| id).collect();
         if let Some(&id) = self.any_of(&ready).filter(|_| self.deployment.may_probe) {
             front.probe(id);
         }
+        let most = HEAR_EVERY * (1.0 / ready.len().max(1) as f64);
+        let paid = SPENT_OVER * (1.0 / self.probes_due.max(f64::MIN_POSITIVE));
+        let every = paid.max(most).min(PROBE_AT_LEAST).max(self.deployment.tick);
+        self.probes_due = (self.probes_due - 1.0).max(0.0);
+        self.plan(now + every, Errand::Probe, front);
     }
 
     /// Backends driven past what they can do serve none of their messages in time: this relay sends away its
@@ -619,7 +596,7 @@
     /// and nobody is moved before his cool-down, so that a wrong judgement costs little and clients don't go
     /// round in circles.
     fn relieve(&mut self, now: Moment, front: &mut dyn Front) {
-        let shortest = self.shortest_target();
+        let shortest = self.deployment.shortest_target;
         let mut over: BTreeMap<BackendId, f64> = BTreeMap::new();
         for (at, backend) in self.backends.iter_mut().enumerate() {
             let Some(backend) = backend else { continue };
@@ -633,22 +610,18 @@
                 over.insert(BackendId(at as u32), 1.0 - if behind { DRAIN } else { HOT } / load);
             }
         }
-        let mut asked: BTreeMap<BackendId, f64> = BTreeMap::new();
+        let mut excess: BTreeMap<BackendId, f64> = BTreeMap::new();
         let mut movable: Vec<(f64, SessionId, BackendId, f64)> = Vec::new();
         for (&id, session) in &self.sessions {
             let State::Ready(dial, since) = session.state else { continue };
-            if !over.contains_key(&dial.backend) {
-                continue;
-            }
+            let Some(part) = over.get(&dial.backend) else { continue };
             let load = session.load.unwrap_or(1.0).max(f64::MIN_POSITIVE);
-            *asked.entry(dial.backend).or_default() += load;
+            *excess.entry(dial.backend).or_default() += part * load;
             if now.since(since) >= COOL_DOWN {
                 movable.push((self.row(session.arrival.listener).utility / load, id, dial.backend, load));
             }
         }
         movable.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        let mut excess: BTreeMap<BackendId, f64> =
-            over.iter().map(|(&at, part)| (at, part * asked.get(&at).unwrap_or(&0.0))).collect();
         for (_, id, at, load) in movable {
             // What is left below one connection is settled by chance: rounded, hundreds of relays that hold one
             // connection each would all send it away at once, or none would.
@@ -662,6 +635,29 @@
         }
     }
 
+    /// Where crossing zones costs more than a move, connections that cross come back one at a time while the
+    /// own zone has room; more at once would fill it on old reports, and swamp whatever set-ups share.
+    fn bring_home(&mut self, now: Moment, front: &mut dyn Front) {
+        let (home, held) = (self.deployment.zone, self.sessions.len());
+        if held < HELD_FOR_HOME || self.deployment.crossing_price <= self.deployment.move_price {
+            return;
+        }
+        let mut crossing: Vec<SessionId> = Vec::new();
+        for (&id, session) in &self.sessions {
+            let State::Ready(dial, since) = session.state else { continue };
+            let at = self.backends.get(dial.backend.index()).and_then(Option::as_ref);
+            if now.since(since) >= COOL_DOWN && at.is_some_and(|at| at.listing.zone != home) {
+                crossing.push(id);
+            }
+        }
+        let Some(&id) = self.any_of(&crossing) else { return };
+        let Some(at) = self.pick(now, id) else { return };
+        if self.at(at).listing.zone == home && self.load(now, at, self.pool(now)) < ROOMY {
+            front.send_away(id);
+            self.turn(id, State::Settled, front);
+        }
+    }
+
     fn ids(&self) -> impl Iterator<Item = (BackendId, &Backend)> {
         let numbered = self.backends.iter().enumerate();
         numbered.filter_map(|(at, backend)| Some((BackendId(at as u32), backend.as_ref()?)))
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -26,8 +26,6 @@
     pub handshake_target: Span,
     pub effect: Effect,
     pub utility: f64,
-    /// How long a message may take on a connection that stands; zero where none is told.
-    pub message_target: Span,
 }
 
 /// How a cold backend may be loaded by all relays together.
@@ -46,6 +44,8 @@
     pub zone: ZoneId,
     pub tick: Span,
     pub listeners: Vec<Listener>,
+    /// How long a message may take on a connection that stands, of all listeners; zero where none is told.
+    pub shortest_target: Span,
     pub cold: ColdStart,
     /// The list comes only when asked for, and must be asked for within this span.
     pub ask_within: Option<Span>,
@@ -56,6 +56,7 @@
     pub tells_retry_after: bool,
     pub longest_retry_after: Span,
     pub crossing_price: f64,
+    pub move_price: f64,
     pub probe_price: f64,
     /// Connections of one group share work on the backend that holds them.
     pub groups: bool,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -58,13 +58,14 @@
 }
 
 pub fn deployment(effect: Effect) -> Deployment {
-    let row = Listener { handshake_target: ms(300), effect, utility: 1.0, message_target: ms(50) };
+    let row = Listener { handshake_target: ms(300), effect, utility: 1.0 };
     Deployment {
         me: 0,
         relays: 1,
         zone: ZoneId(0),
         tick: ms(2),
         listeners: vec![row],
+        shortest_target: ms(50),
         cold: ColdStart { start_share: 0.25, warm_up: ms(10_000), factor: 4.0, window: ms(2_000) },
         ask_within: None,
         connect_timeout: ms(50),
@@ -74,6 +75,7 @@
         tells_retry_after: true,
         longest_retry_after: ms(600_000),
         crossing_price: 0.0,
+        move_price: 0.0,
         probe_price: 0.0,
         groups: true,
     }
