--- a/src/balance.rs
+++ b/src/balance.rs
@@ -623,8 +623,8 @@
         }
         movable.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         for (_, id, at, load) in movable {
-            // What is left below one connection is settled by chance: rounded, hundreds of relays that hold one
-            // connection each would all send it away at once, or none would.
+            // What is left below one connection is settled by chance: rounded, hundreds of relays that hold
+            // one connection each would all send it away at once, or none would.
             let left = excess.entry(at).or_default();
             let chance = *left / load;
             *left -= load;
@@ -745,7 +745,8 @@
         Some(if pair.1.load < pair.0.load { pair.1.at } else { pair.0.at })
     }
 
-    /// How many backends the members of a group fill, by its part of the sessions met and the load of the fleet.
+    /// How many backends the members of a group fill, by its part of the sessions met and the load of the
+    /// fleet.
     fn takes(&self, group: u64, pool: Pool) -> f64 {
         let share = self.met.get(&group).unwrap_or(&0.0) / (self.met_all + MET_DOUBT);
         share * pool.load * self.ready_ones().count() as f64 / HOT
@@ -809,8 +810,8 @@
         let used = backend.cold_turn.filter(|&(at, _)| at == turn).map_or(0, |(_, used)| used);
         let share = cold.start_share + (1.0 - cold.start_share) * age.secs() / cold.warm_up.secs();
         // Any window overlaps two turns: half for either. Where groups share work, what they cost lowers the
-        // estimate by about as much, and the rule does not count it. As many relays have the turn as the budget
-        // holds connections.
+        // estimate by about as much, and the rule does not count it. As many relays have the turn as the
+        // budget holds connections.
         let part = if self.deployment.groups { 1.0 } else { 0.5 };
         let budget = part * cold.factor * share * self.warm_rate(pool) * cold.window.secs();
         let relays = u64::from(self.deployment.relays);
@@ -820,8 +821,9 @@
         Some((turn, used, place < slots && f64::from(used) < each.floor()))
     }
 
-    /// New connections a second that would fill a warm backend of middling size: as many as it holds when full
-    /// times the rate at which they leave by themselves. A rush of clients that come back shows in neither.
+    /// New connections a second that would fill a warm backend of middling size: as many as it holds when
+    /// full times the rate at which they leave by themselves. A rush of clients that come back shows in
+    /// neither.
     fn warm_rate(&self, pool: Pool) -> f64 {
         if pool.each <= 0.0 || self.stood <= 0.0 { 0.0 } else { self.left_alone / self.stood / pool.each }
     }
@@ -842,8 +844,9 @@
         self.heard.filter(|(at, _)| now.since(*at) < POOL_AGE).map(|(_, report)| report)
     }
 
-    /// Its reported load as of now. Where the list lowers a weight with the connections held, it tells what came
-    /// and went since the report; not more than twofold, since at a relay's start the list may be far behind.
+    /// Its reported load as of now. Where the list lowers a weight with the connections held, it tells what
+    /// came and went since the report; not more than twofold, since at a relay's start the list may be far
+    /// behind.
     fn told(&self, now: Moment) -> Option<f64> {
         let change = (self.weight_heard / self.listing.weight).clamp(0.5, 2.0);
         self.report(now).and_then(|report| report.load.or(report.connections)).map(|told| told * change)
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -360,8 +360,8 @@
 
 #[test]
 fn a_cold_backend_gets_a_budget_from_all_relays_together() {
-    // Relays, connections that each holds, and how many relays may share a turn. Where nothing is known of what
-    // a backend takes, a window holds one for each turn that it overlaps.
+    // Relays, connections that each holds, and how many relays may share a turn. Where nothing is known of
+    // what a backend takes, a window holds one for each turn that it overlaps.
     for (relays, held, sharing) in [(1, 0, 1), (3, 0, 1), (2, 40, 2), (200, 0, 1), (200, 10, 200)] {
         let sent = cold_dials(relays, held);
         assert!(!sent.is_empty(), "{relays} {held}: the backend is used at all");
@@ -384,8 +384,9 @@
 
 #[test]
 fn first_backends_of_groups_spread_over_the_fleet() {
-    // 200 relays that have heard nothing but one report send one session each, of so many groups: where nothing
-    // is busy a group is on one backend, whatever relay asks, and no backend is first for many of them.
+    // 200 relays that have heard nothing but one report send one session each, of so many groups: where
+    // nothing is busy a group is on one backend, whatever relay asks, and no backend is first for many of
+    // them.
     for groups in [60, 400] {
         let mut homes = vec![BTreeSet::new(); groups as usize];
         for me in 0..200 {
@@ -408,8 +409,8 @@
 
 #[test]
 fn probes_are_paid_for_by_sessions() {
-    // Connections that a relay holds, the price of a probe, and how many probes it may send in 20 seconds: never
-    // fewer than one in five seconds, nor more than each backend every two.
+    // Connections that a relay holds, the price of a probe, and how many probes it may send in 20 seconds:
+    // never fewer than one in five seconds, nor more than each backend every two.
     for (held, price, probes) in
         [(0, 0.002, 4..=5), (3, 0.002, 5..=13), (60, 0.002, 50..=300), (3, 0.0, 50..=300)]
     {
@@ -423,7 +424,8 @@
 
 #[test]
 fn crossing_connections_come_home_where_a_relay_holds_many() {
-    // Connections held (half of them cross), the price of crossing, the load of the own zone, and whether any go.
+    // Connections held (half of them cross), the price of crossing, the load of the own zone, and whether any
+    // go.
     let cases = [(40, 0.1, 0.1, true), (40, 0.0, 0.1, false), (40, 0.1, 0.5, false), (6, 0.1, 0.1, false)];
     for (held, price, load, some) in cases {
         let priced = Deployment { crossing_price: price, move_price: 0.01, ..deployment(REPEATABLE) };
@@ -439,8 +441,8 @@
 
 #[test]
 fn lone_connections_of_many_relays_are_relieved_by_chance() {
-    // Of 200 relays that hold one connection each at a backend with a third too much, rounding would send away
-    // all or none.
+    // Of 200 relays that hold one connection each at a backend with a third too much, rounding would send
+    // away all or none.
     let gone: usize = (0..200)
         .map(|me| {
             let mut bench = Bench::seeded(
