Where the list's weights are live a report counts for ten seconds, not thirty

Loads there follow the groups' fees, which no count of connections shows, so an old report misleads more than the mean.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,6 +20,7 @@
 const KEYS_HELD: usize = 20_000; // against floods of new keys
 const KEY_AGE: Span = Span::from_ms(120_000); // several times the cap: an older count has no more to say
 const POOL_AGE: Span = Span::from_ms(30_000); // an older report counts as none
+const POOL_AGE_LISTED: Span = Span::from_ms(10_000); // the same where the list's weights tell of loads
 // Ours.
 const REPORT_LAG: Span = Span::from_ms(1_000); // reports may be so old when they come
 const EACH_MOST: f64 = 0.05; // of a backend for one connection: a fresh relay knows few
@@ -841,7 +842,9 @@
     }
 
     fn report(&self, now: Moment) -> Option<Report> {
-        self.heard.filter(|(at, _)| now.since(*at) < POOL_AGE).map(|(_, report)| report)
+        // Where the list tells of loads it says more than a report that is no longer fresh.
+        let age = if self.listing.weight == 1.0 { POOL_AGE } else { POOL_AGE_LISTED };
+        self.heard.filter(|(at, _)| now.since(*at) < age).map(|(_, report)| report)
     }
 
     /// Its reported load as of now. Where the list lowers a weight with the connections held, it tells what
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -422,6 +422,24 @@
     }
 }
 
+#[test]
+fn an_old_report_gives_way_to_listed_weights() {
+    // All weigh the same. Backend 1 was heard of 15 s ago, idle: where the list tells of loads it counts as
+    // the mean by now, like backend 2, and not as idle.
+    for (weight, idle_wins) in [(0.5, false), (1.0, true)] {
+        let weighed = |backend| Listing { weight, ..row(backend, Standing::Ready, None) };
+        let mut to_idle = 0;
+        for id in 1..40 {
+            let mut bench = Bench::seeded(deployment(REPEATABLE), id, &[weighed(0), weighed(1), weighed(2)]);
+            bench.report(1, Some(30.0), Some(0.01));
+            bench.pass(ms(15_000));
+            bench.report(0, Some(30.0), Some(0.3));
+            to_idle += u32::from(bench.arrive(1, arrival(0, 0, ms(4_800))).unwrap().0 == 1);
+        }
+        assert_eq!(to_idle > 20, idle_wins, "{weight}: {to_idle} of 39");
+    }
+}
+
 #[test]
 fn crossing_connections_come_home_where_a_relay_holds_many() {
     // Connections held (half of them cross), the price of crossing, the load of the own zone, and whether any
