--- a/src/balance.rs
+++ b/src/balance.rs
@@ -104,7 +104,7 @@
     relieved: Moment,
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 struct Pool {
     load: f64,
     /// Of the loads, as if all weights were one.
@@ -449,12 +449,10 @@
         if let Some(session) = self.sessions.get_mut(&id) {
             session.dials += 1;
         }
-        let turn = self.cold_turn(now, backend, self.pool(now));
+        let turn = self.cold_turn(now, backend);
         if let Some(at) = self.backend(backend) {
             at.placed.push_back(now);
-            if let Some((turn, used, _)) = turn {
-                at.cold_turn = Some((turn, used + 1));
-            }
+            at.cold_turn = turn.map(|(turn, used)| (turn, used + 1));
         }
         self.turn(id, State::Dialling(Dial { number, backend, sent: now }), front);
         front.dial(id, backend, give_up);
@@ -466,11 +464,7 @@
         let session = &self.sessions[&id];
         let room = self.deployment.connect_timeout + self.deployment.tick * 2.0;
         let in_time = now + wait + room < session.due && session.dials < self.deployment.max_dials;
-        let repeat_known = match (self.row(session.arrival.listener).effect, session.ran) {
-            (Effect::Repeatable, _) | (_, None) => true,
-            (Effect::Referenced { window, .. }, Some((_, at))) => now + wait < at + window,
-            (Effect::OnceOnly, Some(_)) => false,
-        };
+        let repeat_known = self.allowed(session, |_, window, at| now + wait < at + window);
         if in_time && repeat_known {
             self.turn(id, State::Held, front);
             self.plan(now + wait, Errand::Redial(id), front);
@@ -479,14 +473,20 @@
         }
     }
 
+    /// If a session may be repeated, by us or by its client: once it may have run, a once-only one never,
+    /// and a referenced one as its group, its window and the first dial that may have run have it.
+    fn allowed(&self, session: &Session, referenced: impl Fn(Scope, Span, Moment) -> bool) -> bool {
+        match (self.row(session.arrival.listener).effect, session.ran) {
+            (Effect::Repeatable, _) | (_, None) => true,
+            (Effect::Referenced { scope, window }, Some((_, at))) => referenced(scope, window, at),
+            (Effect::OnceOnly, Some(_)) => false,
+        }
+    }
+
     /// The final answer: a refusal where trying again is known to be harmless, a teardown otherwise.
     fn finish(&mut self, id: SessionId, wait: Option<Span>, front: &mut dyn Front) {
         let session = &self.sessions[&id];
-        let harmless = match (self.row(session.arrival.listener).effect, session.ran) {
-            (Effect::Repeatable, _) | (_, None) => true,
-            (Effect::Referenced { scope, .. }, Some(_)) => scope == Scope::All,
-            (Effect::OnceOnly, Some(_)) => false,
-        };
+        let harmless = self.allowed(session, |scope, _, _| scope == Scope::All);
         match wait {
             Some(wait) if harmless => {
                 let told = self.deployment.tells_retry_after.then_some(wait);
@@ -689,7 +689,7 @@
                 (Effect::Referenced { scope: Scope::Cell, .. }, Some(first)) => first.cell == listing.cell,
                 _ => true,
             };
-            if in_scope && self.cold_turn(now, at, pool).is_none_or(|(_, _, open)| open) {
+            if in_scope && self.cold_turn(now, at).is_none_or(|turn| self.turn_is_open(now, at, turn, pool)) {
                 able.push(at);
             }
         }
@@ -721,20 +721,16 @@
                 Entry { at, load, opened: told + opening, near }
             })
             .collect();
-        let mut list = weighed.clone();
-        if pool.tells_share {
-            // A backend driven past what it can do serves nobody, and clients it drops come back at once:
-            // what finds no room anywhere is refused instead. Where little room is left a group gets no new
-            // backend on a guess.
-            let passes: [&dyn Fn(&Entry) -> bool; 3] =
-                [&|entry| entry.near && entry.load < HOT, &|entry| entry.load < HOT, &|entry| {
-                    entry.opened < FULL
-                }];
-            let among = |wanted| weighed.iter().copied().filter(wanted).collect::<Vec<Entry>>();
-            list = passes.into_iter().map(among).find(|list| !list.is_empty())?;
-        } else if list.iter().any(|entry| entry.near) {
-            list.retain(|entry| entry.near);
-        }
+        // A backend driven past what it can do serves nobody, and clients it drops come back at once: what
+        // finds no room anywhere is refused instead. Where little room is left a group gets no new backend on
+        // a guess.
+        let passes: &[fn(&Entry) -> bool] = if pool.tells_share {
+            &[|one| one.near && one.load < HOT, |one| one.load < HOT, |one| one.opened < FULL]
+        } else {
+            &[|one| one.near, |_| true]
+        };
+        let among = |wanted: &fn(&Entry) -> bool| weighed.iter().copied().filter(wanted).collect();
+        let mut list: Vec<Entry> = passes.iter().map(among).find(|list: &Vec<Entry>| !list.is_empty())?;
         let pair = match group {
             Some(_) => (*list.first()?, *list.get(1).unwrap_or(&list[0])),
             None => {
@@ -759,18 +755,17 @@
 
     /// What the pool tells of the fleet, from entries that are not too old.
     fn pool(&self, now: Moment) -> Pool {
-        let (mut heard, mut load, mut weighted, mut count, mut shares) = (0.0, 0.0, 0.0, 0.0, 0.0);
+        let (mut heard, mut load, mut weighted, mut count, mut tells_share) = (0.0, 0.0, 0.0, 0.0, false);
         for (_, backend) in self.ready_ones() {
-            let Some(report) = backend.report(now) else { continue };
+            let (Some(report), Some(told)) = (backend.report(now), backend.told(now)) else { continue };
             heard += 1.0;
-            let told = backend.told(now).unwrap_or(0.0);
             load += told;
             weighted += told * backend.listing.weight;
             count += report.connections.unwrap_or(0.0);
-            shares += f64::from(u8::from(report.load.is_some()));
+            tells_share |= report.load.is_some();
         }
         if heard == 0.0 {
-            return Pool { load: 0.0, mean: 0.0, each: 0.0, tells_share: false, empty: true };
+            return Pool { empty: true, ..Pool::default() };
         }
         if count == 0.0 {
             let open: u32 = self.ids().map(|(_, b)| b.open).sum();
@@ -779,7 +774,7 @@
         }
         // A relay that has just started holds few connections and would take each for a large part of a
         // backend.
-        let (each, tells_share) = (load / f64::max(count, heard), shares > 0.0);
+        let each = load / f64::max(count, heard);
         let each = if tells_share { each.min(EACH_MOST) } else { each };
         Pool { load: load / heard, mean: weighted / heard, each, tells_share, empty: false }
     }
@@ -797,18 +792,20 @@
 
     // ---- cold backends ----
 
-    /// The turn that runs at a cold backend, its use so far, and if this relay may use it; None where warm.
-    /// All relays see the same start of the same backend, so its age cuts time into turns without a word
-    /// between them.
-    fn cold_turn(&self, now: Moment, id: BackendId, pool: Pool) -> Option<(u64, u32, bool)> {
-        let backend = self.at(id);
-        let cold = &self.deployment.cold;
+    /// The turn that runs at a cold backend and this relay's use of it so far; None where warm. All relays
+    /// see the same start of the same backend, so its age cuts time into turns without a word between them.
+    fn cold_turn(&self, now: Moment, id: BackendId) -> Option<(u64, u32)> {
+        let (backend, cold) = (self.at(id), &self.deployment.cold);
         let age = now.since(backend.listing.up_since?);
-        if age >= cold.warm_up {
-            return None;
-        }
         let turn = age.us() / cold.window.us().max(1);
         let used = backend.cold_turn.filter(|&(at, _)| at == turn).map_or(0, |(_, used)| used);
+        (age < cold.warm_up).then_some((turn, used))
+    }
+
+    /// If this relay may use a cold backend in the turn that runs.
+    fn turn_is_open(&self, now: Moment, id: BackendId, (turn, used): (u64, u32), pool: Pool) -> bool {
+        let (listing, cold) = (self.at(id).listing, &self.deployment.cold);
+        let age = listing.up_since.map_or(cold.warm_up, |at| now.since(at));
         let share = cold.start_share + (1.0 - cold.start_share) * age.secs() / cold.warm_up.secs();
         // Any window overlaps two turns: half for either. Where groups share work, what they cost lowers the
         // estimate by about as much, and the rule does not count it. As many relays have the turn as the
@@ -817,9 +814,9 @@
         let budget = part * cold.factor * share * self.warm_rate(pool) * cold.window.secs();
         let relays = u64::from(self.deployment.relays);
         let (slots, each) = ((budget as u64).clamp(1, relays), (budget / relays as f64).max(1.0));
-        let place = (u64::from(self.deployment.me) + relays - (turn * slots + backend.listing.mark) % relays)
-            % relays;
-        Some((turn, used, place < slots && f64::from(used) < each.floor()))
+        let place =
+            (u64::from(self.deployment.me) + relays - (turn * slots + listing.mark) % relays) % relays;
+        place < slots && f64::from(used) < each.floor()
     }
 
     /// New connections a second that would fill a warm backend of middling size: as many as it holds when
