--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -341,7 +341,7 @@
         let mut bench = Bench::new(alone, &rows(4));
         (0..held).for_each(|id| bench.inherit(id, id % 4));
         bench.pass(ms(10_000));
-        (0..held.div_ceil(10).min(held)).for_each(|id| bench.end(id, 0, Verdict::Ok, true));
+        (0..held.div_ceil(10)).for_each(|id| bench.end(id, 0, Verdict::Ok, true));
         let each = f64::from(held * relays) / 4.0;
         (0..4).for_each(|backend| bench.report(backend, Some(each), Some(0.05)));
         let start = bench.now;
@@ -463,13 +463,10 @@
     // away all or none.
     let gone: usize = (0..200)
         .map(|me| {
-            let mut bench = Bench::seeded(
-                Deployment { me, relays: 200, ..deployment(REPEATABLE) },
-                u64::from(me),
-                &rows(1),
-            );
+            let one = Deployment { me, relays: 200, ..deployment(REPEATABLE) };
+            let mut bench = Bench::seeded(one, u64::from(me), &rows(1));
             bench.inherit(1, 0);
-            bench.report(0, Some(200.0), Some(0.9 + 0.01));
+            bench.report(0, Some(200.0), Some(0.91));
             bench.pass(ms(600));
             bench.sent_away()
         })
@@ -482,10 +479,7 @@
     // The weight of backend 1, whose report is old news or missing, beside backend 0 at a load of 0.3.
     for (heard, weight, expected) in [(false, 0.25, 0), (false, 4.0, 1), (true, 0.6, 0), (true, 2.0, 1)] {
         let mut bench = Bench::new(deployment(REPEATABLE), &rows(2));
-        bench.report(0, Some(30.0), Some(0.3));
-        if heard {
-            bench.report(1, Some(30.0), Some(0.3));
-        }
+        (0..=u32::from(heard)).for_each(|backend| bench.report(backend, Some(30.0), Some(0.3)));
         bench.relay.listed(ListScope::Changes, &[Listing { weight, ..row(1, Standing::Ready, None) }]);
         let (backend, _) = bench.arrive(1, arrival(1, 0, ms(4_800))).unwrap();
         assert_eq!(backend, expected, "{heard} {weight}");
