--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -1,13 +1,13 @@
 //! The instances of one process: each turns its events straight into calls on its relay, and what the relay
 //! asks for straight into records. Ids of the wire become small indices here; instances share nothing.
 use crate::frame::{Action, Batch, Fields, Reply};
-use crate::settings::{self, ReportPlaces};
 use std::collections::{BTreeMap, HashMap};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use thistlecroft::balance::Relay;
 use thistlecroft::front::{Arrival, Ending, Front, ListScope, Listing, Report, Standing, Verdict};
 use thistlecroft::ids::{BackendId, CellId, ListenerId, SessionId, ZoneId};
 use thistlecroft::units::{Moment, Span};
+use thistlecroft_facts::{self as facts, ReportPlaces, Site};
 
 type Address = [u8; 6];
 
@@ -71,7 +71,7 @@
         match event.u16(0) {
             1000 => {
                 let text = batch.text(event.u32(12), event.u32(16), "settings")?;
-                let (deployment, places) = settings::read(text)?;
+                let Site { deployment, places, .. } = facts::read(text)?;
                 let mut names = Names::default();
                 let listeners = deployment.listeners.len();
                 let mut door = Door { number, names: &mut names, reply };
@@ -142,7 +142,7 @@
                 let verdict = verdict(event.u16(16))?;
                 if let Some(session) = known(names, 4) {
                     let (dial, over) = (u32::from(event.u16(24)), event.u8(26) != 0);
-                    let ending = Ending { dial, verdict, over, report: places.report(event, 27) };
+                    let ending = Ending { dial, verdict, over, report: report(places, event, 27) };
                     relay.ended(now, session, ending, &mut Door { number, names, reply });
                 }
             }
@@ -155,7 +155,7 @@
             1070 => {
                 let verdict = verdict(event.u16(10))?;
                 if let Some(&backend) = names.backends.get(&event.array::<6>(4)) {
-                    relay.probed(now, backend, verdict, places.report(event, 16));
+                    relay.probed(now, backend, verdict, report(places, event, 16));
                 }
             }
             // No deployment's decisions use what peers say.
@@ -216,19 +216,13 @@
     })
 }
 
-impl ReportPlaces {
-    fn weight(&self, told: f64) -> f64 {
-        if self.weights_live && told.is_finite() && told > 0.0 { told } else { 1.0 }
-    }
-
-    fn report(&self, event: Fields, at: usize) -> Report {
-        let told = usize::from(event.u8(at)).min(4);
-        let value = |place: Option<usize>| {
-            let value = f64::from(event.f32(at + 1 + 4 * place.filter(|&place| place < told)?));
-            value.is_finite().then_some(value.max(0.0))
-        };
-        Report { connections: value(self.connections), load: value(self.load) }
-    }
+fn report(places: &ReportPlaces, event: Fields, at: usize) -> Report {
+    let told = usize::from(event.u8(at)).min(4);
+    let value = |place: Option<usize>| {
+        let value = f64::from(event.f32(at + 1 + 4 * place.filter(|&place| place < told)?));
+        value.is_finite().then_some(value.max(0.0))
+    };
+    Report { connections: value(places.connections), load: value(places.load) }
 }
 
 impl Names {
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -2,7 +2,6 @@
 //! output.
 mod frame;
 mod instance;
-mod settings;
 
 use std::io::{BufWriter, Read, Write};
 use std::process::ExitCode;
--- a/adapter/src/settings.rs
+++ b/facts/src/lib.rs
@@ -1,9 +1,14 @@
-//! The settings text of the wire, read into a deployment. Keys that are not read are passed over.
+//! The settings text that a simulator or a start configuration holds, read into a deployment. Keys that are not read are passed over.
 use serde::Deserialize;
 use thistlecroft::deployment::{ColdStart, Deployment, Effect, Listener, Scope};
 use thistlecroft::ids::ZoneId;
 use thistlecroft::units::Span;
 
+// A process told to stop is killed no sooner than this after its longest dial timeout, which counts for at
+// most so much.
+const LONGEST_WAIT_AT_STOP: Span = Span::from_ms(3_000);
+const AFTER_WAIT_AT_STOP: Span = Span::from_ms(700);
+
 /// Which places of a load report the decisions read, and how the list's weights are meant.
 #[derive(Clone, Copy, Default)]
 pub struct ReportPlaces {
@@ -13,6 +18,23 @@
     pub weights_live: bool,
 }
 
+/// What the text tells, in the order that its indices and names have there.
+pub struct Site {
+    pub deployment: Deployment,
+    pub places: ReportPlaces,
+    pub zones: Vec<String>,
+    pub listeners: Vec<String>,
+    /// Connections without work are closed by backends after this.
+    pub idle: Span,
+}
+
+impl ReportPlaces {
+    /// A listed weight as the decisions take it: one where it does not tell of loads.
+    pub fn weight(&self, told: f64) -> f64 {
+        if self.weights_live && told.is_finite() && told > 0.0 { told } else { 1.0 }
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Facts {
@@ -32,6 +54,8 @@
     report: ReportFacts,
     #[serde(default)]
     weights: String,
+    #[serde(default)]
+    zones: Vec<String>,
 }
 
 #[derive(Deserialize, PartialEq)]
@@ -44,6 +68,10 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct ListenerFacts {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    deadline_us: u64,
     handshake_target_us: u64,
     effect: EffectName,
     #[serde(default)]
@@ -82,6 +110,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Permissions {
+    #[serde(default)]
+    conn_idle_us: u64,
     dial_timeout_us: u64,
     max_dials: u32,
     max_retry_after_us: u64,
@@ -111,7 +141,7 @@
     fields: Vec<String>,
 }
 
-pub fn read(text: &[u8]) -> Result<(Deployment, ReportPlaces), String> {
+pub fn read(text: &[u8]) -> Result<Site, String> {
     let facts: Facts = serde_json::from_slice(text).map_err(|fault| format!("settings: {fault}"))?;
     if facts.listeners.is_empty() {
         return Err("settings: no listeners".into());
@@ -127,6 +157,7 @@
     };
     let targets = facts.extra.message_aim_us.iter().take(facts.listeners.len());
     let shortest = targets.map(|&us| us as u64).min().unwrap_or_default();
+    let longest = facts.listeners.iter().map(|row| row.deadline_us).max().unwrap_or_default();
     let listeners = facts.listeners.iter().map(|row| Listener {
         handshake_target: Span::from_us(row.handshake_target_us),
         effect: effect_of(row),
@@ -157,8 +188,11 @@
         move_price: facts.prices.moves,
         probe_price: facts.prices.probe,
         groups: facts.extra.groups,
+        stop_within: Span::from_us(longest).min(LONGEST_WAIT_AT_STOP) + AFTER_WAIT_AT_STOP,
     };
-    Ok((deployment, places))
+    let listeners = facts.listeners.into_iter().map(|row| row.name).collect();
+    let idle = Span::from_us(facts.permissions.conn_idle_us);
+    Ok(Site { deployment, places, zones: facts.zones, listeners, idle })
 }
 
 fn effect_of(row: &ListenerFacts) -> Effect {
--- /dev/null
+++ b/relay/src/backends.rs
@@ -0,0 +1,218 @@
+//! Connections to backends: a session's dials, and probes.
+use crate::front::News;
+use crate::lines::{Flow, Took, Words};
+use crate::protocol::{self, Cause, Fault, Reach};
+use crate::sockets::{Owner, Sock};
+use crate::timers::Alarm;
+use crate::works::Works;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use thistlecroft::front::{Report, Verdict};
+use thistlecroft::ids::BackendId;
+use thistlecroft::units::{Moment, Span};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Connecting,
+    Sending,
+    Waiting,
+    Standing,
+}
+
+/// One dial of a session and the connection that came of it.
+pub struct Dial {
+    /// As the decisions count the session's dials.
+    pub number: u32,
+    /// Never the same for two dials of a session.
+    pub serial: u32,
+    pub backend: BackendId,
+    pub sock: Sock,
+    pub stage: Stage,
+    line: Words,
+    connect_by: Moment,
+    give_up_at: Moment,
+}
+
+pub struct Plan {
+    pub number: u32,
+    pub serial: u32,
+    pub backend: BackendId,
+    pub address: Option<SocketAddr>,
+    pub line: String,
+    pub connect_within: Span,
+    pub give_up_after: Span,
+}
+
+impl Dial {
+    pub fn begin(session: u32, plan: Plan, works: &mut Works) -> Result<Dial, Fault> {
+        let failed = |cause| Fault { reach: Reach::Nothing, cause };
+        let address = plan.address.ok_or(failed(Cause::Broken))?;
+        let sock = works.sockets.connect(Owner::Dial(session), address).map_err(|fault| {
+            // Refused at once is the backend's doing; no descriptor or port left is ours.
+            let theirs = fault.kind() == std::io::ErrorKind::ConnectionRefused;
+            failed(if theirs { Cause::Broken } else { Cause::Ours })
+        })?;
+        let (connect_by, give_up_at) = (works.now + plan.connect_within, works.now + plan.give_up_after);
+        let alarm = Alarm::Dial(session, plan.serial);
+        works.alarms.set(connect_by.min(give_up_at), alarm);
+        works.alarms.set(give_up_at, alarm);
+        let mut line = Words::default();
+        line.add(&plan.line);
+        let Plan { number, serial, backend, .. } = plan;
+        Ok(Dial { number, serial, backend, sock, stage: Stage::Connecting, line, connect_by, give_up_at })
+    }
+
+    pub fn failed(&self, cause: Cause) -> Fault {
+        let reach = match self.stage {
+            Stage::Connecting => Reach::Nothing,
+            Stage::Sending => Reach::Connected,
+            Stage::Waiting | Stage::Standing => Reach::Sent,
+        };
+        Fault { reach, cause }
+    }
+
+    /// Goes on with coming up and sending.
+    pub fn advance(&mut self) -> Result<(), Fault> {
+        if self.stage == Stage::Connecting {
+            match self.sock.is_up() {
+                Ok(true) => self.stage = Stage::Sending,
+                Ok(false) => return Ok(()),
+                Err(_) => return Err(self.failed(Cause::Broken)),
+            }
+        }
+        if self.stage == Stage::Sending {
+            match self.line.give(&mut self.sock) {
+                Ok(true) => self.stage = Stage::Waiting,
+                Ok(false) => {}
+                Err(_) => return Err(self.failed(Cause::Broken)),
+            }
+        }
+        Ok(())
+    }
+
+    pub fn overdue(&self, now: Moment) -> bool {
+        match self.stage {
+            Stage::Connecting => now >= self.connect_by.min(self.give_up_at),
+            Stage::Sending | Stage::Waiting => now >= self.give_up_at,
+            Stage::Standing => false,
+        }
+    }
+}
+
+enum ProbeState {
+    Connecting,
+    Asking,
+    Idle,
+}
+
+/// One connection for probes. It is used again while it stays open: a new one costs the backend several
+/// times what the answer does.
+struct Probe {
+    sock: Sock,
+    state: ProbeState,
+    words: Words,
+    answer: Flow,
+    serial: u32,
+    asked: Moment,
+}
+
+pub struct Probes {
+    open: BTreeMap<BackendId, Probe>,
+    serial: u32,
+    /// Half for coming up, half for the answer.
+    within: Span,
+    idle: Span,
+}
+
+impl Probes {
+    pub fn new(connect_timeout: Span, idle: Span) -> Probes {
+        Probes { open: BTreeMap::new(), serial: 0, within: connect_timeout * 2.0, idle }
+    }
+
+    pub fn ask(&mut self, id: BackendId, address: Option<SocketAddr>, works: &mut Works) {
+        self.serial = self.serial.wrapping_add(1);
+        works.counters.probes += 1;
+        let serial = self.serial;
+        if let Some(probe) = self.open.get_mut(&id) {
+            if !matches!(probe.state, ProbeState::Idle) {
+                return;
+            }
+            probe.words.add(protocol::ASK_LOAD);
+            (probe.serial, probe.asked, probe.state) = (serial, works.now, ProbeState::Asking);
+            probe.sock.want(true, true);
+        } else {
+            let Some(address) = address else { return };
+            let Ok(mut sock) = works.sockets.connect(Owner::Probe(id.0), address) else {
+                works.counters.probes_failed += 1;
+                works.news.push_back(News::Probed(id, Verdict::Unreachable, Report::default()));
+                return;
+            };
+            sock.want(true, true);
+            let mut words = Words::default();
+            words.add(protocol::ASK_LOAD);
+            let (state, answer, asked) = (ProbeState::Connecting, Flow::default(), works.now);
+            self.open.insert(id, Probe { sock, state, words, answer, serial, asked });
+        }
+        works.alarms.set(works.now + self.within, Alarm::Probe(id, serial));
+    }
+
+    pub fn event(&mut self, id: BackendId, key: usize, works: &mut Works) {
+        let Some(probe) = self.open.get_mut(&id).filter(|probe| probe.sock.is(key)) else { return };
+        match probe.go_on(works) {
+            Ok(None) => {}
+            Ok(Some((verdict, report))) => {
+                probe.state = ProbeState::Idle;
+                probe.sock.want(true, false);
+                works.alarms.set(works.now + self.idle, Alarm::Probe(id, probe.serial));
+                if verdict != Verdict::Ok {
+                    works.counters.probes_failed += 1;
+                }
+                works.news.push_back(News::Probed(id, verdict, report));
+            }
+            Err(verdict) => self.end(id, verdict, works),
+        }
+    }
+
+    fn end(&mut self, id: BackendId, verdict: Verdict, works: &mut Works) {
+        let Some(mut probe) = self.open.remove(&id) else { return };
+        probe.answer.clear(&mut works.pool);
+        if !matches!(probe.state, ProbeState::Idle) {
+            works.counters.probes_failed += 1;
+            works.news.push_back(News::Probed(id, verdict, Report::default()));
+        }
+    }
+
+    pub fn alarm(&mut self, id: BackendId, serial: u32, works: &mut Works) {
+        let Some(probe) = self.open.get(&id).filter(|probe| probe.serial == serial) else { return };
+        let waited = works.now.since(probe.asked);
+        match probe.state {
+            ProbeState::Idle if waited < self.idle => {}
+            ProbeState::Connecting => self.end(id, Verdict::Unreachable, works),
+            ProbeState::Asking | ProbeState::Idle => self.end(id, Verdict::Timeout, works),
+        }
+    }
+}
+
+impl Probe {
+    fn go_on(&mut self, works: &mut Works) -> Result<Option<(Verdict, Report)>, Verdict> {
+        if let ProbeState::Connecting = self.state {
+            match self.sock.is_up() {
+                Ok(true) => self.state = ProbeState::Asking,
+                Ok(false) => return Ok(None),
+                Err(_) => return Err(Verdict::Unreachable),
+            }
+        }
+        if self.words.waits() && self.words.give(&mut self.sock).map_err(|_| Verdict::Reset)? {
+            self.sock.want(true, false);
+        }
+        let took = self.answer.take(&mut self.sock, &mut works.pool).map_err(|_| Verdict::Reset)?;
+        let line = match self.answer.next_line() {
+            Ok(Some(line)) => Some(protocol::probe_line(line)),
+            Ok(None) if took == Took::End => return Err(Verdict::Reset),
+            Ok(None) => return Ok(None),
+            Err(_) => return Err(Verdict::Error),
+        };
+        self.answer.clear(&mut works.pool);
+        Ok(line.filter(|_| matches!(self.state, ProbeState::Asking)))
+    }
+}
--- /dev/null
+++ b/relay/src/clients.rs
@@ -0,0 +1,828 @@
+//! Sessions: each owns its client's socket and the dial that is out for it, and is in one named stage.
+use crate::backends::{Dial, Plan, Stage as DialStage};
+use crate::discovery::Book;
+use crate::front::News;
+use crate::lines::{Flow, TooLong, Took, Words};
+use crate::protocol::{self, Cause, Fault, First, Names, Open, Said};
+use crate::sockets::{Door, Owner, Sock};
+use crate::timers::Alarm;
+use crate::works::Works;
+use std::collections::BTreeMap;
+use std::io::ErrorKind;
+use thistlecroft::front::{Ending, Report, Verdict};
+use thistlecroft::ids::{BackendId, SessionId};
+use thistlecroft::units::{Moment, Span};
+
+/// Accepts in one turn, so that a rush of clients can't keep the standing ones waiting.
+const ACCEPTS: usize = 64;
+/// After an accept that failed for want of anything; trying at once would only spin.
+const ACCEPT_PAUSE: Span = Span::from_ms(20);
+/// Descriptors that sessions never take: discovery, probes, signals, the door, the poller, the log.
+const RESERVE: usize = 40;
+/// And these few more serve to tell clients that there is no room.
+const TELLING: usize = 8;
+/// A first line that has begun must end within this.
+const FIRST_LINE: Span = Span::from_ms(3_000);
+/// Connections that say nothing at all are kept so long: the front's may come early.
+const SAYS_NOTHING: Span = Span::from_ms(30_000);
+/// After our last word a client is given this long to end its side; the protocol allows a second in all.
+const PARTING: Span = Span::from_ms(400);
+/// After its backend has ended, or its client has; the protocol allows a second for the former.
+const BACKEND_ENDED: Span = Span::from_ms(700);
+const CLIENT_ENDED: Span = Span::from_ms(2_000);
+/// A line unanswered for so long is noted as delayed while it is, and again after each such span.
+const OVERDUE: Span = Span::from_ms(250);
+/// Connections from before the start are tried again after this, and given up after the other: lost after 40 s.
+const INHERITED_AGAIN: Span = Span::from_ms(200);
+const INHERITED_WITHIN: Span = Span::from_ms(38_000);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Its first line is awaited.
+    Opening,
+    /// Known to the decisions, which owe it an answer.
+    Placing,
+    /// It was open before this process was: the backend is given, not decided.
+    Inheriting,
+    /// Up: lines pass both ways.
+    Standing,
+    /// Our last words are on their way out.
+    Leaving,
+    /// All is said; only the client's end of the connection is awaited.
+    Parted,
+}
+
+struct Session {
+    id: u32,
+    stage: Stage,
+    client: Sock,
+    open: Option<Box<Open>>,
+    dial: Option<Dial>,
+    dials: u32,
+    serial: u32,
+    /// From the client to its backend, and back.
+    up: Flow,
+    down: Flow,
+    /// What the relay itself says to the client, behind the lines that wait in `down`.
+    words: Words,
+    began: Moment,
+    /// When the first client line without a line back came.
+    asked: Option<Moment>,
+    watched: bool,
+    /// The backend's last word, and whether the decisions have been told of the end.
+    said: Option<(Verdict, Report)>,
+    end_told: bool,
+    up_shut: bool,
+    down_shut: bool,
+    close_by: Option<Moment>,
+    starved: bool,
+}
+
+/// What a session needs to know of the whole.
+struct Terms {
+    names: Names,
+    connect_timeout: Span,
+}
+
+pub struct Sessions {
+    map: BTreeMap<u32, Session>,
+    next: u32,
+    door: Door,
+    terms: Terms,
+    /// Descriptors that sessions may take together.
+    most_sockets: usize,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    Goes,
+    Over,
+}
+use Fate::{Goes, Over};
+
+impl Sessions {
+    pub fn new(mut door: Door, names: Names, connect_timeout: Span, sockets: usize) -> Sessions {
+        door.want(true);
+        let terms = Terms { names, connect_timeout };
+        Sessions { map: BTreeMap::new(), next: 0, door, terms, most_sockets: sockets.saturating_sub(RESERVE) }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.map.is_empty()
+    }
+
+    pub fn len(&self) -> usize {
+        self.map.len()
+    }
+
+    pub fn accept(&mut self, works: &mut Works) {
+        for _ in 0..ACCEPTS {
+            if works.sockets.open() >= self.most_sockets + TELLING {
+                return self.pause_accepting(works);
+            }
+            match self.door.accept().and_then(|stream| works.sockets.adopt(Owner::Client(self.next), stream))
+            {
+                Ok(mut client) => {
+                    works.counters.connections += 1;
+                    client.want(true, false);
+                    let session = Session::new(self.next, client, works);
+                    self.map.insert(self.next, session);
+                    self.next = self.next.wrapping_add(1);
+                }
+                Err(fault) => match fault.kind() {
+                    ErrorKind::WouldBlock => return,
+                    ErrorKind::ConnectionAborted | ErrorKind::Interrupted | ErrorKind::ConnectionReset => {}
+                    _ => {
+                        // No descriptor or memory left: the clients stay in the backlog for a moment.
+                        works.counters.accept_failures += 1;
+                        log::warn!("accept: {fault}");
+                        return self.pause_accepting(works);
+                    }
+                },
+            }
+        }
+    }
+
+    fn pause_accepting(&mut self, works: &mut Works) {
+        self.door.want(false);
+        works.alarms.set(works.now + ACCEPT_PAUSE, Alarm::Accepting);
+    }
+
+    pub fn resume_accepting(&mut self) {
+        self.door.want(true);
+    }
+
+    /// Runs one step of a session; whatever comes of it, what is waited for is settled in this one place.
+    fn step(
+        &mut self,
+        id: u32,
+        works: &mut Works,
+        step: impl FnOnce(&mut Session, &Terms, &mut Works) -> Fate,
+    ) {
+        let Some(session) = self.map.get_mut(&id) else { return };
+        match step(session, &self.terms, works) {
+            Goes => session.settle(),
+            Over => {
+                if let Some(mut session) = self.map.remove(&id) {
+                    session.up.clear(&mut works.pool);
+                    session.down.clear(&mut works.pool);
+                }
+            }
+        }
+    }
+
+    pub fn client_event(&mut self, id: u32, key: usize, book: &Book, works: &mut Works) {
+        let full = works.sockets.open() > self.most_sockets;
+        self.step(id, works, |session, terms, works| {
+            if session.client.is(key) { session.client_event(full, terms, book, works) } else { Goes }
+        });
+    }
+
+    pub fn dial_event(&mut self, id: u32, key: usize, works: &mut Works) {
+        self.step(id, works, |session, _, works| {
+            let ours = session.dial.as_ref().is_some_and(|dial| dial.sock.is(key));
+            if ours { session.dial_event(works) } else { Goes }
+        });
+    }
+
+    pub fn dial_alarm(&mut self, id: u32, serial: u32, works: &mut Works) {
+        self.step(id, works, |session, _, works| {
+            let late = session.dial.as_ref().filter(|dial| dial.serial == serial && dial.overdue(works.now));
+            match late.map(|dial| dial.failed(Cause::TimedOut)) {
+                Some(fault) => session.dial_ended(fault, works),
+                None => Goes,
+            }
+        });
+    }
+
+    pub fn client_alarm(&mut self, id: u32, works: &mut Works) {
+        self.step(id, works, |session, _, works| session.client_alarm(works));
+    }
+
+    pub fn overdue_alarm(&mut self, id: u32, works: &mut Works) {
+        self.step(id, works, |session, _, works| {
+            session.overdue(works);
+            Goes
+        });
+    }
+
+    pub fn again_alarm(&mut self, id: u32, book: &Book, works: &mut Works) {
+        self.step(id, works, |session, terms, works| session.inherit(terms, book, works));
+    }
+
+    /// Sessions that stopped for want of a buffer read on.
+    pub fn feed(&mut self, works: &mut Works) {
+        for _ in 0..works.starved.len() {
+            if !works.pool.has_some() {
+                return;
+            }
+            let Some(id) = works.starved.pop_front() else { return };
+            self.step(id, works, |session, _, _| {
+                session.starved = false;
+                Goes
+            });
+        }
+    }
+
+    // ---- what the decisions ask for ----
+
+    pub fn dial(
+        &mut self,
+        id: SessionId,
+        backend: BackendId,
+        give_up_after: Span,
+        book: &Book,
+        works: &mut Works,
+    ) {
+        if !self.map.contains_key(&id.0) {
+            return;
+        }
+        self.step(id.0, works, |session, terms, works| {
+            let number = session.dials;
+            session.dials += 1;
+            session.dial(number, backend, give_up_after, terms, book, works)
+        });
+    }
+
+    pub fn withdraw(&mut self, id: SessionId, number: u32, works: &mut Works) {
+        self.step(id.0, works, |session, _, works| {
+            let dial = session.dial.as_ref().filter(|dial| dial.number == number);
+            match dial.filter(|dial| dial.stage != DialStage::Standing) {
+                Some(dial) => {
+                    let fault = dial.failed(Cause::Withdrawn);
+                    session.dial_ended(fault, works)
+                }
+                None => Goes,
+            }
+        });
+    }
+
+    pub fn refuse(&mut self, id: SessionId, retry_after: Option<Span>, works: &mut Works) {
+        self.step(id.0, works, |session, _, works| {
+            if session.stage != Stage::Placing {
+                return Goes;
+            }
+            works.counters.refused += 1;
+            session.part(&protocol::refusal(retry_after), works)
+        });
+    }
+
+    pub fn tear_down(&mut self, id: SessionId, works: &mut Works) {
+        self.step(id.0, works, |session, _, works| {
+            if session.stage != Stage::Placing {
+                return Goes;
+            }
+            works.counters.torn_down += 1;
+            session.part(protocol::FAILED, works)
+        });
+    }
+
+    pub fn send_away(&mut self, id: SessionId, works: &mut Works) {
+        self.step(id.0, works, |session, _, works| {
+            if session.stage == Stage::Standing { session.send_away(works) } else { Goes }
+        });
+    }
+
+    /// The decisions failed over this session: it still has its answer.
+    pub fn give_up(&mut self, id: SessionId, works: &mut Works) {
+        self.step(id.0, works, |session, _, works| match session.stage {
+            Stage::Placing | Stage::Inheriting => {
+                works.counters.torn_down += 1;
+                session.part(protocol::FAILED, works)
+            }
+            Stage::Standing => session.send_away(works),
+            _ => Goes,
+        });
+    }
+}
+
+impl Session {
+    fn new(id: u32, client: Sock, works: &mut Works) -> Session {
+        let mut session = Session {
+            id,
+            stage: Stage::Opening,
+            client,
+            open: None,
+            dial: None,
+            dials: 0,
+            serial: 0,
+            up: Flow::default(),
+            down: Flow::default(),
+            words: Words::default(),
+            began: works.now,
+            asked: None,
+            watched: false,
+            said: None,
+            end_told: false,
+            up_shut: false,
+            down_shut: false,
+            close_by: None,
+            starved: false,
+        };
+        session.close_within(FIRST_LINE, works);
+        session
+    }
+
+    fn session_id(&self) -> SessionId {
+        SessionId(self.id)
+    }
+
+    fn close_within(&mut self, span: Span, works: &mut Works) {
+        self.close_by = Some(works.now + span);
+        works.alarms.set(works.now + span, Alarm::Client(self.id));
+    }
+
+    /// What the poller is to wait for, from the stage and what waits.
+    fn settle(&mut self) {
+        let passing = matches!(self.stage, Stage::Standing | Stage::Leaving);
+        let to_client = passing && self.down.waits() || self.words.waits();
+        self.client.want(self.up.has_room() && !self.starved, to_client);
+        if let Some(dial) = &mut self.dial {
+            let to_backend = match dial.stage {
+                DialStage::Connecting | DialStage::Sending => true,
+                DialStage::Waiting => false,
+                DialStage::Standing => self.up.waits() && !self.up_shut,
+            };
+            dial.sock.want(self.down.has_room() && !self.starved, to_backend);
+        }
+    }
+
+    fn starve(&mut self, works: &mut Works) {
+        works.counters.starved += 1;
+        self.starved = true;
+        works.starved.push_back(self.id);
+    }
+
+    // ---- from the client ----
+
+    fn client_event(&mut self, full: bool, terms: &Terms, book: &Book, works: &mut Works) -> Fate {
+        if self.up.has_room() {
+            match self.up.take(&mut self.client, &mut works.pool) {
+                Ok(Took::Bytes(_)) => {
+                    if self.client_bytes(full, terms, book, works) == Over {
+                        return Over;
+                    }
+                }
+                Ok(Took::Nothing) => {}
+                Ok(Took::Starved) => self.starve(works),
+                Ok(Took::End) => {
+                    if self.client_end(works) == Over {
+                        return Over;
+                    }
+                }
+                Err(_) => return self.client_broke(works),
+            }
+        }
+        self.to_client(works)
+    }
+
+    fn client_bytes(&mut self, full: bool, terms: &Terms, book: &Book, works: &mut Works) -> Fate {
+        match self.stage {
+            Stage::Opening => self.first_lines(full, terms, book, works),
+            // The client was to wait; what it says keeps until it is up.
+            Stage::Placing | Stage::Inheriting => Goes,
+            Stage::Standing => self.client_lines(works),
+            Stage::Leaving | Stage::Parted => {
+                self.up.clear(&mut works.pool);
+                Goes
+            }
+        }
+    }
+
+    fn first_lines(&mut self, full: bool, terms: &Terms, book: &Book, works: &mut Works) -> Fate {
+        while self.stage == Stage::Opening {
+            let first = match self.up.next_line() {
+                Ok(None) => return Goes,
+                Ok(Some(line)) => protocol::first_line(line, &terms.names),
+                Err(TooLong) => Err("too long"),
+            };
+            match first {
+                Ok(First::Ping) => {
+                    works.counters.pings += 1;
+                    self.up.consume(&mut works.pool);
+                    self.words.add(protocol::ALIVE);
+                    self.close_within(SAYS_NOTHING, works);
+                }
+                Ok(First::Open(open)) => {
+                    self.up.consume(&mut works.pool);
+                    self.close_by = None;
+                    self.began = works.now;
+                    if full {
+                        // No descriptor for a dial: told before accepting itself would fail.
+                        works.counters.turned_away += 1;
+                        return self.part(&protocol::refusal(None), works);
+                    }
+                    let inherited = open.at.is_some();
+                    let arrival = open.arrival;
+                    self.open = Some(open);
+                    if inherited {
+                        self.stage = Stage::Inheriting;
+                        return self.inherit(terms, book, works);
+                    }
+                    works.counters.sessions += 1;
+                    self.stage = Stage::Placing;
+                    works.news.push_back(News::Arrived(self.session_id(), arrival));
+                }
+                Err(why) => return self.bad_line(why, works),
+            }
+        }
+        Goes
+    }
+
+    fn bad_line(&mut self, why: &str, works: &mut Works) -> Fate {
+        works.counters.bad_lines += 1;
+        log::debug!("a client's first line: {why}");
+        self.up.clear(&mut works.pool);
+        self.part(protocol::FAILED, works)
+    }
+
+    fn client_lines(&mut self, works: &mut Works) -> Fate {
+        loop {
+            match self.up.next_line() {
+                Ok(Some(_)) => {
+                    works.counters.lines_up += 1;
+                    if self.asked.is_none() {
+                        self.asked = Some(works.now);
+                        if !self.watched {
+                            self.watched = true;
+                            works.alarms.set(works.now + OVERDUE, Alarm::Overdue(self.id));
+                        }
+                    }
+                }
+                Ok(None) => return self.to_backend(works),
+                Err(TooLong) => {
+                    works.counters.bad_lines += 1;
+                    return self.send_away(works);
+                }
+            }
+        }
+    }
+
+    /// The client has ended its sending.
+    fn client_end(&mut self, works: &mut Works) -> Fate {
+        match self.stage {
+            Stage::Opening if self.up.waits() => self.bad_line("cut off", works),
+            Stage::Opening if self.words.waits() => self.part("", works),
+            Stage::Opening | Stage::Parted => Over,
+            // It may have gone, or only have no more to send: the last word is owed in the second case and
+            // harmless in the first.
+            Stage::Placing | Stage::Inheriting => {
+                self.client_left(works);
+                self.part(protocol::FAILED, works)
+            }
+            Stage::Standing => {
+                self.close_within(CLIENT_ENDED, works);
+                self.to_backend(works)
+            }
+            Stage::Leaving => Goes,
+        }
+    }
+
+    fn client_broke(&mut self, works: &mut Works) -> Fate {
+        match self.stage {
+            Stage::Placing | Stage::Inheriting => self.client_left(works),
+            Stage::Standing => {
+                self.tell_end(Verdict::Withdrawn, works);
+                if let Some(dial) = self.dial.take() {
+                    dial.sock.reset();
+                }
+            }
+            _ => {}
+        }
+        Over
+    }
+
+    /// Gone before its answer: the dial that is out ends with it.
+    fn client_left(&mut self, works: &mut Works) {
+        works.counters.clients_left += 1;
+        let told = self.stage == Stage::Placing;
+        if told {
+            works.news.push_back(News::Left(self.session_id()));
+        }
+        if let Some(dial) = self.dial.take() {
+            self.down.clear(&mut works.pool);
+            if told {
+                self.tell_dial_end(dial.number, dial.failed(Cause::Withdrawn), works);
+            }
+        }
+    }
+
+    fn client_alarm(&mut self, works: &mut Works) -> Fate {
+        if self.close_by.is_none_or(|at| at > works.now) {
+            return Goes;
+        }
+        self.close_by = None;
+        match self.stage {
+            Stage::Opening if self.up.has_bytes() => self.bad_line("slow", works),
+            Stage::Opening if works.now.since(self.began) < SAYS_NOTHING => {
+                self.close_within(SAYS_NOTHING, works);
+                Goes
+            }
+            Stage::Standing => {
+                self.tell_end(if self.up.ended { Verdict::Ok } else { Verdict::Reset }, works);
+                Over
+            }
+            Stage::Placing | Stage::Inheriting => Goes,
+            Stage::Opening | Stage::Leaving | Stage::Parted => Over,
+        }
+    }
+
+    fn overdue(&mut self, works: &mut Works) {
+        self.watched = false;
+        let (Some(asked), Stage::Standing) = (self.asked, self.stage) else { return };
+        let waited = works.now.since(asked);
+        let next = if waited >= OVERDUE {
+            if !self.end_told {
+                works.news.push_back(News::Delay(self.session_id(), waited));
+            }
+            works.now + OVERDUE
+        } else {
+            asked + OVERDUE
+        };
+        self.watched = true;
+        works.alarms.set(next, Alarm::Overdue(self.id));
+    }
+
+    // ---- to the client ----
+
+    fn to_client(&mut self, works: &mut Works) -> Fate {
+        if matches!(self.stage, Stage::Standing | Stage::Leaving) {
+            match self.down.give(&mut self.client, &mut works.pool) {
+                Ok(true) => {}
+                Ok(false) => return Goes,
+                Err(_) => return self.client_broke(works),
+            }
+        }
+        match self.words.give(&mut self.client) {
+            Ok(true) => {}
+            Ok(false) => return Goes,
+            Err(_) => return self.client_broke(works),
+        }
+        match self.stage {
+            Stage::Leaving => {
+                self.client.finish_sending();
+                self.stage = Stage::Parted;
+                if self.up.ended {
+                    return Over;
+                }
+                self.close_within(PARTING, works);
+            }
+            Stage::Standing if self.down.ended && !self.down_shut => {
+                self.client.finish_sending();
+                self.down_shut = true;
+            }
+            _ => {}
+        }
+        self.both_ended(works)
+    }
+
+    fn both_ended(&mut self, works: &mut Works) -> Fate {
+        if self.stage == Stage::Standing && self.up_shut && self.down_shut {
+            self.tell_end(Verdict::Ok, works);
+            return Over;
+        }
+        Goes
+    }
+
+    /// Our last word; empty where there is none but the end itself.
+    fn part(&mut self, word: &str, works: &mut Works) -> Fate {
+        self.stage = Stage::Leaving;
+        self.dial = None;
+        self.down.cut(&mut works.pool);
+        self.up.clear(&mut works.pool);
+        if !word.is_empty() {
+            self.words.add(word);
+        }
+        self.close_within(PARTING, works);
+        self.to_client(works)
+    }
+
+    fn send_away(&mut self, works: &mut Works) -> Fate {
+        works.counters.sent_away += 1;
+        self.tell_end(Verdict::Withdrawn, works);
+        if let Some(dial) = &mut self.dial {
+            // What the client has said passes before the end, as far as the backend takes it.
+            let _ = self.up.give(&mut dial.sock, &mut works.pool);
+            dial.sock.finish_sending();
+        }
+        self.part(protocol::MOVED, works)
+    }
+
+    // ---- dials ----
+
+    fn inherit(&mut self, terms: &Terms, book: &Book, works: &mut Works) -> Fate {
+        if self.stage != Stage::Inheriting || self.dial.is_some() {
+            return Goes;
+        }
+        let left = INHERITED_WITHIN - works.now.since(self.began);
+        if left == Span::ZERO {
+            works.counters.torn_down += 1;
+            return self.part(protocol::FAILED, works);
+        }
+        let at = self.open.as_ref().and_then(|open| open.at.as_deref()).and_then(|name| book.named(name));
+        match at {
+            Some(backend) => self.dial(0, backend, left, terms, book, works),
+            None => {
+                works.alarms.set(works.now + INHERITED_AGAIN, Alarm::Again(self.id));
+                Goes
+            }
+        }
+    }
+
+    fn dial(
+        &mut self,
+        number: u32,
+        backend: BackendId,
+        give_up_after: Span,
+        terms: &Terms,
+        book: &Book,
+        works: &mut Works,
+    ) -> Fate {
+        let Some(open) = self.open.as_ref().filter(|_| self.dial.is_none()) else { return Goes };
+        self.serial += 1;
+        let plan = Plan {
+            number,
+            serial: self.serial,
+            backend,
+            address: book.address(backend),
+            line: open.line(give_up_after),
+            connect_within: terms.connect_timeout,
+            give_up_after,
+        };
+        works.counters.dials += 1;
+        match Dial::begin(self.id, plan, works) {
+            Ok(dial) => {
+                self.dial = Some(dial);
+                Goes
+            }
+            Err(fault) => self.dial_failed(number, fault, works),
+        }
+    }
+
+    fn dial_ended(&mut self, fault: Fault, works: &mut Works) -> Fate {
+        let Some(dial) = self.dial.take() else { return Goes };
+        self.down.clear(&mut works.pool);
+        self.down = Flow::default();
+        self.dial_failed(dial.number, fault, works)
+    }
+
+    fn dial_failed(&mut self, number: u32, fault: Fault, works: &mut Works) -> Fate {
+        if self.stage == Stage::Inheriting {
+            log::debug!("inherited connection {}: {fault:?}", self.id);
+            works.alarms.set(works.now + INHERITED_AGAIN, Alarm::Again(self.id));
+            return Goes;
+        }
+        self.tell_dial_end(number, fault, works);
+        Goes
+    }
+
+    fn tell_dial_end(&mut self, number: u32, fault: Fault, works: &mut Works) {
+        let verdict = fault.verdict();
+        let counter = &mut works.counters;
+        *match verdict {
+            Verdict::Ok => &mut counter.ended_well,
+            Verdict::Error => &mut counter.dials_error,
+            Verdict::Full => &mut counter.dials_full,
+            Verdict::Timeout => &mut counter.dials_timeout,
+            Verdict::Unreachable => &mut counter.dials_unreachable,
+            Verdict::Reset => &mut counter.dials_reset,
+            Verdict::Withdrawn => &mut counter.dials_withdrawn,
+            Verdict::NeverSent => &mut counter.dials_never_sent,
+        } += 1;
+        let ending = Ending { dial: number, verdict, over: false, report: fault.report() };
+        works.news.push_back(News::Ended(self.session_id(), ending));
+    }
+
+    /// The end of a connection that stood, told once.
+    fn tell_end(&mut self, verdict: Verdict, works: &mut Works) {
+        let Some(dial) = self.dial.as_ref().filter(|_| !self.end_told) else { return };
+        self.end_told = true;
+        let (verdict, report) = self.said.unwrap_or((verdict, Report::default()));
+        if verdict == Verdict::Ok {
+            works.counters.ended_well += 1;
+        } else if verdict == Verdict::Reset {
+            works.counters.ended_broken += 1;
+        }
+        let ending = Ending { dial: dial.number, verdict, over: true, report };
+        works.news.push_back(News::Ended(self.session_id(), ending));
+    }
+
+    fn dial_event(&mut self, works: &mut Works) -> Fate {
+        let Some(dial) = &mut self.dial else { return Goes };
+        if let Err(fault) = dial.advance() {
+            return self.dial_ended(fault, works);
+        }
+        if dial.stage != DialStage::Connecting && self.down.has_room() {
+            match self.down.take(&mut dial.sock, &mut works.pool) {
+                Ok(Took::Bytes(_)) => return self.backend_lines(works),
+                Ok(Took::Nothing) => {}
+                Ok(Took::Starved) => self.starve(works),
+                Ok(Took::End) => return self.backend_end(works),
+                Err(_) => return self.backend_broke(works),
+            }
+        }
+        if self.stage == Stage::Standing { self.to_backend(works) } else { Goes }
+    }
+
+    fn backend_lines(&mut self, works: &mut Works) -> Fate {
+        loop {
+            let said = match self.down.next_line() {
+                Ok(None) => break,
+                Ok(Some(line)) => Some(protocol::backend_line(line)),
+                Err(TooLong) => None,
+            };
+            if self.stage == Stage::Standing {
+                match said {
+                    None => return self.send_away(works),
+                    Some(Said::Load(load)) => works.news.push_back(News::Load(self.session_id(), load)),
+                    Some(Said::Last(verdict, report)) => self.said = Some((verdict, report)),
+                    Some(Said::Up | Said::Other) => {
+                        if let Some(asked) = self.asked.take() {
+                            works.news.push_back(News::Delay(self.session_id(), works.now.since(asked)));
+                        }
+                    }
+                }
+                works.counters.lines_down += 1;
+            } else if self.first_said(said, works) {
+                return Goes;
+            }
+        }
+        if self.stage == Stage::Standing { self.to_client(works) } else { Goes }
+    }
+
+    /// What a backend answers a dial; true where that ended it.
+    fn first_said(&mut self, said: Option<Said>, works: &mut Works) -> bool {
+        let Some(dial) = &mut self.dial else { return true };
+        let cause = match said {
+            Some(Said::Up) if dial.stage == DialStage::Waiting => {
+                dial.stage = DialStage::Standing;
+                let (id, number, backend) = (SessionId(self.id), dial.number, dial.backend);
+                works.news.push_back(match (self.stage, &self.open) {
+                    (Stage::Inheriting, Some(open)) => {
+                        works.counters.inherited += 1;
+                        News::Inherited(id, backend, open.arrival)
+                    }
+                    _ => News::Ready(id, number),
+                });
+                works.counters.accepted += 1;
+                self.stage = Stage::Standing;
+                self.open = None;
+                // Lines that the client sent early have waited for this.
+                self.client_lines(works);
+                return false;
+            }
+            Some(Said::Load(_)) => {
+                self.down.consume(&mut works.pool);
+                return false;
+            }
+            // Served to its end without having begun is no answer that a client could use.
+            Some(Said::Last(Verdict::Ok, _) | Said::Up | Said::Other) | None => Cause::BadLine,
+            Some(Said::Last(verdict, report)) => Cause::Said(verdict, report),
+        };
+        let fault = dial.failed(cause);
+        self.dial_ended(fault, works);
+        true
+    }
+
+    fn backend_end(&mut self, works: &mut Works) -> Fate {
+        if self.stage != Stage::Standing {
+            let fault = self.dial.as_ref().map(|dial| dial.failed(Cause::Broken));
+            return fault.map_or(Goes, |fault| self.dial_ended(fault, works));
+        }
+        self.tell_end(if self.up.ended { Verdict::Ok } else { Verdict::Reset }, works);
+        self.close_within(BACKEND_ENDED, works);
+        self.to_client(works)
+    }
+
+    fn backend_broke(&mut self, works: &mut Works) -> Fate {
+        if self.stage != Stage::Standing {
+            return self.backend_end(works);
+        }
+        if self.said.is_some() || self.up.ended {
+            // It had said its last word, or the client had: an end, whatever the system made of it.
+            self.down.ended = true;
+            return self.backend_end(works);
+        }
+        self.tell_end(Verdict::Reset, works);
+        // Lines that came before the break pass before it.
+        let _ = self.down.give(&mut self.client, &mut works.pool);
+        Over
+    }
+
+    fn to_backend(&mut self, works: &mut Works) -> Fate {
+        let Some(dial) = self.dial.as_mut().filter(|_| !self.up_shut) else { return Goes };
+        match self.up.give(&mut dial.sock, &mut works.pool) {
+            Ok(true) if self.up.ended => {
+                dial.sock.finish_sending();
+                self.up_shut = true;
+            }
+            Ok(_) => {}
+            Err(_) => {
+                // Nothing more gets there; what it sent before is still to be read, then its end.
+                self.up.clear(&mut works.pool);
+                self.up_shut = self.up.ended;
+            }
+        }
+        self.both_ended(works)
+    }
+}
--- /dev/null
+++ b/relay/src/discovery.rs
@@ -0,0 +1,343 @@
+//! The watch on the list of backends: HTTP/1.1 with a chunked answer that stays open, and what its lines say.
+use crate::front::News;
+use crate::lines::Words;
+use crate::sockets::{Owner, Sock};
+use crate::timers::Alarm;
+use crate::works::Works;
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::io::Read;
+use std::net::SocketAddr;
+use thistlecroft::front::{ListScope, Listing, Standing};
+use thistlecroft::ids::{BackendId, CellId, ZoneId};
+use thistlecroft::units::{Moment, Span};
+use thistlecroft_facts::ReportPlaces;
+
+/// An empty line comes every two seconds; after more than two of them left out the watch is taken for dead.
+const SILENCE: Span = Span::from_ms(4_500);
+/// Between attempts, doubling up to the longest. What discovery has to tell counts as told six seconds late
+/// at most, so the longest stays well below.
+const FIRST_PAUSE: Span = Span::from_ms(50);
+const LONGEST_PAUSE: Span = Span::from_ms(800);
+/// Against a line that never ends: thousands of backends fit in less.
+const LONGEST_TEXT: usize = 16 << 20;
+
+#[derive(Deserialize)]
+pub struct ListText {
+    generation: u64,
+    #[serde(default)]
+    reset: bool,
+    instances: Vec<Entry>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Entry {
+    instance_id: String,
+    host_port: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    cell: u64,
+    lifecycle: String,
+    #[serde(default = "one")]
+    weight: f64,
+    #[serde(default)]
+    started_at_ms: u64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Which backend is which, by the id that is the same at every relay, and where each is to be found.
+pub struct Book {
+    by_name: HashMap<String, BackendId>,
+    addresses: Vec<SocketAddr>,
+    zones: Vec<String>,
+    places: ReportPlaces,
+}
+
+impl Book {
+    pub fn new(zones: Vec<String>, places: ReportPlaces) -> Book {
+        Book { by_name: HashMap::new(), addresses: Vec::new(), zones, places }
+    }
+
+    pub fn address(&self, id: BackendId) -> Option<SocketAddr> {
+        self.addresses.get(id.index()).copied()
+    }
+
+    pub fn named(&self, name: &str) -> Option<BackendId> {
+        self.by_name.get(name).copied()
+    }
+
+    fn listings(&mut self, entries: &[Entry]) -> Result<Vec<Listing>, String> {
+        // All are read before any is noted, so that a bad list changes nothing.
+        let mut read = Vec::with_capacity(entries.len());
+        for entry in entries {
+            let address: SocketAddr = entry
+                .host_port
+                .parse()
+                .map_err(|_| format!("{}: \"{}\" is no address", entry.instance_id, entry.host_port))?;
+            let standing = match entry.lifecycle.as_str() {
+                "Ready" => Standing::Ready,
+                "Terminating" => Standing::Draining,
+                "Gone" => Standing::Gone,
+                other => return Err(format!("{}: lifecycle \"{other}\"", entry.instance_id)),
+            };
+            read.push((entry, address, standing));
+        }
+        Ok(read
+            .into_iter()
+            .map(|(entry, address, standing)| self.listing(entry, address, standing))
+            .collect())
+    }
+
+    fn listing(&mut self, entry: &Entry, address: SocketAddr, standing: Standing) -> Listing {
+        let next = BackendId(self.addresses.len() as u32);
+        let backend = *self.by_name.entry(entry.instance_id.clone()).or_insert(next);
+        if backend == next {
+            self.addresses.push(address);
+        }
+        self.addresses[backend.index()] = address;
+        let zone = self.zones.iter().position(|zone| *zone == entry.zone).unwrap_or_else(|| {
+            self.zones.push(entry.zone.clone());
+            self.zones.len() - 1
+        });
+        Listing {
+            backend,
+            mark: hash(entry.instance_id.as_bytes()),
+            zone: ZoneId(zone as u16),
+            cell: CellId(entry.cell as u16),
+            standing,
+            weight: self.places.weight(entry.weight),
+            up_since: (entry.started_at_ms > 0).then(|| Moment::from_us(entry.started_at_ms * 1_000)),
+        }
+    }
+}
+
+/// FNV-1a: the same number for a name at every relay and in every release.
+pub fn hash(bytes: &[u8]) -> u64 {
+    bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |sum, &byte| (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+enum State {
+    Resting,
+    Connecting(Sock, Words),
+    /// Sent; the head of the answer is awaited.
+    Asked(Sock),
+    Following(Sock, Body),
+}
+
+/// How the answer's body is cut.
+enum Body {
+    Plain,
+    /// Bytes left of the chunk, its ending included; none while a size line is awaited.
+    Chunked(usize),
+}
+
+pub struct Watch {
+    at: SocketAddr,
+    state: State,
+    /// As it came from the socket, then as text without the chunks.
+    raw: Vec<u8>,
+    text: Vec<u8>,
+    generation: Option<u64>,
+    heard: Moment,
+    pause: Span,
+    chance: oorandom::Rand64,
+    pub book: Book,
+}
+
+impl Watch {
+    pub fn new(at: SocketAddr, seed: u64, book: Book, now: Moment) -> Watch {
+        Watch {
+            at,
+            state: State::Resting,
+            raw: Vec::new(),
+            text: Vec::new(),
+            generation: None,
+            heard: now,
+            pause: FIRST_PAUSE,
+            chance: oorandom::Rand64::new(u128::from(seed) ^ 0x64_6973_636f),
+            book,
+        }
+    }
+
+    /// The list as it was last had: it may be old, so the first watch asks for the whole.
+    pub fn know(&mut self, known: &ListText) -> Result<News, String> {
+        Ok(News::Listed(ListScope::Cached, self.book.listings(&known.instances)?))
+    }
+
+    pub fn open(&mut self, works: &mut Works) {
+        if !matches!(self.state, State::Resting) {
+            return;
+        }
+        self.raw.clear();
+        self.text.clear();
+        self.heard = works.now;
+        let mut words = Words::default();
+        let since = self.generation.map(|at| format!("&since={at}")).unwrap_or_default();
+        words.add(&format!("GET /api/targets?follow=1{since} HTTP/1.1"));
+        words.add(&format!("Host: {}", self.at));
+        words.add("Accept: application/json");
+        words.add("");
+        match works.sockets.connect(Owner::Watch, self.at) {
+            Ok(mut sock) => {
+                sock.want(true, true);
+                self.state = State::Connecting(sock, words);
+                works.alarms.set(works.now + SILENCE, Alarm::Watch);
+            }
+            Err(fault) => self.fail(works, &fault.to_string()),
+        }
+    }
+
+    /// The last list stays in force.
+    fn fail(&mut self, works: &mut Works, why: &str) {
+        log::warn!("discovery at {}: {why}; the last list stays", self.at);
+        works.counters.list_failures += 1;
+        self.state = State::Resting;
+        works.news.push_back(News::ListFailed);
+        let wait = self.pause * (0.5 + 0.5 * self.chance.rand_float());
+        self.pause = (self.pause * 2.0).min(LONGEST_PAUSE);
+        works.alarms.set(works.now + wait, Alarm::Watch);
+    }
+
+    pub fn alarm(&mut self, works: &mut Works) {
+        match self.state {
+            State::Resting => self.open(works),
+            _ if works.now.since(self.heard) >= SILENCE => self.fail(works, "silent"),
+            _ => works.alarms.set(self.heard + SILENCE, Alarm::Watch),
+        }
+    }
+
+    pub fn event(&mut self, key: usize, works: &mut Works) {
+        let done = match &mut self.state {
+            State::Connecting(sock, _) | State::Asked(sock) | State::Following(sock, _) if !sock.is(key) => {
+                return;
+            }
+            State::Resting => return,
+            State::Connecting(sock, words) => match sock.is_up() {
+                Ok(false) => return,
+                Ok(true) => words.give(sock).map(|all| {
+                    if all
+                        && let State::Connecting(mut sock, _) =
+                            std::mem::replace(&mut self.state, State::Resting)
+                    {
+                        sock.want(true, false);
+                        self.state = State::Asked(sock);
+                    }
+                }),
+                Err(fault) => Err(fault),
+            }
+            .map_err(|fault| fault.to_string()),
+            State::Asked(_) | State::Following(..) => self.read(works),
+        };
+        if let Err(why) = done {
+            self.fail(works, &why);
+        }
+    }
+
+    fn read(&mut self, works: &mut Works) -> Result<(), String> {
+        let (State::Asked(sock) | State::Following(sock, _)) = &mut self.state else { return Ok(()) };
+        let mut piece = [0; 16 * 1024];
+        match sock.read(&mut piece) {
+            Ok(0) => return Err("the watch ended".into()),
+            Ok(more) => self.raw.extend_from_slice(&piece[..more]),
+            Err(fault) if fault.kind() == std::io::ErrorKind::WouldBlock => return Ok(()),
+            Err(fault) => return Err(fault.to_string()),
+        }
+        self.heard = works.now;
+        if matches!(self.state, State::Asked(_)) && !self.read_head()? {
+            return Ok(());
+        }
+        self.unchunk()?;
+        while let Some(at) = self.text.iter().position(|&byte| byte == b'\n') {
+            let line: Vec<u8> = self.text.drain(..=at).collect();
+            if !line.trim_ascii().is_empty() {
+                self.take_line(&line, works)?;
+            }
+        }
+        if self.text.len() + self.raw.len() > LONGEST_TEXT {
+            return Err("a line without end".into());
+        }
+        Ok(())
+    }
+
+    fn read_head(&mut self) -> Result<bool, String> {
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut head = httparse::Response::new(&mut headers);
+        let length = match head.parse(&self.raw) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) if self.raw.len() < 16 * 1024 => return Ok(false),
+            Ok(httparse::Status::Partial) => return Err("an answer's head without end".into()),
+            Err(fault) => return Err(format!("an answer that is no HTTP: {fault}")),
+        };
+        if head.code != Some(200) {
+            return Err(format!("answered {}", head.code.unwrap_or_default()));
+        }
+        let chunked = head.headers.iter().any(|header| {
+            header.name.eq_ignore_ascii_case("transfer-encoding")
+                && header.value.to_ascii_lowercase().ends_with(b"chunked")
+        });
+        let body = if chunked { Body::Chunked(0) } else { Body::Plain };
+        self.raw.drain(..length);
+        if let State::Asked(sock) = std::mem::replace(&mut self.state, State::Resting) {
+            self.state = State::Following(sock, body);
+        }
+        Ok(true)
+    }
+
+    /// Moves what has come of the body from `raw` to `text`.
+    fn unchunk(&mut self) -> Result<(), String> {
+        let State::Following(_, body) = &mut self.state else { return Ok(()) };
+        let Body::Chunked(left) = body else {
+            self.text.append(&mut self.raw);
+            return Ok(());
+        };
+        let mut at = 0;
+        loop {
+            if *left > 0 {
+                // The ending of a chunk's data, two bytes, is no part of the text.
+                let have = (self.raw.len() - at).min(*left);
+                let data = have.min(left.saturating_sub(2));
+                self.text.extend_from_slice(&self.raw[at..at + data]);
+                at += have;
+                *left -= have;
+                if *left > 0 {
+                    break;
+                }
+            }
+            match httparse::parse_chunk_size(&self.raw[at..]) {
+                Ok(httparse::Status::Complete((_, 0))) => return Err("the watch ended".into()),
+                Ok(httparse::Status::Complete((length, size))) if size < LONGEST_TEXT as u64 => {
+                    at += length;
+                    *left = size as usize + 2;
+                }
+                Ok(httparse::Status::Partial) => break,
+                _ => return Err("a chunk without a size".into()),
+            }
+        }
+        self.raw.drain(..at);
+        Ok(())
+    }
+
+    fn take_line(&mut self, line: &[u8], works: &mut Works) -> Result<(), String> {
+        let list: ListText = serde_json::from_slice(line).map_err(|fault| format!("a bad list: {fault}"))?;
+        if !list.reset && self.generation.is_some_and(|held| list.generation <= held) {
+            return Ok(());
+        }
+        let rows = self.book.listings(&list.instances).map_err(|fault| format!("a bad list: {fault}"))?;
+        if self.generation.is_none() {
+            log::info!("discovery at {}: {} backends", self.at, rows.len());
+        }
+        self.generation = Some(list.generation);
+        self.pause = FIRST_PAUSE;
+        works.counters.lists += 1;
+        let scope = if list.reset { ListScope::Whole } else { ListScope::Changes };
+        works.news.push_back(News::Listed(scope, rows));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/relay/src/protocol.rs
@@ -0,0 +1,198 @@
+//! The line protocol: what a line of text means, and what our own lines look like. Knows no sockets.
+use crate::discovery::hash;
+use thistlecroft::front::{Arrival, Report, Verdict};
+use thistlecroft::ids::ListenerId;
+use thistlecroft::units::Span;
+
+pub const FAILED: &str = "ERR";
+pub const MOVED: &str = "MOVE";
+pub const ALIVE: &str = "PONG";
+pub const ASK_LOAD: &str = "STATS";
+
+/// Taken off the wait that a client names: a late turn of the loop must still answer before the client gives
+/// up. The only such margin; the decisions count from what is left.
+const MARGIN: Span = Span::from_ms(15);
+
+/// The first line of a client.
+#[derive(Debug)]
+pub enum First {
+    Ping,
+    Open(Box<Open>),
+}
+
+#[derive(Debug)]
+pub struct Open {
+    /// The line before and behind the figure of `d`, passed on as it came.
+    before: String,
+    behind: String,
+    pub arrival: Arrival,
+    /// The backend that held the connection before this process started.
+    pub at: Option<String>,
+}
+
+impl Open {
+    /// The line for a backend: as it came, but for how long the relay will wait.
+    pub fn line(&self, wait: Span) -> String {
+        format!("{}{}{}", self.before, wait.us() / 1_000, self.behind)
+    }
+}
+
+/// Names as the settings have them, a listener's at its index.
+pub struct Names {
+    pub listeners: Vec<String>,
+    /// `g` names a group whose members share work; elsewhere it names the client.
+    pub groups: bool,
+}
+
+pub fn first_line(line: &[u8], names: &Names) -> Result<First, &'static str> {
+    let line = std::str::from_utf8(line).map_err(|_| "not UTF-8")?;
+    if line == "PING" {
+        return Ok(First::Ping);
+    }
+    let words: Vec<&str> = line.split(' ').collect();
+    let ["OPEN", id, key, list] = words[..] else { return Err("neither PING nor OPEN with three words") };
+    if id.is_empty() || key.is_empty() {
+        return Err("an empty word");
+    }
+    let (mut listener, mut wait, mut group, mut at) = (None, None, None, None);
+    let mut place = line.len() - list.len();
+    for item in list.split(',') {
+        let (name, value) = item.split_once('=').ok_or("an item that is no name and value")?;
+        match name {
+            "c" => listener = names.listeners.iter().position(|name| name == value),
+            "d" => {
+                let ms: u64 = value.parse().map_err(|_| "d is no whole number")?;
+                let from = place + "d=".len();
+                wait = Some((Span::from_ms(ms.min(u64::from(u32::MAX))), from, from + value.len()));
+            }
+            "g" => group = names.groups.then(|| number(value)),
+            "at" => at = Some(value.to_string()),
+            _ => {}
+        }
+        place += item.len() + 1;
+    }
+    let listener = listener.ok_or("no listener that is known")?;
+    let (wait, from, to) = wait.ok_or("no d")?;
+    let arrival = Arrival {
+        listener: ListenerId(listener as u16),
+        key: Some(number(key)),
+        group,
+        dial_timeout: wait - MARGIN,
+    };
+    Ok(First::Open(Box::new(Open { before: line[..from].into(), behind: line[to..].into(), arrival, at })))
+}
+
+/// Names of flows and groups are sixteen hexadecimal digits; any other text does as well.
+fn number(text: &str) -> u64 {
+    if text.len() <= 16
+        && let Ok(number) = u64::from_str_radix(text, 16)
+    {
+        return number;
+    }
+    hash(text.as_bytes())
+}
+
+/// A refusal, with the time to stay away where one is told; rounded up, so that nobody comes too soon.
+pub fn refusal(retry_after: Option<Span>) -> String {
+    match retry_after {
+        Some(wait) => format!("BUSY {}", wait.us().div_ceil(1_000)),
+        None => "BUSY".into(),
+    }
+}
+
+/// What a line from a backend means to the relay.
+#[derive(Debug, Clone, Copy)]
+pub enum Said {
+    Up,
+    Load(f64),
+    /// The last word on a connection.
+    Last(Verdict, Report),
+    Other,
+}
+
+pub fn backend_line(line: &[u8]) -> Said {
+    let text = std::str::from_utf8(line).unwrap_or_default();
+    let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
+    match word {
+        "UP" => Said::Up,
+        "LOAD" => {
+            rest.trim().parse().ok().filter(|load: &f64| load.is_finite()).map_or(Said::Other, Said::Load)
+        }
+        "BYE" => Said::Last(Verdict::Ok, report(rest)),
+        "MOVE" => Said::Last(Verdict::Withdrawn, report(rest)),
+        "ERR" => Said::Last(Verdict::Error, report(rest)),
+        "BUSY" => Said::Last(Verdict::Full, report(rest)),
+        _ => Said::Other,
+    }
+}
+
+/// The answer to a probe.
+pub fn probe_line(line: &[u8]) -> (Verdict, Report) {
+    let text = std::str::from_utf8(line).unwrap_or_default();
+    match text.split_once(' ').unwrap_or((text, "")) {
+        ("PONG", rest) => (Verdict::Ok, report(rest)),
+        _ => (Verdict::Error, Report::default()),
+    }
+}
+
+/// Fields go by the names of the settings or by those that backends use for the same.
+fn report(text: &str) -> Report {
+    let told = |names: &[&str]| {
+        let field = |name: &&str| {
+            text.split(',').find_map(|field| field.trim().strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+        };
+        names.iter().find_map(field).filter(|value: &f64| value.is_finite()).map(|value| value.max(0.0))
+    };
+    Report { connections: told(&["rif", "inflight"]), load: told(&["x0", "busy", "util"]) }
+}
+
+/// How far a dial had come when it ended: what it proves depends on that.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reach {
+    /// The connection had not come up.
+    Nothing,
+    /// Up, but the line's last byte had not been written.
+    Connected,
+    /// All bytes written: they may have left.
+    Sent,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum Cause {
+    /// This process could not even begin, for want of a descriptor, say.
+    Ours,
+    Broken,
+    TimedOut,
+    Withdrawn,
+    BadLine,
+    Said(Verdict, Report),
+}
+
+/// A dial's end as a value.
+#[derive(Clone, Copy, Debug)]
+pub struct Fault {
+    pub reach: Reach,
+    pub cause: Cause,
+}
+
+impl Fault {
+    pub fn verdict(self) -> Verdict {
+        match (self.cause, self.reach) {
+            (Cause::Ours, _) => Verdict::NeverSent,
+            (Cause::Said(verdict, _), _) => verdict,
+            (Cause::BadLine, _) => Verdict::Error,
+            (Cause::Withdrawn, Reach::Sent) => Verdict::Withdrawn,
+            (Cause::Withdrawn, _) => Verdict::NeverSent,
+            (Cause::Broken, Reach::Sent) => Verdict::Reset,
+            (Cause::TimedOut, Reach::Sent) => Verdict::Timeout,
+            (Cause::Broken | Cause::TimedOut, _) => Verdict::Unreachable,
+        }
+    }
+
+    pub fn report(self) -> Report {
+        match self.cause {
+            Cause::Said(_, report) => report,
+            _ => Report::default(),
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/service.rs
@@ -0,0 +1,221 @@
+//! The loop: each turn gathers what is ready, hands it to the decisions in one go, and carries out what they
+//! ask for. One thread; no part of a turn waits.
+use crate::backends::Probes;
+use crate::buffers::{Pool, SIZE};
+use crate::clients::Sessions;
+use crate::counters::Counters;
+use crate::discovery::{Book, Watch};
+use crate::front::{Desk, News, Order, hand_in};
+use crate::protocol::Names;
+use crate::sockets::{Owner, Sockets, owner_of};
+use crate::start::Posting;
+use crate::timers::{Alarm, Alarms, Clock};
+use crate::works::Works;
+use polling::{Event, Events, PollMode, Poller};
+use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use std::collections::VecDeque;
+use std::io::{self, Read};
+use std::num::NonZeroUsize;
+use std::os::unix::net::UnixStream;
+use std::rc::Rc;
+use std::time::Duration;
+use thistlecroft::balance::Relay;
+use thistlecroft::units::{Moment, Span};
+
+/// Events in one turn, so that timers are never far behind.
+const EVENTS: usize = 512;
+/// Alarms in one turn, for the same.
+const ALARMS: usize = 512;
+/// The part of the memory limit that buffers may take.
+const BUFFER_PART: usize = 4;
+/// New connections go on coming for so long after the signal.
+const ACCEPT_ON: Span = Span::from_ms(600);
+/// Taken off the time to stop, so that the process has ended before it is killed.
+const STOP_MARGIN: Span = Span::from_ms(150);
+
+pub struct Service {
+    clock: Clock,
+    poller: Rc<Poller>,
+    works: Works,
+    sessions: Sessions,
+    probes: Probes,
+    watch: Watch,
+    relay: Relay,
+    orders: Vec<Order>,
+    stop_within: Span,
+    stopping: Option<Moment>,
+    signals: [UnixStream; 2],
+}
+
+const STOP_BYTE: usize = 0;
+const COUNT_BYTE: usize = 1;
+
+impl Service {
+    pub fn start(posting: Posting) -> io::Result<Service> {
+        let clock = Clock::start();
+        let now = clock.now();
+        let poller = Rc::new(Poller::new()?);
+        let mut sockets = Sockets::new(poller.clone());
+        let site = posting.site;
+        let deployment = site.deployment;
+        let names = Names { listeners: site.listeners, groups: deployment.groups };
+        let (connect_timeout, stop_within) = (deployment.connect_timeout, deployment.stop_within);
+        let door = sockets.listen(posting.listen)?;
+        let pool = Pool::new((posting.memory_mb << 20) / BUFFER_PART / SIZE);
+        let (alarms, news, counters) = (Alarms::default(), VecDeque::new(), Counters::default());
+        let mut works = Works { now, sockets, pool, alarms, news, counters, starved: VecDeque::new() };
+        let book = Book::new(site.zones, site.places);
+        let mut watch = Watch::new(posting.discovery, posting.seed, book, now);
+        if let Some(known) = &posting.known {
+            match watch.know(known) {
+                Ok(news) => works.news.push_back(news),
+                Err(fault) => log::warn!("the list known at start: {fault}"),
+            }
+        }
+        let mut orders = Vec::new();
+        let mut desk = Desk { orders: &mut orders, alarms: &mut works.alarms };
+        let relay = Relay::new(deployment, posting.seed, now, &mut desk);
+        watch.open(&mut works);
+        let signals = [signal_pipe(&[SIGTERM, SIGINT])?, signal_pipe(&[SIGUSR1])?];
+        for signal in &signals {
+            // SAFETY: both live as long as the poller, in this struct.
+            unsafe { poller.add_with_mode(signal, Event::readable(SIGNALS), PollMode::Level)? };
+        }
+        log::info!("{} serves at {}", posting.name, posting.listen);
+        Ok(Service {
+            clock,
+            poller,
+            works,
+            sessions: Sessions::new(door, names, connect_timeout, posting.sockets),
+            probes: Probes::new(connect_timeout, site.idle),
+            watch,
+            relay,
+            orders,
+            stop_within,
+            stopping: None,
+            signals,
+        })
+    }
+
+    /// Until told to stop.
+    pub fn run(mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(NonZeroUsize::new(EVENTS).expect("not zero"));
+        loop {
+            self.hand_over();
+            if self.is_over() {
+                log::info!("stopped; {}", self.works.counters);
+                return Ok(());
+            }
+            events.clear();
+            let wait =
+                if self.works.news.is_empty() { self.works.alarms.wait(self.clock.now()) } else { None };
+            let wait = if self.works.news.is_empty() { wait } else { Some(Duration::ZERO) };
+            match self.poller.wait(&mut events, wait) {
+                Err(fault) if fault.kind() != io::ErrorKind::Interrupted => return Err(fault),
+                _ => {}
+            }
+            self.works.now = self.clock.now();
+            for event in events.iter() {
+                self.event(event.key);
+            }
+            for _ in 0..ALARMS {
+                let Some(alarm) = self.works.alarms.due(self.works.now) else { break };
+                self.alarm(alarm);
+            }
+            if !self.works.starved.is_empty() {
+                self.sessions.feed(&mut self.works);
+            }
+        }
+    }
+
+    fn event(&mut self, key: usize) {
+        let works = &mut self.works;
+        match owner_of(key) {
+            Some(Owner::Door) => self.sessions.accept(works),
+            Some(Owner::Signals) => self.signalled(),
+            Some(Owner::Watch) => self.watch.event(key, works),
+            Some(Owner::Client(id)) => self.sessions.client_event(id, key, &self.watch.book, works),
+            Some(Owner::Dial(id)) => self.sessions.dial_event(id, key, works),
+            Some(Owner::Probe(id)) => self.probes.event(thistlecroft::ids::BackendId(id), key, works),
+            None => {}
+        }
+    }
+
+    fn alarm(&mut self, alarm: Alarm) {
+        let works = &mut self.works;
+        match alarm {
+            Alarm::Decisions => works.news.push_back(News::Woken),
+            Alarm::Accepting => self.sessions.resume_accepting(),
+            Alarm::Watch => self.watch.alarm(works),
+            Alarm::Client(id) => self.sessions.client_alarm(id, works),
+            Alarm::Dial(id, serial) => self.sessions.dial_alarm(id, serial, works),
+            Alarm::Probe(id, serial) => self.probes.alarm(id, serial, works),
+            Alarm::Overdue(id) => self.sessions.overdue_alarm(id, works),
+            Alarm::Again(id) => self.sessions.again_alarm(id, &self.watch.book, works),
+            Alarm::Stop => {}
+        }
+    }
+
+    fn signalled(&mut self) {
+        let mut bytes = [0; 64];
+        if matches!(self.signals[COUNT_BYTE].read(&mut bytes), Ok(1..)) {
+            log::info!("{} sessions; {}", self.sessions.len(), self.works.counters);
+        }
+        if matches!(self.signals[STOP_BYTE].read(&mut bytes), Ok(1..)) && self.stopping.is_none() {
+            log::info!("told to stop, {} sessions", self.sessions.len());
+            self.stopping = Some(self.works.now);
+            self.works.news.push_back(News::Stopping);
+            self.works.alarms.set(self.works.now + ACCEPT_ON, Alarm::Stop);
+            self.works.alarms.set(self.works.now + (self.stop_within - STOP_MARGIN), Alarm::Stop);
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        let Some(since) = self.stopping.map(|at| self.works.now.since(at)) else { return false };
+        since >= ACCEPT_ON && self.sessions.is_empty() || since >= self.stop_within - STOP_MARGIN
+    }
+
+    /// Hands in what the turn gathered, then carries out what came back.
+    fn hand_over(&mut self) {
+        let now = self.works.now;
+        let mut failed = Vec::new();
+        while let Some(news) = self.works.news.pop_front() {
+            let mut desk = Desk { orders: &mut self.orders, alarms: &mut self.works.alarms };
+            if let Err(about) = hand_in(&mut self.relay, news, now, &mut desk) {
+                self.works.counters.panics += 1;
+                log::error!("the decisions failed over {about:?}");
+                failed.extend(about);
+            }
+        }
+        let works = &mut self.works;
+        for order in std::mem::take(&mut self.orders) {
+            match order {
+                Order::Dial(id, backend, wait) => {
+                    self.sessions.dial(id, backend, wait, &self.watch.book, works)
+                }
+                Order::Withdraw(id, dial) => self.sessions.withdraw(id, dial, works),
+                Order::Refuse(id, wait) => self.sessions.refuse(id, wait, works),
+                Order::TearDown(id) => self.sessions.tear_down(id, works),
+                Order::SendAway(id) => self.sessions.send_away(id, works),
+                Order::Probe(id) => self.probes.ask(id, self.watch.book.address(id), works),
+                // The watch is always open or about to be.
+                Order::Subscribe => self.watch.open(works),
+            }
+        }
+        for id in failed {
+            self.sessions.give_up(id, works);
+        }
+    }
+}
+
+const SIGNALS: usize = 1 << 60;
+
+/// The end of a pipe that turns readable when one of these signals comes.
+fn signal_pipe(signals: &[i32]) -> io::Result<UnixStream> {
+    let (ours, theirs) = UnixStream::pair()?;
+    ours.set_nonblocking(true)?;
+    for &signal in signals {
+        signal_hook::low_level::pipe::register(signal, theirs.try_clone()?)?;
+    }
+    Ok(ours)
+}
--- /dev/null
+++ b/relay/src/start.rs
@@ -0,0 +1,67 @@
+//! What a relay is told at its start, and faults in it as one plain line.
+use crate::discovery::ListText;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use thistlecroft_facts::{self as facts, Site};
+
+/// Everything a relay is told at its start.
+pub struct Posting {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub memory_mb: usize,
+    pub sockets: usize,
+    pub known: Option<ListText>,
+    pub site: Site,
+}
+
+#[derive(Deserialize)]
+struct Text {
+    name: String,
+    listen: String,
+    discovery: String,
+    seed: String,
+    limits: Limits,
+    known: Option<ListText>,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    memory_mb: f64,
+    sockets: usize,
+}
+
+pub fn read_file(path: &str) -> Result<Posting, String> {
+    let text = std::fs::read(path).map_err(|fault| format!("{path}: {fault}"))?;
+    read(&text).map_err(|fault| format!("{path}: {fault}"))
+}
+
+pub fn read(text: &[u8]) -> Result<Posting, String> {
+    let text: Text = serde_json::from_slice(text).map_err(|fault| fault.to_string())?;
+    let address = |name: &str, value: &str| -> Result<SocketAddr, String> {
+        value.parse().map_err(|_| format!("{name}: \"{value}\" is no address with a port"))
+    };
+    let seed = u64::from_str_radix(&text.seed, 16)
+        .map_err(|_| format!("seed: \"{}\" is no hexadecimal number of 64 bits", text.seed))?;
+    if text.limits.sockets < FEWEST_SOCKETS {
+        return Err(format!("limits: {} sockets are too few, {FEWEST_SOCKETS} needed", text.limits.sockets));
+    }
+    if !(text.limits.memory_mb >= 8.0) {
+        return Err(format!("limits: {} MB of memory are too little, 8 needed", text.limits.memory_mb));
+    }
+    Ok(Posting {
+        listen: address("listen", &text.listen)?,
+        discovery: address("discovery", &text.discovery)?,
+        name: text.name,
+        seed,
+        memory_mb: text.limits.memory_mb as usize,
+        sockets: text.limits.sockets,
+        known: text.known,
+        site: facts::read(text.settings.to_string().as_bytes())?,
+    })
+}
+
+/// The reserve for discovery and probes, and room for a few clients.
+const FEWEST_SOCKETS: usize = 64;
--- /dev/null
+++ b/relay/src/timers.rs
@@ -0,0 +1,63 @@
+//! One clock and the alarms set on it.
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use thistlecroft::ids::BackendId;
+use thistlecroft::units::{Moment, Span};
+
+/// Runs evenly from its start, so that a step of the system's clock moves no time limit; anchored once to
+/// Unix time, in which the list tells when backends started.
+pub struct Clock {
+    started: Instant,
+    anchor: Moment,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), anchor: Moment::from_us(unix.as_micros() as u64) }
+    }
+
+    pub fn now(&self) -> Moment {
+        self.anchor + Span::from_us(self.started.elapsed().as_micros() as u64)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Alarm {
+    /// The decisions asked to be woken.
+    Decisions,
+    Accepting,
+    Watch,
+    /// A client's first line is late, or its end after our last word is.
+    Client(u32),
+    /// Something that a dial waits for, by its serial.
+    Dial(u32, u32),
+    Probe(BackendId, u32),
+    /// A client's line has had no line back.
+    Overdue(u32),
+    /// An inherited connection is tried again.
+    Again(u32),
+    Stop,
+}
+
+#[derive(Default)]
+pub struct Alarms {
+    set: BTreeSet<(Moment, Alarm)>,
+}
+
+impl Alarms {
+    pub fn set(&mut self, at: Moment, alarm: Alarm) {
+        self.set.insert((at, alarm));
+    }
+
+    pub fn due(&mut self, now: Moment) -> Option<Alarm> {
+        let &(at, alarm) = self.set.first().filter(|(at, _)| *at <= now)?;
+        self.set.remove(&(at, alarm));
+        Some(alarm)
+    }
+
+    /// How long until the next one; a little more than due, so that no turn comes just too early.
+    pub fn wait(&self, now: Moment) -> Option<Duration> {
+        self.set.first().map(|(at, _)| Duration::from_micros(at.since(now).us() + 50))
+    }
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -334,6 +334,9 @@
         }
     }
 
+    /// The process is to end.
+    pub fn stopping(&mut self, _now: Moment, _front: &mut dyn Front) {}
+
     // ---- sights of backends ----
 
     pub fn probed(&mut self, now: Moment, id: BackendId, verdict: Verdict, report: Report) {
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -60,4 +60,6 @@
     pub probe_price: f64,
     /// Connections of one group share work on the backend that holds them.
     pub groups: bool,
+    /// Once told to stop, all sessions must be over within this span.
+    pub stop_within: Span,
 }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -78,6 +78,7 @@
         move_price: 0.0,
         probe_price: 0.0,
         groups: true,
+        stop_within: ms(3_700),
     }
 }
 
