--- a/relay/src/clients.rs
+++ b/relay/src/clients.rs
@@ -373,7 +373,7 @@
                 Err(_) => return self.client_broke(works),
             }
         }
-        self.to_client(works)
+        self.pass_down(works)
     }
 
     fn client_bytes(&mut self, full: bool, terms: &Terms, book: &Book, works: &mut Works) -> Fate {
@@ -449,7 +449,7 @@
                         }
                     }
                 }
-                Ok(None) => return self.to_backend(works),
+                Ok(None) => return self.pass_up(works),
                 Err(TooLong) => {
                     works.counters.bad_lines += 1;
                     return self.send_away(works);
@@ -472,7 +472,7 @@
             }
             Stage::Standing => {
                 self.close_within(CLIENT_ENDED, works);
-                self.to_backend(works)
+                self.pass_up(works)
             }
             Stage::Leaving => Goes,
         }
@@ -545,7 +545,7 @@
 
     // ---- to the client ----
 
-    fn to_client(&mut self, works: &mut Works) -> Fate {
+    fn pass_down(&mut self, works: &mut Works) -> Fate {
         if matches!(self.stage, Stage::Standing | Stage::Leaving) {
             match self.down.give(&mut self.client, &mut works.pool) {
                 Ok(true) => {}
@@ -594,7 +594,7 @@
             self.words.add(word);
         }
         self.close_within(PARTING, works);
-        self.to_client(works)
+        self.pass_down(works)
     }
 
     fn send_away(&mut self, works: &mut Works) -> Fate {
@@ -721,7 +721,7 @@
                 Err(_) => return self.backend_broke(works),
             }
         }
-        if self.stage == Stage::Standing { self.to_backend(works) } else { Goes }
+        if self.stage == Stage::Standing { self.pass_up(works) } else { Goes }
     }
 
     fn backend_lines(&mut self, works: &mut Works) -> Fate {
@@ -747,7 +747,7 @@
                 return Goes;
             }
         }
-        if self.stage == Stage::Standing { self.to_client(works) } else { Goes }
+        if self.stage == Stage::Standing { self.pass_down(works) } else { Goes }
     }
 
     /// What a backend answers a dial; true where that ended it.
@@ -791,7 +791,7 @@
         }
         self.tell_end(if self.up.ended { Verdict::Ok } else { Verdict::Reset }, works);
         self.close_within(BACKEND_ENDED, works);
-        self.to_client(works)
+        self.pass_down(works)
     }
 
     fn backend_broke(&mut self, works: &mut Works) -> Fate {
@@ -809,7 +809,7 @@
         Over
     }
 
-    fn to_backend(&mut self, works: &mut Works) -> Fate {
+    fn pass_up(&mut self, works: &mut Works) -> Fate {
         let Some(dial) = self.dial.as_mut().filter(|_| !self.up_shut) else { return Goes };
         match self.up.give(&mut dial.sock, &mut works.pool) {
             Ok(true) if self.up.ended => {
--- a/relay/src/sockets.rs
+++ b/relay/src/sockets.rs
@@ -99,7 +99,7 @@
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         match socket.connect(&to.into()) {
-            Err(fault) if fault.raw_os_error() != Some(IN_PROGRESS) => return Err(fault),
+            Err(fault) if fault.raw_os_error() != Some(IN_PROGRESS) => Err(fault),
             _ => self.adopt(owner, socket.into()),
         }
     }
--- a/relay/src/start.rs
+++ b/relay/src/start.rs
@@ -48,7 +48,7 @@
     if text.limits.sockets < FEWEST_SOCKETS {
         return Err(format!("limits: {} sockets are too few, {FEWEST_SOCKETS} needed", text.limits.sockets));
     }
-    if !(text.limits.memory_mb >= 8.0) {
+    if text.limits.memory_mb.is_nan() || text.limits.memory_mb < 8.0 {
         return Err(format!("limits: {} MB of memory are too little, 8 needed", text.limits.memory_mb));
     }
     Ok(Posting {
