--- a/relay/src/clients.rs
+++ b/relay/src/clients.rs
@@ -533,7 +533,7 @@
         let waited = works.now.since(asked);
         let next = if waited >= OVERDUE {
             if !self.end_told {
-                works.news.push_back(News::Delay(self.session_id(), waited));
+                works.news.push_back(News::Overdue(self.session_id(), waited));
             }
             works.now + OVERDUE
         } else {
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use thistlecroft::front::{ListScope, Listing, Standing};
 use thistlecroft::ids::{BackendId, CellId, ZoneId};
-use thistlecroft::units::{Moment, Span};
+use thistlecroft::units::{Chance, Moment, Span};
 use thistlecroft_facts::ReportPlaces;
 
 /// An empty line comes every two seconds; after more than two of them left out the watch is taken for dead.
@@ -147,7 +147,7 @@
     generation: Option<u64>,
     heard: Moment,
     pause: Span,
-    chance: oorandom::Rand64,
+    chance: Chance,
     pub book: Book,
 }
 
@@ -161,7 +161,7 @@
             generation: None,
             heard: now,
             pause: FIRST_PAUSE,
-            chance: oorandom::Rand64::new(u128::from(seed) ^ 0x64_6973_636f),
+            chance: Chance::from_seed(seed ^ 0x64_6973_636f),
             book,
         }
     }
@@ -200,7 +200,7 @@
         works.counters.list_failures += 1;
         self.state = State::Resting;
         works.news.push_back(News::ListFailed);
-        let wait = self.pause * (0.5 + 0.5 * self.chance.rand_float());
+        let wait = self.pause * (0.5 + 0.5 * self.chance.float());
         self.pause = (self.pause * 2.0).min(LONGEST_PAUSE);
         works.alarms.set(works.now + wait, Alarm::Watch);
     }
--- a/relay/src/front.rs
+++ b/relay/src/front.rs
@@ -20,6 +20,7 @@
     Probed(BackendId, Verdict, Report),
     Load(SessionId, f64),
     Delay(SessionId, Span),
+    Overdue(SessionId, Span),
     Woken,
     Stopping,
 }
@@ -75,7 +76,7 @@
 pub fn hand_in(relay: &mut Relay, news: News, now: Moment, desk: &mut Desk) -> Result<(), Option<SessionId>> {
     let about = match &news {
         News::Arrived(id, _) | News::Inherited(id, ..) | News::Ready(id, _) | News::Ended(id, _) => Some(*id),
-        News::Left(id) | News::Load(id, _) | News::Delay(id, _) => Some(*id),
+        News::Left(id) | News::Load(id, _) | News::Delay(id, _) | News::Overdue(id, _) => Some(*id),
         _ => None,
     };
     let done = catch_unwind(AssertUnwindSafe(|| match news {
@@ -89,6 +90,7 @@
         News::Probed(id, verdict, report) => relay.probed(now, id, verdict, report),
         News::Load(id, load) => relay.load_noted(id, load),
         News::Delay(id, delay) => relay.delay_noted(now, id, delay, desk),
+        News::Overdue(id, waited) => relay.overdue(now, id, waited, desk),
         News::Woken => relay.woken(now, desk),
         News::Stopping => relay.stopping(now, desk),
     }));
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,7 +6,7 @@
 use crate::deployment::{Deployment, Effect, Listener, Scope};
 use crate::front::{Arrival, Ending, Front, ListScope, Listing, Report, Standing, Verdict};
 use crate::ids::{BackendId, ListenerId, SessionId};
-use crate::units::{Moment, Span};
+use crate::units::{Chance, Moment, Span};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // The design's open settings; the runs behind them are in docs/results.md.
@@ -38,6 +38,8 @@
 const EJECT: Span = Span::from_ms(4_000); // the first time, doubling: longer than a short pause
 const NOTE_AGE: Span = Span::from_ms(2_000); // notes on late messages come once a second
 const PATIENCE: f64 = 4.0; // times the set-up time of late: a dial as slow as that is lost
+const SILENT: Span = Span::from_ms(1_000); // no line back for so long: a pause is over by then
+const STOP_STEPS: usize = 8; // tenths of the time to stop; two before them, while clients still come
 const KEPT: f64 = 0.99; // of what is counted of late, each housekeeping
 const HOUSEKEEPING: Span = Span::from_ms(500); // often enough to act on a report while it is fresh
 
@@ -132,15 +134,20 @@
     Housekeeping,
     Subscribe,
     Redial(SessionId),
+    /// So many steps are left to send away all that stands.
+    Leave(usize),
 }
 
 /// One instance, from its start to its end.
+#[derive(Default)]
 pub struct Relay {
     deployment: Deployment,
-    chance: oorandom::Rand64,
+    chance: Chance,
     sessions: BTreeMap<SessionId, Session>,
+    /// No session waits for longer, once the process is to stop.
+    until: Option<Moment>,
     clients: BTreeMap<u64, Client>,
-    backends: Vec<Option<Backend>>,
+    backends: BTreeMap<BackendId, Backend>,
     errands: BTreeSet<(Moment, Errand)>,
     /// Probes that the sessions so far pay for and that are not yet sent.
     probes_due: f64,
@@ -157,27 +164,13 @@
 
 impl Relay {
     pub fn new(deployment: Deployment, seed: u64, now: Moment, front: &mut dyn Front) -> Relay {
-        let mut relay = Relay {
-            chance: oorandom::Rand64::new(u128::from(seed)),
-            sessions: BTreeMap::new(),
-            clients: BTreeMap::new(),
-            backends: Vec::new(),
-            errands: BTreeSet::new(),
-            probes_due: 0.0,
-            failed_calls: 0,
-            met: BTreeMap::new(),
-            met_all: 0.0,
-            stood: 0.0,
-            left_alone: 0.0,
-            set_up: Span::ZERO,
-            deployment,
-        };
+        let mut relay = Relay { chance: Chance::from_seed(seed), deployment, ..Relay::default() };
         if relay.deployment.ask_within.is_some() {
             front.subscribe();
         }
-        let first = HEAR_EVERY * relay.chance.rand_float() * 0.1;
+        let first = HEAR_EVERY * relay.chance.float() * 0.1;
         relay.plan(now + first, Errand::Probe, front);
-        let phase = HOUSEKEEPING * relay.chance.rand_float();
+        let phase = HOUSEKEEPING * relay.chance.float();
         relay.plan(now + phase, Errand::Housekeeping, front);
         relay
     }
@@ -188,20 +181,12 @@
         if scope != ListScope::Changes {
             // Missing from a complete list means removed, without a line that says so.
             let named: BTreeSet<BackendId> = rows.iter().map(|row| row.backend).collect();
-            for (at, backend) in self.backends.iter_mut().enumerate() {
-                if let Some(backend) = backend
-                    && !named.contains(&BackendId(at as u32))
-                {
-                    backend.listing.standing = Standing::Gone;
-                }
+            for (_, backend) in self.backends.iter_mut().filter(|(at, _)| !named.contains(at)) {
+                backend.listing.standing = Standing::Gone;
             }
         }
         for row in rows {
-            let at = row.backend.index();
-            if self.backends.len() <= at {
-                self.backends.resize_with(at + 1, || None);
-            }
-            let backend = self.backends[at].get_or_insert_with(|| Backend::new(*row));
+            let backend = self.backends.entry(row.backend).or_insert_with(|| Backend::new(*row));
             if backend.listing.up_since != row.up_since {
                 // Another process under the same id: what was known of the last one misleads.
                 let groups = std::mem::take(&mut backend.groups);
@@ -259,18 +244,16 @@
     }
 
     pub fn ready(&mut self, now: Moment, id: SessionId, number: u32, front: &mut dyn Front) {
-        let Some(session) = self.sessions.get(&id) else { return };
-        let State::Dialling(dial) = session.state else { return };
+        let Some(&Session { state: State::Dialling(dial), arrival, .. }) = self.sessions.get(&id) else {
+            return;
+        };
         if dial.number != number {
             return;
         }
-        if let Some(key) = session.arrival.key {
+        if let Some(key) = arrival.key {
             self.client(key, now).ready_at = Some(now);
         }
-        if let Some(backend) = self.backend(dial.backend) {
-            backend.strikes = 0;
-            backend.ejections = 0;
-        }
+        self.backends.entry(dial.backend).and_modify(|at| (at.strikes, at.ejections) = (0, 0));
         self.learn_set_up(now.since(dial.sent));
         self.save_for_probes();
         self.turn(id, State::Ready(dial, now), front);
@@ -291,10 +274,8 @@
                 if verdict == Verdict::Timeout {
                     self.learn_set_up(now.since(dial.sent) * 2.0);
                 }
-                if answered {
-                    self.turn(id, State::Over, front);
-                } else {
-                    self.further(now, id, front);
+                if !answered {
+                    return self.further(now, id, front);
                 }
             }
             State::Ready(dial, since) if dial.number == number => {
@@ -307,15 +288,14 @@
                     // Looked up first: that clears the count if the connection has stood long enough.
                     self.client(key, now).ready_at = None;
                 }
-                if answered {
-                    self.turn(id, State::Over, front);
-                } else {
-                    self.finish(id, None, front);
+                if !answered {
+                    return self.finish(id, None, front);
                 }
             }
-            State::Settled => self.turn(id, State::Over, front),
-            _ => {}
+            State::Settled => {}
+            _ => return,
         }
+        self.turn(id, State::Over, front);
     }
 
     /// The client has left, or the front has ended the session.
@@ -334,35 +314,58 @@
         }
     }
 
-    /// The process is to end.
-    pub fn stopping(&mut self, _now: Moment, _front: &mut dyn Front) {}
+    fn due(&self, session: &Session) -> Moment {
+        self.until.map_or(session.due, |until| until.min(session.due))
+    }
+
+    /// The process is to end. All at once would have the clients come back together, to this very relay while
+    /// it is still dealt out; so they go in even steps, and no dial may last beyond them.
+    pub fn stopping(&mut self, now: Moment, front: &mut dyn Front) {
+        let tenth = self.deployment.stop_within * 0.1;
+        self.until = Some(now + tenth * 8.0);
+        for step in 2..=9 {
+            self.plan(now + tenth * step as f64, Errand::Leave(STOP_STEPS - step.min(STOP_STEPS - 1)), front);
+        }
+    }
+
+    fn leave(&mut self, now: Moment, steps: usize, front: &mut dyn Front) {
+        let states: Vec<(SessionId, State)> =
+            self.sessions.iter().map(|(&id, one)| (id, one.state)).collect();
+        let standing = states.iter().filter(|(_, state)| matches!(state, State::Ready(..))).count();
+        let mut part = standing.div_ceil(steps);
+        for (id, state) in states {
+            match state {
+                State::Ready(..) if part > 0 => {
+                    part -= 1;
+                    self.send_away(id, front);
+                }
+                State::Held => self.refuse(now, id, front),
+                State::Dialling(dial) if self.until <= Some(now) => front.withdraw(id, dial.number),
+                _ => {}
+            }
+        }
+    }
 
     // ---- sights of backends ----
 
     pub fn probed(&mut self, now: Moment, id: BackendId, verdict: Verdict, report: Report) {
-        if verdict == Verdict::Ok {
-            self.heard(now, id, report);
-            if let Some(backend) = self.backend(id)
-                && backend.ejected_until <= now
-            {
-                backend.strikes = 0;
-            }
-        } else {
-            self.strike(now, id, verdict);
+        if verdict != Verdict::Ok {
+            return self.strike(now, id, verdict);
+        }
+        self.heard(now, id, report);
+        if let Some(backend) = self.backends.get_mut(&id).filter(|backend| backend.ejected_until <= now) {
+            backend.strikes = 0;
         }
     }
 
     pub fn load_noted(&mut self, id: SessionId, load: f64) {
-        if let Some(session) = self.sessions.get_mut(&id) {
-            session.load = Some(load);
-        }
+        self.sessions.entry(id).and_modify(|session| session.load = Some(load));
     }
 
     pub fn delay_noted(&mut self, now: Moment, id: SessionId, delay: Span, front: &mut dyn Front) {
-        let Some(session) = self.sessions.get(&id) else { return };
-        let State::Ready(dial, _) = session.state else { return };
+        let Some(&Session { state: State::Ready(dial, _), .. }) = self.sessions.get(&id) else { return };
         let (shortest, may_probe) = (self.deployment.shortest_target, self.deployment.may_probe);
-        let Some(backend) = self.backend(dial.backend) else { return };
+        let Some(backend) = self.backends.get_mut(&dial.backend) else { return };
         backend.message_delay = Some((now, delay));
         // Its last report may be seconds old, and relief waits for a fresh one.
         let stale = backend.heard.is_none_or(|(at, _)| now.since(at) >= REPORT_LAG);
@@ -372,6 +375,17 @@
         }
     }
 
+    /// No line has come back on a connection for so long, on sockets: a backend that vanished or hangs says
+    /// nothing, ends nothing, and its clients would wait for as long as it does.
+    pub fn overdue(&mut self, now: Moment, id: SessionId, waited: Span, front: &mut dyn Front) {
+        self.delay_noted(now, id, waited, front);
+        let Some(&Session { state: State::Ready(dial, _), .. }) = self.sessions.get(&id) else { return };
+        if waited >= SILENT {
+            self.strike(now, dial.backend, Verdict::Timeout);
+            self.send_away(id, front);
+        }
+    }
+
     pub fn woken(&mut self, now: Moment, front: &mut dyn Front) {
         while let Some(&(at, errand)) = self.errands.first() {
             if at > now {
@@ -391,6 +405,7 @@
                     self.clients.retain(|_, client| now.since(client.touched) < KEY_AGE);
                     self.plan(now + HOUSEKEEPING, Errand::Housekeeping, front);
                 }
+                Errand::Leave(steps) => self.leave(now, steps, front),
                 Errand::Subscribe => front.subscribe(),
                 Errand::Redial(id) => {
                     if self.sessions.get(&id).is_some_and(|s| matches!(s.state, State::Held)) {
@@ -417,7 +432,7 @@
             _ => None,
         };
         for (held, more) in [(on(was), false), (on(next), true)] {
-            let Some(backend) = held.and_then(|at| self.backend(at)) else { continue };
+            let Some(backend) = held.and_then(|at| self.backends.get_mut(&at)) else { continue };
             backend.open = if more { backend.open + 1 } else { backend.open.saturating_sub(1) };
             if let Some(group) = group {
                 let members = backend.groups.entry(group).or_default();
@@ -434,13 +449,11 @@
     }
 
     fn dial(&mut self, now: Moment, id: SessionId, front: &mut dyn Front) {
-        let session = &self.sessions[&id];
-        let left = session.due.since(now + self.deployment.tick + self.deployment.tick);
         let Some(backend) = self.pick(now, id) else {
-            let wait = self.count_failure(now, id);
-            return self.finish(id, Some(wait), front);
+            return self.refuse(now, id, front);
         };
         let session = &self.sessions[&id];
+        let left = self.due(session).since(now + self.deployment.tick + self.deployment.tick);
         let last = session.dials + 1 >= self.deployment.max_dials;
         let target = self.row(session.arrival.listener).handshake_target;
         let patience = target.max(self.set_up * PATIENCE);
@@ -449,11 +462,9 @@
             return self.finish(id, None, front);
         }
         let number = session.dials;
-        if let Some(session) = self.sessions.get_mut(&id) {
-            session.dials += 1;
-        }
+        self.sessions.entry(id).and_modify(|session| session.dials += 1);
         let turn = self.cold_turn(now, backend);
-        if let Some(at) = self.backend(backend) {
+        if let Some(at) = self.backends.get_mut(&backend) {
             at.placed.push_back(now);
             at.cold_turn = turn.map(|(turn, used)| (turn, used + 1));
         }
@@ -466,7 +477,7 @@
         let wait = self.count_failure(now, id);
         let session = &self.sessions[&id];
         let room = self.deployment.connect_timeout + self.deployment.tick * 2.0;
-        let in_time = now + wait + room < session.due && session.dials < self.deployment.max_dials;
+        let in_time = now + wait + room < self.due(session) && session.dials < self.deployment.max_dials;
         let repeat_known = self.allowed(session, |_, window, at| now + wait < at + window);
         if in_time && repeat_known {
             self.turn(id, State::Held, front);
@@ -486,6 +497,11 @@
         }
     }
 
+    fn refuse(&mut self, now: Moment, id: SessionId, front: &mut dyn Front) {
+        let wait = self.count_failure(now, id);
+        self.finish(id, Some(wait), front);
+    }
+
     /// The final answer: a refusal where trying again is known to be harmless, a teardown otherwise.
     fn finish(&mut self, id: SessionId, wait: Option<Span>, front: &mut dyn Front) {
         let session = &self.sessions[&id];
@@ -508,7 +524,7 @@
 
     fn jitter(&mut self, count: u32) -> Span {
         let most = CAP.min(BASE * f64::from(1u32 << count.min(16)));
-        most * self.chance.rand_float()
+        most * self.chance.float()
     }
 
     /// Counts a failure of the session's client; the answer is the design's delay before a further try.
@@ -544,17 +560,13 @@
 
     // ---- health ----
 
-    fn backend(&mut self, id: BackendId) -> Option<&mut Backend> {
-        self.backends.get_mut(id.index()).and_then(Option::as_mut)
-    }
-
     fn row(&self, listener: ListenerId) -> &Listener {
         &self.deployment.listeners[usize::from(listener.0)]
     }
 
     fn heard(&mut self, now: Moment, id: BackendId, report: Report) {
         let told = report.connections.or(report.load).is_some();
-        let Some(backend) = self.backend(id).filter(|_| told) else { return };
+        let Some(backend) = self.backends.get_mut(&id).filter(|_| told) else { return };
         backend.heard = Some((now, report));
         backend.weight_heard = backend.listing.weight;
         backend.placed.retain(|&at| at + REPORT_LAG > now);
@@ -565,7 +577,7 @@
     fn strike(&mut self, now: Moment, id: BackendId, verdict: Verdict) {
         let ready = self.ready_ones().count();
         let out = self.ready_ones().filter(|(_, backend)| backend.ejected_until > now).count();
-        let Some(backend) = self.backend(id) else { return };
+        let Some(backend) = self.backends.get_mut(&id) else { return };
         backend.strikes += 1;
         // Failures all over the fleet have a cause that no backend can be blamed for, ours or one they share.
         let blamed = (out + 1) * MOST_OUT < ready.max(MOST_OUT + 1);
@@ -602,16 +614,13 @@
     fn relieve(&mut self, now: Moment, front: &mut dyn Front) {
         let shortest = self.deployment.shortest_target;
         let mut over: BTreeMap<BackendId, f64> = BTreeMap::new();
-        for (at, backend) in self.backends.iter_mut().enumerate() {
-            let Some(backend) = backend else { continue };
-            let Some((heard, load)) = backend.heard.and_then(|(heard, r)| Some((heard, r.load?))) else {
-                continue;
-            };
+        for (&at, backend) in &mut self.backends {
+            let Some((heard, Report { load: Some(load), .. })) = backend.heard else { continue };
             let behind = backend.late_for(shortest, now);
             let limit = if behind { HOT } else { OVERDRIVEN };
             if load > limit && heard >= backend.relieved + REPORT_LAG && now.since(heard) < REPORT_LAG {
                 backend.relieved = now;
-                over.insert(BackendId(at as u32), 1.0 - if behind { DRAIN } else { HOT } / load);
+                over.insert(at, 1.0 - if behind { DRAIN } else { HOT } / load);
             }
         }
         let mut excess: BTreeMap<BackendId, f64> = BTreeMap::new();
@@ -632,9 +641,8 @@
             let left = excess.entry(at).or_default();
             let chance = *left / load;
             *left -= load;
-            if chance >= 1.0 || chance > 0.0 && self.chance.rand_float() < chance {
-                front.send_away(id);
-                self.turn(id, State::Settled, front);
+            if chance >= 1.0 || chance > 0.0 && self.chance.float() < chance {
+                self.send_away(id, front);
             }
         }
     }
@@ -649,31 +657,31 @@
         let mut crossing: Vec<SessionId> = Vec::new();
         for (&id, session) in &self.sessions {
             let State::Ready(dial, since) = session.state else { continue };
-            let at = self.backends.get(dial.backend.index()).and_then(Option::as_ref);
+            let at = self.backends.get(&dial.backend);
             if now.since(since) >= COOL_DOWN && at.is_some_and(|at| at.listing.zone != home) {
                 crossing.push(id);
             }
         }
         let Some(&id) = self.any_of(&crossing) else { return };
         let Some(at) = self.pick(now, id) else { return };
-        if self.at(at).listing.zone == home && self.load(now, at, self.pool(now)) < ROOMY {
-            front.send_away(id);
-            self.turn(id, State::Settled, front);
+        if self.backends[&at].listing.zone == home && self.load(now, at, self.pool(now)) < ROOMY {
+            self.send_away(id, front);
         }
     }
 
-    fn ids(&self) -> impl Iterator<Item = (BackendId, &Backend)> {
-        let numbered = self.backends.iter().enumerate();
-        numbered.filter_map(|(at, backend)| Some((BackendId(at as u32), backend.as_ref()?)))
+    fn send_away(&mut self, id: SessionId, front: &mut dyn Front) {
+        front.send_away(id);
+        self.turn(id, State::Settled, front);
     }
 
     fn ready_ones(&self) -> impl Iterator<Item = (BackendId, &Backend)> {
-        self.ids().filter(|(_, backend)| backend.listing.standing == Standing::Ready)
+        let all = self.backends.iter().map(|(&id, backend)| (id, backend));
+        all.filter(|(_, backend)| backend.listing.standing == Standing::Ready)
     }
 
     fn any_of<'a, T>(&mut self, list: &'a [T]) -> Option<&'a T> {
         let top = list.len() as u64;
-        (top > 0).then(|| &list[self.chance.rand_range(0..top) as usize])
+        (top > 0).then(|| &list[self.chance.below(top) as usize])
     }
 
     // ---- picking ----
@@ -684,7 +692,7 @@
         let (group, last, listener, ran) =
             (session.arrival.group, session.last_tried, session.arrival.listener, session.ran);
         let (effect, pool) = (self.row(listener).effect, self.pool(now));
-        let first = ran.map(|(first, _)| self.at(first).listing);
+        let first = ran.map(|(first, _)| self.backends[&first].listing);
         let mut able: Vec<BackendId> = Vec::new();
         for (at, Backend { listing, .. }) in self.ready_ones() {
             let in_scope = match (effect, first) {
@@ -697,7 +705,7 @@
             }
         }
         let healthy: Vec<BackendId> =
-            able.iter().copied().filter(|&at| self.at(at).ejected_until <= now).collect();
+            able.iter().copied().filter(|&at| self.backends[&at].ejected_until <= now).collect();
         let mut able = if healthy.is_empty() { able } else { healthy };
         if able.len() > 1 {
             able.retain(|&at| Some(at) != last);
@@ -706,13 +714,13 @@
         let crossing_is_free = self.deployment.crossing_price <= 0.0;
         let takes = group.map_or(0.0, |group| self.takes(group, pool));
         if let Some(group) = group {
-            able.sort_by_cached_key(|&at| mixed(self.at(at).listing.mark, group));
+            able.sort_by_cached_key(|&at| mixed(self.backends[&at].listing.mark, group));
         }
         let weighed: Vec<Entry> = able
             .into_iter()
             .enumerate()
             .map(|(place, at)| {
-                let backend = self.at(at);
+                let backend = &self.backends[&at];
                 // Of hundreds of relays one knows next to nothing of where a group is held: most likely with
                 // the first of its order, and with as many more as its part of all sessions takes.
                 let held = place == 0 || group.is_none_or(|group| backend.groups.contains_key(&group));
@@ -752,10 +760,6 @@
         share * pool.load * self.ready_ones().count() as f64 / HOT
     }
 
-    fn at(&self, id: BackendId) -> &Backend {
-        self.backends[id.index()].as_ref().expect("picked among those listed")
-    }
-
     /// What the pool tells of the fleet, from entries that are not too old.
     fn pool(&self, now: Moment) -> Pool {
         let (mut heard, mut load, mut weighted, mut count, mut tells_share) = (0.0, 0.0, 0.0, 0.0, false);
@@ -771,7 +775,7 @@
             return Pool { empty: true, ..Pool::default() };
         }
         if count == 0.0 {
-            let open: u32 = self.ids().map(|(_, b)| b.open).sum();
+            let open: u32 = self.backends.values().map(|b| b.open).sum();
             let ready = self.ready_ones().count() as f64;
             count = f64::from(open) * f64::from(self.deployment.relays) * heard / ready.max(1.0);
         }
@@ -785,7 +789,7 @@
     /// What a backend counts for: its report and what this relay placed there since. Relays that share
     /// nothing draw the same pair for a group at the same time, so own placements stand for those of all.
     fn load(&self, now: Moment, id: BackendId, pool: Pool) -> f64 {
-        let backend = self.at(id);
+        let backend = &self.backends[&id];
         if pool.empty {
             return f64::from(backend.open);
         }
@@ -798,7 +802,7 @@
     /// The turn that runs at a cold backend and this relay's use of it so far; None where warm. All relays
     /// see the same start of the same backend, so its age cuts time into turns without a word between them.
     fn cold_turn(&self, now: Moment, id: BackendId) -> Option<(u64, u32)> {
-        let (backend, cold) = (self.at(id), &self.deployment.cold);
+        let (backend, cold) = (&self.backends[&id], &self.deployment.cold);
         let age = now.since(backend.listing.up_since?);
         let turn = age.us() / cold.window.us().max(1);
         let used = backend.cold_turn.filter(|&(at, _)| at == turn).map_or(0, |(_, used)| used);
@@ -807,7 +811,7 @@
 
     /// If this relay may use a cold backend in the turn that runs.
     fn turn_is_open(&self, now: Moment, id: BackendId, (turn, used): (u64, u32), pool: Pool) -> bool {
-        let (listing, cold) = (self.at(id).listing, &self.deployment.cold);
+        let (listing, cold) = (self.backends[&id].listing, &self.deployment.cold);
         let age = listing.up_since.map_or(cold.warm_up, |at| now.since(at));
         let share = cold.start_share + (1.0 - cold.start_share) * age.secs() / cold.warm_up.secs();
         // Any window overlaps two turns: half for either. Where groups share work, what they cost lowers the
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -29,7 +29,7 @@
 }
 
 /// How a cold backend may be loaded by all relays together.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ColdStart {
     pub start_share: f64,
     pub warm_up: Span,
@@ -37,7 +37,7 @@
     pub window: Span,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Deployment {
     pub me: u32,
     pub relays: u32,
--- a/src/units.rs
+++ b/src/units.rs
@@ -1,4 +1,4 @@
-//! Points in time and spans, in whole microseconds; two types so that one can't stand for the other.
+//! Points in time and spans, in whole microseconds; two types so that one can't stand for the other. And chance.
 use std::ops::{Add, AddAssign, Mul, Sub};
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -83,3 +83,27 @@
         Span((self.0 as f64 * factor) as u64)
     }
 }
+
+/// Chance from a given seed: the same seed, the same course.
+pub struct Chance(oorandom::Rand64);
+
+impl Chance {
+    pub fn from_seed(seed: u64) -> Chance {
+        Chance(oorandom::Rand64::new(u128::from(seed)))
+    }
+
+    /// From 0 up to, not including, 1.
+    pub fn float(&mut self) -> f64 {
+        self.0.rand_float()
+    }
+
+    pub fn below(&mut self, top: u64) -> u64 {
+        self.0.rand_range(0..top)
+    }
+}
+
+impl Default for Chance {
+    fn default() -> Chance {
+        Chance::from_seed(0)
+    }
+}
