Integration tests over loopback; a backend's break reaches the client as a break

The tests start the program with stand-ins for backends and discovery. They found that a reset from a backend reached the client as an ordinary end: the session's client socket was closed without its linger set. Lines that still wait are not thrown away for it: then an end has to do.

--- a/relay/src/clients.rs
+++ b/relay/src/clients.rs
@@ -483,8 +483,8 @@
             Stage::Placing | Stage::Inheriting => self.client_left(works),
             Stage::Standing => {
                 self.tell_end(Verdict::Withdrawn, works);
-                if let Some(dial) = self.dial.take() {
-                    dial.sock.reset();
+                if let Some(dial) = &self.dial {
+                    dial.sock.break_off();
                 }
             }
             _ => {}
@@ -804,9 +804,13 @@
             return self.backend_end(works);
         }
         self.tell_end(Verdict::Reset, works);
-        // Lines that came before the break pass before it.
-        let _ = self.down.give(&mut self.client, &mut works.pool);
-        Over
+        // Lines that came before the break pass before it; where they can't at once, an end has to do, since a
+        // break would throw them away.
+        if !matches!(self.down.give(&mut self.client, &mut works.pool), Ok(false)) {
+            self.client.break_off();
+            return Over;
+        }
+        self.part("", works)
     }
 
     fn pass_up(&mut self, works: &mut Works) -> Fate {
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -15,3 +15,6 @@
 
 pub use service::Service;
 pub use start::{Posting, read, read_file};
+
+#[cfg(test)]
+mod tests;
--- a/relay/src/sockets.rs
+++ b/relay/src/sockets.rs
@@ -59,7 +59,7 @@
     })
 }
 
-fn key_of(owner: Owner, serial: u32) -> usize {
+pub fn key_of(owner: Owner, serial: u32) -> usize {
     let (kind, id) = match owner {
         Owner::Door => (0, 0),
         Owner::Signals => (1, 0),
@@ -170,8 +170,8 @@
         let _ = self.stream.shutdown(Shutdown::Write);
     }
 
-    /// Closes so that the other end sees a break, not an end.
-    pub fn reset(self) {
+    /// When it is closed the other end will see a break, not an end.
+    pub fn break_off(&self) {
         let _ = SockRef::from(&self.stream).set_linger(Some(std::time::Duration::ZERO));
     }
 }
--- /dev/null
+++ b/relay/src/tests.rs
@@ -0,0 +1,136 @@
+//! Tables on the parts that need no socket.
+use crate::buffers::{Pool, SIZE};
+use crate::lines::{Flow, LINE, TooLong, Took};
+use crate::protocol::{
+    Cause, Fault, First, Names, Reach, Said, backend_line, first_line, probe_line, refusal,
+};
+use crate::sockets::{Owner, key_of, owner_of};
+use thistlecroft::front::{Report, Verdict};
+use thistlecroft::ids::ListenerId;
+use thistlecroft::units::Span;
+
+fn names(groups: bool) -> Names {
+    Names { listeners: vec!["chat".into(), "feed".into()], groups }
+}
+
+#[test]
+fn an_open_line_is_read_and_goes_on_with_another_wait() {
+    // Items in any order, unknown ones kept; with groups and without.
+    let cases = [
+        ("OPEN a b c=chat,d=2000,g=5c", 0, 1_985, Some(0x5c), "OPEN a b c=chat,d=70,g=5c"),
+        ("OPEN a b d=15,c=feed", 1, 0, None, "OPEN a b d=70,c=feed"),
+        ("OPEN a b h=3,c=feed,r=1,d=1,again=1", 1, 0, None, "OPEN a b h=3,c=feed,r=1,d=70,again=1"),
+    ];
+    for (line, listener, left, group, onward) in cases {
+        for groups in [true, false] {
+            let Ok(First::Open(open)) = first_line(line.as_bytes(), &names(groups)) else { panic!("{line}") };
+            assert_eq!(open.arrival.listener, ListenerId(listener), "{line}");
+            assert_eq!(open.arrival.dial_timeout, Span::from_ms(left), "{line}");
+            assert_eq!(open.arrival.group, group.filter(|_| groups), "{line}");
+            assert_eq!(open.arrival.key, Some(0xb), "{line}");
+            assert_eq!(open.line(Span::from_us(70_900)), onward);
+        }
+    }
+    let Ok(First::Open(open)) = first_line(b"OPEN a b c=chat,d=9,at=s-5be", &names(true)) else { panic!() };
+    assert_eq!(open.at.as_deref(), Some("s-5be"));
+}
+
+#[test]
+fn a_dials_end_proves_what_its_reach_allows() {
+    use Cause::{BadLine, Broken, Ours, TimedOut, Withdrawn};
+    let cases = [
+        (Reach::Nothing, Ours, Verdict::NeverSent),
+        (Reach::Nothing, Broken, Verdict::Unreachable),
+        (Reach::Nothing, TimedOut, Verdict::Unreachable),
+        (Reach::Nothing, Withdrawn, Verdict::NeverSent),
+        (Reach::Connected, Broken, Verdict::Unreachable),
+        (Reach::Connected, TimedOut, Verdict::Unreachable),
+        (Reach::Connected, Withdrawn, Verdict::NeverSent),
+        (Reach::Sent, Broken, Verdict::Reset),
+        (Reach::Sent, TimedOut, Verdict::Timeout),
+        (Reach::Sent, Withdrawn, Verdict::Withdrawn),
+        (Reach::Sent, BadLine, Verdict::Error),
+        // An answer to a line that was not all sent yet: it may have run all the same.
+        (Reach::Connected, BadLine, Verdict::Error),
+        (Reach::Sent, Cause::Said(Verdict::Full, Report::default()), Verdict::Full),
+    ];
+    for (reach, cause, expected) in cases {
+        assert_eq!(Fault { reach, cause }.verdict(), expected, "{reach:?} {cause:?}");
+    }
+}
+
+#[test]
+fn backends_lines_are_told_apart() {
+    let last = |line: &str| match backend_line(line.as_bytes()) {
+        Said::Last(verdict, report) => Some((verdict, report.connections, report.load)),
+        _ => None,
+    };
+    let cases = [
+        ("BYE inflight=7,queue=2,util=0.61", Some((Verdict::Ok, Some(7.0), Some(0.61)))),
+        ("BUSY rif=3,x0=0.5,busy=0.9", Some((Verdict::Full, Some(3.0), Some(0.5)))),
+        ("ERR", Some((Verdict::Error, None, None))),
+        ("ERR inflight=NaN,x0=-1", Some((Verdict::Error, None, Some(0.0)))),
+        ("MOVE", Some((Verdict::Withdrawn, None, None))),
+        ("BYELAW", None),
+        ("UP x", None),
+    ];
+    for (line, expected) in cases {
+        assert_eq!(last(line), expected, "{line}");
+    }
+    assert!(matches!(backend_line(b"LOAD 12.5"), Said::Load(load) if load == 12.5));
+    assert!(matches!(backend_line(b"LOAD much"), Said::Other));
+    assert!(matches!(backend_line(b"UP"), Said::Up));
+    assert_eq!(probe_line(b"PONG inflight=2").1.connections, Some(2.0));
+    assert_eq!(probe_line(b"NO").0, Verdict::Error);
+    assert_eq!(refusal(Some(Span::from_us(1_001))), "BUSY 2");
+}
+
+#[test]
+fn lines_split_anywhere_come_out_whole() {
+    let text = b"one\r\ntwo\n\r\nlast";
+    for size in 1..text.len() {
+        let (mut flow, mut pool) = (Flow::default(), Pool::new(1));
+        let mut lines: Vec<Vec<u8>> = Vec::new();
+        let mut out = Vec::new();
+        for mut piece in text.chunks(size) {
+            let length = piece.len();
+            assert_eq!(flow.take(&mut piece, &mut pool).unwrap(), Took::Bytes(length));
+            while let Some(line) = flow.next_line().unwrap() {
+                lines.push(line.to_vec());
+            }
+            // Only whole lines go on, so that a word of ours fits between.
+            flow.give(&mut out, &mut pool).unwrap();
+            assert!(out.is_empty() || out.ends_with(b"\n"), "pieces of {size}");
+        }
+        assert_eq!(lines, [&b"one"[..], b"two", b""]);
+        assert!(!pool.has_some(), "a waiting beginning holds the buffer");
+        assert_eq!(flow.take(&mut &b""[..], &mut pool).unwrap(), Took::End);
+        assert!(flow.give(&mut out, &mut pool).unwrap());
+        assert_eq!(out, text, "pieces of {size}");
+        assert!(pool.has_some(), "nothing waits, nothing is held");
+    }
+}
+
+#[test]
+fn lines_are_bounded_and_so_is_the_pool() {
+    // Length of a line with its ending, and whether it passes.
+    for (length, passes) in [(LINE, true), (LINE + 1, false), (SIZE, false)] {
+        let line: Vec<u8> = [vec![b'x'; length - 1], vec![b'\n']].concat();
+        let (mut flow, mut pool) = (Flow::default(), Pool::new(1));
+        flow.take(&mut &line[..], &mut pool).unwrap();
+        assert_eq!(flow.next_line().map(|line| line.is_some()), if passes { Ok(true) } else { Err(TooLong) });
+        let mut other = Flow::default();
+        assert_eq!(other.take(&mut &b"x\n"[..], &mut pool).unwrap(), Took::Starved);
+        flow.clear(&mut pool);
+        assert_eq!(other.take(&mut &b"x\n"[..], &mut pool).unwrap(), Took::Bytes(2));
+    }
+}
+
+#[test]
+fn a_closed_sockets_key_is_not_its_successors() {
+    for owner in [Owner::Door, Owner::Watch, Owner::Client(7), Owner::Dial(7), Owner::Probe(u32::MAX)] {
+        assert_eq!(owner_of(key_of(owner, 1)), Some(owner));
+        assert_ne!(key_of(owner, 1), key_of(owner, 2));
+    }
+    assert_eq!(owner_of(usize::MAX), None);
+}
--- /dev/null
+++ b/relay/tests/sockets.rs
@@ -0,0 +1,588 @@
+//! Starts the program and speaks to it over loopback, with small stand-ins for backends and discovery. Every
+//! wait ends by itself; what is waited for is an event, never a span.
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const LONG: Duration = Duration::from_secs(10);
+
+// ---- stand-ins ----
+
+/// What a backend does with the first line of a connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Play {
+    /// Up, then each line comes back; the client's end is answered `BYE`.
+    Echo,
+    /// Up in pieces.
+    Split,
+    Say(&'static str),
+    /// Up, then this, then the end.
+    UpThen(&'static str),
+    UpThenReset,
+    /// Up, then never a word.
+    UpMute,
+    Mute,
+    End,
+    TooLong,
+    /// Up, then so many lines without waiting for any.
+    Flood(usize),
+}
+
+/// What a backend met, in order: first lines, and how later ones and the end came.
+type Met = Receiver<String>;
+
+fn backend(play: Play) -> (SocketAddr, Met) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tell, met) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let tell = tell.clone();
+            thread::spawn(move || drop(serve(stream.unwrap(), play, tell)));
+        }
+    });
+    (address, met)
+}
+
+fn serve(stream: TcpStream, play: Play, tell: Sender<String>) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let (mut out, mut lines) = (stream.try_clone()?, BufReader::new(stream.try_clone()?));
+    let mut line = String::new();
+    lines.read_line(&mut line)?;
+    while line == "STATS\r\n" {
+        let _ = tell.send(std::mem::take(&mut line));
+        out.write_all(b"PONG inflight=3,x0=0.25\r\n")?;
+        lines.read_line(&mut line)?;
+    }
+    let _ = tell.send(line.clone());
+    match play {
+        Play::Say(word) => return out.write_all(word.as_bytes()),
+        Play::Mute => return lines.read_to_string(&mut line).map(drop),
+        Play::End => return Ok(()),
+        Play::TooLong => return out.write_all(&[b'x'; 9_000]),
+        Play::Split => {
+            for piece in ["U", "P re", "ceipt\r", "\n"] {
+                out.write_all(piece.as_bytes())?;
+                thread::sleep(Duration::from_millis(5));
+            }
+        }
+        _ => out.write_all(b"UP receipt\r\n")?,
+    }
+    match play {
+        Play::UpThen(words) => return out.write_all(words.as_bytes()),
+        Play::UpThenReset => {
+            out.write_all(b"last\r\n")?;
+            // Closing with the client's line unread makes the system send a reset.
+            while stream.peek(&mut [0; 1])? == 0 {}
+            return Ok(());
+        }
+        Play::UpMute => return lines.read_to_string(&mut line).map(drop),
+        Play::Flood(count) => {
+            for number in 0..count {
+                out.write_all(format!("line {number}\r\n").as_bytes())?;
+            }
+        }
+        _ => {}
+    }
+    loop {
+        line.clear();
+        let end = match lines.read_line(&mut line) {
+            Ok(0) => "end",
+            Err(_) => "reset",
+            Ok(_) => {
+                let _ = tell.send(line.clone());
+                out.write_all(line.as_bytes())?;
+                continue;
+            }
+        };
+        let _ = tell.send(end.into());
+        return if end == "end" { out.write_all(b"BYE inflight=1\r\n") } else { Ok(()) };
+    }
+}
+
+fn next(met: &Met) -> String {
+    met.recv_timeout(LONG).expect("the backend met nothing more")
+}
+
+/// One that accepts and never says a word is `None`; else each watch gets the next script of pieces, and then
+/// stays open or ends.
+struct Script {
+    pieces: Vec<String>,
+    ends: bool,
+}
+
+fn discovery(scripts: Vec<Script>) -> (SocketAddr, Met) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tell, met) = channel();
+    thread::spawn(move || {
+        let mut scripts = scripts.into_iter();
+        let mut open = Vec::new();
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            stream.set_nodelay(true).unwrap();
+            let mut line = String::new();
+            let mut lines = BufReader::new(stream.try_clone().unwrap());
+            lines.read_line(&mut line).unwrap();
+            tell.send(line).unwrap();
+            let Some(script) = scripts.next() else {
+                open.push(stream);
+                continue;
+            };
+            for piece in script.pieces {
+                let _ = stream.write_all(piece.as_bytes());
+                thread::sleep(Duration::from_millis(2));
+            }
+            if !script.ends {
+                open.push(stream);
+            }
+        }
+    });
+    (address, met)
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\n\r\n", text.len() + 1)
+}
+
+fn list(generation: u64, reset: bool, rows: &[(&str, SocketAddr, &str)]) -> String {
+    let rows: Vec<String> = rows
+        .iter()
+        .map(|(name, at, lifecycle)| {
+            format!(
+                r#"{{"instanceId":"{name}","hostPort":"{at}","zone":"a","machineType":"m","cell":0,
+                "lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":0}}"#
+            )
+            .replace('\n', "")
+        })
+        .collect();
+    format!(r#"{{"generation":{generation},"reset":{reset},"instances":[{}]}}"#, rows.join(","))
+}
+
+/// An address at which nobody listens.
+fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+// ---- the program ----
+
+struct Relay {
+    child: Child,
+    at: SocketAddr,
+    log: BufReader<std::process::ChildStderr>,
+}
+
+const SETTINGS: &str = r#"{"az": 0, "zones": ["a"], "balancers": 1, "me": 0, "tickUs": 2000,
+ "discovery": "automatic", "extra": {"groups": true},
+ "listeners": [
+  {"name": "safe", "deadlineUs": 1500000, "handshakeTargetUs": 300000, "effect": "retryable", "utility": 1.0},
+  {"name": "once", "deadlineUs": 1500000, "handshakeTargetUs": 300000, "effect": "fragile", "utility": 1.0}],
+ "invariants": {"askWithinUs": 1, "coldUs": 9000000, "fallUs": 3000000, "overloadFactor": 3.0,
+  "startCapacity": 0.3},
+ "permissions": {"connIdleUs": 5000000, "dialTimeoutUs": 50000, "maxDials": 1, "maxRetryAfterUs": 2000000,
+  "mayCancel": true, "probes": PROBES, "retryAfter": true},
+ "report": {"fields": ["rif", "x0"], "how": "pull"}}"#;
+
+fn config(at: SocketAddr, discovery: SocketAddr, sockets: usize, known: &str, probes: bool) -> String {
+    let settings = SETTINGS.replace("PROBES", if probes { "true" } else { "false" });
+    format!(
+        r#"{{"name":"r0","listen":"{at}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":64,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
+    )
+}
+
+fn start_with(text: &str) -> Child {
+    let name = format!("thistlecroft-{}-{:?}.json", std::process::id(), thread::current().id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, text).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_thistlecroft-relay"))
+        .env("ROUTER_CONFIG", &path)
+        .env("RUST_LOG", "info")
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap()
+}
+
+fn start(discovery: SocketAddr, sockets: usize, known: &str, probes: bool) -> Relay {
+    let at = nobody();
+    let mut child = start_with(&config(at, discovery, sockets, known, probes));
+    let log = BufReader::new(child.stderr.take().unwrap());
+    let mut relay = Relay { child, at, log };
+    relay.logged("serves at");
+    relay
+}
+
+/// A relay that knows these backends and whose discovery is dead.
+fn relay_with(backends: &[SocketAddr]) -> Relay {
+    let names: Vec<String> = (0..backends.len()).map(|number| format!("b{number}")).collect();
+    let rows: Vec<_> = names.iter().zip(backends).map(|(name, at)| (name.as_str(), *at, "Ready")).collect();
+    start(nobody(), 1_000, &list(1, true, &rows), false)
+}
+
+impl Relay {
+    /// Reads the log up to a line that holds this.
+    fn logged(&mut self, text: &str) -> String {
+        let until = Instant::now() + LONG;
+        while Instant::now() < until {
+            let mut line = String::new();
+            assert!(self.log.read_line(&mut line).unwrap() > 0, "the log ended before \"{text}\"");
+            if line.contains(text) {
+                return line;
+            }
+        }
+        panic!("no \"{text}\" in the log");
+    }
+
+    fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([format!("-{name}"), self.child.id().to_string()]).status();
+        assert!(done.unwrap().success());
+    }
+
+    fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.at).unwrap();
+        stream.set_nodelay(true).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Client { lines: BufReader::new(stream) }
+    }
+
+    fn open(&self, listener: &str, wait: u32) -> Client {
+        let mut client = self.client();
+        client.say(&format!("OPEN 9b1f 7f3a c={listener},d={wait},g=5c\r\n"));
+        client
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct Client {
+    lines: BufReader<TcpStream>,
+}
+
+impl Client {
+    fn say(&mut self, text: &str) {
+        self.lines.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// The next line; "end" or "reset" where the connection is over.
+    fn hears(&mut self) -> String {
+        let mut line = String::new();
+        match self.lines.read_line(&mut line) {
+            Ok(0) => "end".into(),
+            Ok(_) => line.trim_end().into(),
+            Err(fault) if fault.kind() == ErrorKind::ConnectionReset => "reset".into(),
+            Err(fault) => panic!("{fault}"),
+        }
+    }
+
+    fn ends_sending(&self) {
+        self.lines.get_ref().shutdown(Shutdown::Write).unwrap();
+    }
+}
+
+// ---- cases ----
+
+#[test]
+fn each_first_word_of_a_backend_has_its_answer() {
+    // What the backend does, and the client's answer where a session may run again and where it may not.
+    let cases = [
+        (Play::Echo, "UP receipt", "UP receipt"),
+        (Play::Split, "UP receipt", "UP receipt"),
+        (Play::Say("BUSY\r\n"), "BUSY", "BUSY"),
+        (Play::Say("ERR inflight=7\r\n"), "BUSY", "ERR"),
+        (Play::Say("MOVE\r\n"), "BUSY", "ERR"),
+        (Play::Say("BYE\r\n"), "BUSY", "ERR"),
+        (Play::Say("what\r\n"), "BUSY", "ERR"),
+        (Play::TooLong, "BUSY", "ERR"),
+        (Play::End, "BUSY", "ERR"),
+        (Play::Mute, "BUSY", "ERR"),
+    ];
+    for (play, again, once) in cases {
+        let (address, met) = backend(play);
+        let relay = relay_with(&[address]);
+        for (listener, expected) in [("safe", again), ("once", once)] {
+            let (asked, mut client) = (Instant::now(), relay.open(listener, 400));
+            let heard = client.hears();
+            assert!(
+                asked.elapsed() < Duration::from_millis(450),
+                "{play:?} {listener}: {:?}",
+                asked.elapsed()
+            );
+            assert_eq!(heard.split(' ').next(), expected.split(' ').next(), "{play:?} {listener}: {heard}");
+            // The line goes on as it came, but for the wait that is left.
+            let line = std::iter::repeat_with(|| next(&met)).find(|line| line.starts_with("OPEN")).unwrap();
+            let wait = line.strip_prefix(&format!("OPEN 9b1f 7f3a c={listener},d="));
+            let wait = wait.and_then(|rest| rest.strip_suffix(",g=5c\r\n")).expect("another line was sent");
+            assert!((200..=400).contains(&wait.parse::<u32>().unwrap()), "{play:?}: {line}");
+            if !expected.starts_with("UP") {
+                assert_eq!(client.hears(), "end", "{play:?} {listener}: one answer and no more");
+            }
+        }
+    }
+    // Nobody there: never sent, so trying again is harmless for all.
+    let relay = relay_with(&[nobody()]);
+    assert!(relay.open("once", 400).hears().starts_with("BUSY"));
+}
+
+#[test]
+fn clients_first_lines() {
+    let relay = relay_with(&[]);
+    let long = format!("OPEN 1 2 c=safe,d=100,x={}\r\n", "x".repeat(5_000));
+    let cases: &[(&[&str], &[&str])] = &[
+        (&["PING\r\n"], &["PONG"]),
+        (&["PI", "NG", "\r", "\nPING\r\nPING\r\n"], &["PONG", "PONG", "PONG"]),
+        (&["PING\r\nhello\r\n"], &["PONG", "ERR", "end"]),
+        (&["hello\r\n"], &["ERR", "end"]),
+        (&["\r\n"], &["ERR", "end"]),
+        (&["OPEN 1 2\r\n"], &["ERR", "end"]),
+        (&["OPEN 1 2 c=safe\r\n"], &["ERR", "end"]),
+        (&["OPEN 1 2 c=other,d=100\r\n"], &["ERR", "end"]),
+        (&["OPEN 1 2 c=safe,d=soon\r\n"], &["ERR", "end"]),
+        (&["OPEN 1 2 c=safe,d\r\n"], &["ERR", "end"]),
+        (&[&long], &["ERR", "end"]),
+        // No line ending within three seconds.
+        (&["OPEN 1 2 c=sa"], &["ERR", "end"]),
+        // No backend is known, so nothing was sent.
+        (&["OPEN 1 2 c=safe,d=1000\r\n"], &["BUSY", "end"]),
+    ];
+    for (pieces, expected) in cases {
+        let mut client = relay.client();
+        for piece in *pieces {
+            client.say(piece);
+        }
+        for word in *expected {
+            assert_eq!(client.hears().split(' ').next(), Some(*word), "{pieces:?}");
+        }
+    }
+    let mut cut_off = relay.client();
+    cut_off.say("OPEN 1 2 c=sa");
+    cut_off.ends_sending();
+    assert_eq!([cut_off.hears(), cut_off.hears()], ["ERR", "end"]);
+}
+
+#[test]
+fn lines_pass_both_ways_and_ends_come_across() {
+    let (address, met) = backend(Play::Echo);
+    let relay = relay_with(&[address]);
+    let mut client = relay.open("safe", 1_000);
+    assert_eq!(client.hears(), "UP receipt");
+    next(&met);
+    client.say("one\r\ntwo\r\nth");
+    assert_eq!([client.hears(), client.hears()], ["one", "two"]);
+    client.say("ree\r\nlast without an ending");
+    client.ends_sending();
+    assert_eq!([client.hears(), client.hears()], ["three", "last without an endingBYE inflight=1"]);
+    assert_eq!(client.hears(), "end");
+    let passed: Vec<String> = (0..5).map(|_| next(&met)).collect();
+    assert_eq!(passed, ["one\r\n", "two\r\n", "three\r\n", "last without an ending", "end"]);
+
+    // A client that breaks off breaks its backend's connection off.
+    let mut breaks = relay.open("safe", 1_000);
+    breaks.hears();
+    next(&met);
+    breaks.say("unread answer\r\n");
+    next(&met);
+    breaks.lines.get_ref().peek(&mut [0; 1]).unwrap();
+    drop(breaks);
+    assert_eq!(next(&met), "reset");
+}
+
+#[test]
+fn a_backends_end_comes_across_with_its_last_lines() {
+    let cases = [
+        (Play::UpThen("a\r\nBYE\r\n"), &["UP receipt", "a", "BYE", "end"][..]),
+        (Play::UpThen("MOVE\r\n"), &["UP receipt", "MOVE", "end"]),
+        (Play::UpThen("half"), &["UP receipt", "half", "end"]),
+    ];
+    for (play, expected) in cases {
+        let (address, _met) = backend(play);
+        let relay = relay_with(&[address]);
+        let mut client = relay.open("safe", 1_000);
+        for word in expected {
+            assert_eq!(client.hears(), *word, "{play:?}");
+        }
+    }
+    let (address, _met) = backend(Play::UpThenReset);
+    let relay = relay_with(&[address]);
+    let mut client = relay.open("safe", 1_000);
+    assert_eq!([client.hears(), client.hears()], ["UP receipt", "last"]);
+    client.say("never read\r\n");
+    assert_eq!(client.hears(), "reset");
+}
+
+#[test]
+fn a_client_that_does_not_read_holds_its_backend_back_and_loses_nothing() {
+    const COUNT: usize = 1_000_000;
+    let (address, _met) = backend(Play::Flood(COUNT));
+    let relay = relay_with(&[address]);
+    let mut client = relay.open("safe", 1_000);
+    assert_eq!(client.hears(), "UP receipt");
+    // Others are served while this one's lines wait.
+    assert_eq!(relay.open("safe", 1_000).hears(), "UP receipt");
+    for number in 0..COUNT {
+        assert_eq!(client.hears(), format!("line {number}"));
+    }
+}
+
+#[test]
+fn a_silent_backends_clients_are_moved_in_time() {
+    let (address, _met) = backend(Play::UpMute);
+    let relay = relay_with(&[address]);
+    let mut client = relay.open("safe", 1_000);
+    assert_eq!(client.hears(), "UP receipt");
+    let asked = Instant::now();
+    client.say("anybody\r\n");
+    assert_eq!([client.hears(), client.hears()], ["MOVE", "end"]);
+    assert!(asked.elapsed() < Duration::from_secs(5), "{:?}", asked.elapsed());
+}
+
+#[test]
+fn connections_from_before_the_start_go_where_they_were() {
+    let (first, _) = backend(Play::Mute);
+    let (second, met) = backend(Play::Echo);
+    let relay = relay_with(&[first, second]);
+    let mut client = relay.client();
+    client.say("OPEN 1 2 c=safe,d=1000,at=b1\r\n");
+    assert_eq!(client.hears(), "UP receipt");
+    assert!(next(&met).ends_with(",at=b1\r\n"));
+    client.say("on\r\n");
+    assert_eq!(client.hears(), "on");
+}
+
+#[test]
+fn sigterm_moves_what_stands_answers_what_waits_and_exits_well() {
+    let (echo, _) = backend(Play::Echo);
+    let (mute, mute_met) = backend(Play::Mute);
+    let mut relay = relay_with(&[echo]);
+    let mut standing: Vec<Client> = (0..7).map(|_| relay.open("safe", 1_000)).collect();
+    for client in &mut standing {
+        assert_eq!(client.hears(), "UP receipt");
+    }
+    let began = Instant::now();
+    relay.signal("TERM");
+    relay.logged("told to stop");
+    // New ones are still taken, and moved with the rest.
+    standing.push(relay.open("safe", 1_000));
+    assert_eq!(standing.last_mut().unwrap().hears(), "UP receipt");
+    for client in &mut standing {
+        assert_eq!([client.hears(), client.hears()], ["MOVE", "end"]);
+    }
+    assert!(relay.child.wait().unwrap().success());
+    // The longest dial timeout, 1.5 s, and 0.7 s more.
+    assert!(began.elapsed() < Duration::from_millis(2_200), "{:?}", began.elapsed());
+    relay.logged("sent_away=8");
+
+    let mut relay = relay_with(&[mute]);
+    let mut waiting = [relay.open("safe", 60_000), relay.open("once", 60_000)];
+    next(&mute_met);
+    next(&mute_met);
+    let began = Instant::now();
+    relay.signal("TERM");
+    assert!(waiting[0].hears().starts_with("BUSY"));
+    assert_eq!(waiting[1].hears(), "ERR");
+    assert!(relay.child.wait().unwrap().success());
+    assert!(began.elapsed() < Duration::from_millis(2_200), "{:?}", began.elapsed());
+}
+
+#[test]
+fn the_watch_is_followed_lost_and_taken_up_again() {
+    let (one, one_met) = backend(Play::Echo);
+    let (two, two_met) = backend(Play::Echo);
+    let whole = list(7, true, &[("one", one, "Ready"), ("two", two, "Ready")]);
+    let drains = list(8, false, &[("one", one, "Terminating")]);
+    // Split anywhere: within the head, a size line and a row.
+    let all = format!("{HEAD}{}{}", chunk(&whole), chunk(""));
+    let pieces: Vec<String> =
+        all.as_bytes().chunks(7).map(|piece| String::from_utf8_lossy(piece).into()).collect();
+    let scripts = vec![
+        Script { pieces: vec!["no HTTP at all\r\n\r\n".into()], ends: true },
+        Script { pieces, ends: true },
+        Script { pieces: vec![HEAD.into(), chunk("{\"generation\": nonsense")], ends: false },
+        Script { pieces: vec![HEAD.into(), chunk(&drains)], ends: false },
+    ];
+    let (at, asked) = discovery(scripts);
+    let relay = start(at, 1_000, &list(3, true, &[("one", one, "Ready")]), true);
+    let expected = ["follow=1 ", "follow=1 ", "follow=1&since=7 ", "follow=1&since=7 "];
+    for query in expected {
+        let line = next(&asked);
+        assert!(line.starts_with(&format!("GET /api/targets?{query}")), "{line}");
+    }
+    // A silent watch is given up and asked for again, with what is now held.
+    assert!(next(&asked).contains("since=8 "));
+    // One drains: all that is new goes to two.
+    for _ in 0..8 {
+        let mut client = relay.open("safe", 1_000);
+        assert_eq!(client.hears(), "UP receipt");
+    }
+    let opened = |met: &Met| met.try_iter().filter(|line| line.starts_with("OPEN")).count();
+    assert_eq!((opened(&one_met), opened(&two_met)), (0, 8));
+}
+
+#[test]
+fn probes_use_one_connection_again() {
+    let (address, met) = backend(Play::Echo);
+    let mut relay = start(nobody(), 1_000, &list(1, true, &[("b", address, "Ready")]), true);
+    assert_eq!([next(&met), next(&met)], ["STATS\r\n", "STATS\r\n"]);
+    relay.signal("USR1");
+    let line = relay.logged("probes=");
+    assert!(line.contains("probes_failed=0 "), "{line}");
+    assert!(!line.contains("probes=0 "), "{line}");
+}
+
+#[test]
+fn without_descriptors_clients_are_told_so_and_served_again_later() {
+    let (address, _met) = backend(Play::Echo);
+    let mut relay = start(nobody(), 64, &list(1, true, &[("b", address, "Ready")]), false);
+    let mut served = Vec::new();
+    let mut told = 0;
+    for _ in 0..30 {
+        let mut client = relay.open("safe", 2_000);
+        match client.hears().as_str() {
+            "UP receipt" => served.push(client),
+            "BUSY" => told += 1,
+            other => panic!("{other}"),
+        }
+    }
+    assert!(told > 0 && served.len() >= 5, "{told} told, {} served", served.len());
+    served[0].say("still here\r\n");
+    assert_eq!(served[0].hears(), "still here");
+    for client in &mut served {
+        client.ends_sending();
+        while client.hears() != "end" {}
+    }
+    assert_eq!(relay.open("safe", 2_000).hears(), "UP receipt");
+    relay.signal("USR1");
+    let line = relay.logged("turned_away=");
+    assert!(line.contains(&format!("turned_away={told} ")), "{line}");
+    assert!(line.contains("accept_failures=0 "), "{line}");
+}
+
+#[test]
+fn malformed_configurations_are_one_plain_line() {
+    let good = config(nobody(), nobody(), 1_000, "null", false);
+    let cases = [
+        ("no JSON", "{".to_string(), "EOF"),
+        ("no seed", good.replace("\"seed\"", "\"seeds\""), "missing field `seed`"),
+        ("seed", good.replace("8c1f30d27a5be964", "xyz"), "seed"),
+        ("sockets", good.replace("\"sockets\":1000", "\"sockets\":10"), "sockets"),
+        ("memory", good.replace("\"memory_mb\":64", "\"memory_mb\":1"), "memory"),
+        ("listen", good.replace("\"listen\":\"127.0.0.1", "\"listen\":\"here"), "listen"),
+        ("settings", good.replace("\"maxDials\": 1,", ""), "maxDials"),
+    ];
+    for (name, text, expected) in cases {
+        let output = start_with(&text).wait_with_output().unwrap();
+        let told = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success(), "{name}");
+        assert_eq!(told.lines().count(), 1, "{name}: {told}");
+        assert!(told.contains(expected), "{name}: {told}");
+    }
+}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -515,3 +515,59 @@
     assert_eq!(run(), run());
     assert!(Moment::from_us(1).since(Moment::from_us(5)) == Span::ZERO);
 }
+
+#[test]
+fn silent_connections_are_sent_away_and_their_backend_is_struck() {
+    // How long no line came back, and whether the client is sent away: a pause is over in less.
+    for (waited, moved) in [(250, false), (750, false), (1_000, true), (5_000, true)] {
+        let mut bench = Bench::new(deployment(REPEATABLE), &rows(4));
+        let (backend, _) = bench.arrive(1, arrival(1, 0, ms(1_000))).unwrap();
+        bench.stand(1, 0);
+        bench.relay.overdue(bench.now, SessionId(1), ms(waited), &mut bench.book);
+        assert_eq!(bench.sent_away(), usize::from(moved), "{waited} ms");
+        // Said again, late or of a session that is gone, it moves nobody twice.
+        bench.relay.overdue(bench.now, SessionId(1), ms(waited), &mut bench.book);
+        bench.relay.overdue(bench.now, SessionId(9), ms(waited), &mut bench.book);
+        assert_eq!(bench.sent_away(), usize::from(moved), "{waited} ms");
+        // One more failure in a row ejects it.
+        bench.relay.probed(bench.now, BackendId(backend), Verdict::Timeout, Default::default());
+        let again =
+            (10..30).any(|id| bench.arrive(id, arrival(u64::from(id), 0, ms(1_000))).unwrap().0 == backend);
+        assert_eq!(again, !moved, "{waited} ms");
+    }
+}
+
+#[test]
+fn told_to_stop_all_is_over_in_time_and_step_by_step() {
+    for (standing, within) in [(0, 3_700), (1, 3_700), (30, 3_700), (30, 1_900)] {
+        let deployment = Deployment { stop_within: ms(within), ..deployment(REPEATABLE) };
+        let mut bench = Bench::new(deployment, &rows(6));
+        for id in 0..standing {
+            bench.arrive(id, arrival(u64::from(id), 0, ms(1_000)));
+            bench.stand(id, 0);
+        }
+        // One waits on its dial for longer than there is, one is held for a further dial if it may be.
+        bench.arrive(100, arrival(100, 0, ms(60_000)));
+        bench.arrive(101, arrival(101, 0, ms(60_000)));
+        bench.end(101, 0, Verdict::Full, false);
+        bench.relay.stopping(bench.now, &mut bench.book);
+        // While clients still come, nobody is sent to come again.
+        bench.pass(ms(within / 6));
+        assert_eq!(bench.sent_away(), 0);
+        let (_, wait) = bench.arrive(200, arrival(200, 0, ms(60_000))).unwrap();
+        assert!(wait < ms(within), "{wait:?}");
+        bench.stand(200, 0);
+        bench.pass(ms(within / 4));
+        assert!(bench.sent_away() <= standing as usize / 2 + 3, "not all at once");
+        bench.pass(ms(within / 2));
+        assert_eq!(bench.sent_away(), standing as usize + 1);
+        assert!(bench.book.asked.contains(&Asked::Withdraw(100, 0)));
+        for asked in bench.book.asked.clone() {
+            if let Asked::Withdraw(id, dial) = asked {
+                bench.end(id, dial, Verdict::Withdrawn, false);
+            }
+        }
+        bench.pass(ms(within / 12));
+        assert_eq!((bench.answers(100).len(), bench.answers(101).len()), (1, 1));
+    }
+}
