--- a/relay/src/clients.rs
+++ b/relay/src/clients.rs
@@ -3,7 +3,7 @@
 use crate::discovery::Book;
 use crate::front::News;
 use crate::lines::{Flow, TooLong, Took, Words};
-use crate::protocol::{self, Cause, Fault, First, Names, Open, Said};
+use crate::protocol::{self, Cause, Fault, First, Names, Open, Reach, Said};
 use crate::sockets::{Door, Owner, Sock};
 use crate::timers::Alarm;
 use crate::works::Works;
@@ -82,6 +82,8 @@
 struct Terms {
     names: Names,
     connect_timeout: Span,
+    /// Descriptors that sessions may take together.
+    most_sockets: usize,
 }
 
 pub struct Sessions {
@@ -89,8 +91,6 @@
     next: u32,
     door: Door,
     terms: Terms,
-    /// Descriptors that sessions may take together.
-    most_sockets: usize,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -103,8 +103,8 @@
 impl Sessions {
     pub fn new(mut door: Door, names: Names, connect_timeout: Span, sockets: usize) -> Sessions {
         door.want(true);
-        let terms = Terms { names, connect_timeout };
-        Sessions { map: BTreeMap::new(), next: 0, door, terms, most_sockets: sockets.saturating_sub(RESERVE) }
+        let terms = Terms { names, connect_timeout, most_sockets: sockets.saturating_sub(RESERVE) };
+        Sessions { map: BTreeMap::new(), next: 0, door, terms }
     }
 
     pub fn is_empty(&self) -> bool {
@@ -117,7 +117,7 @@
 
     pub fn accept(&mut self, works: &mut Works) {
         for _ in 0..ACCEPTS {
-            if works.sockets.open() >= self.most_sockets + TELLING {
+            if works.sockets.open() >= self.terms.most_sockets + TELLING {
                 return self.pause_accepting(works);
             }
             match self.door.accept().and_then(|stream| works.sockets.adopt(Owner::Client(self.next), stream))
@@ -135,7 +135,7 @@
                     _ => {
                         // No descriptor or memory left: the clients stay in the backlog for a moment.
                         works.counters.accept_failures += 1;
-                        log::warn!("accept: {fault}");
+                        log::debug!("accept: {fault}");
                         return self.pause_accepting(works);
                     }
                 },
@@ -172,9 +172,8 @@
     }
 
     pub fn client_event(&mut self, id: u32, key: usize, book: &Book, works: &mut Works) {
-        let full = works.sockets.open() > self.most_sockets;
         self.step(id, works, |session, terms, works| {
-            if session.client.is(key) { session.client_event(full, terms, book, works) } else { Goes }
+            if session.client.is(key) { session.client_event(terms, book, works) } else { Goes }
         });
     }
 
@@ -283,11 +282,11 @@
         });
     }
 
-    /// The decisions failed over this session: it still has its answer.
+    /// The code failed over this session: it still has its answer.
     pub fn give_up(&mut self, id: SessionId, works: &mut Works) {
         self.step(id.0, works, |session, _, works| match session.stage {
             Stage::Placing | Stage::Inheriting => {
-                works.counters.torn_down += 1;
+                session.client_left(works);
                 session.part(protocol::FAILED, works)
             }
             Stage::Standing => session.send_away(works),
@@ -355,11 +354,11 @@
 
     // ---- from the client ----
 
-    fn client_event(&mut self, full: bool, terms: &Terms, book: &Book, works: &mut Works) -> Fate {
+    fn client_event(&mut self, terms: &Terms, book: &Book, works: &mut Works) -> Fate {
         if self.up.has_room() {
             match self.up.take(&mut self.client, &mut works.pool) {
                 Ok(Took::Bytes(_)) => {
-                    if self.client_bytes(full, terms, book, works) == Over {
+                    if self.client_bytes(terms, book, works) == Over {
                         return Over;
                     }
                 }
@@ -376,9 +375,9 @@
         self.pass_down(works)
     }
 
-    fn client_bytes(&mut self, full: bool, terms: &Terms, book: &Book, works: &mut Works) -> Fate {
+    fn client_bytes(&mut self, terms: &Terms, book: &Book, works: &mut Works) -> Fate {
         match self.stage {
-            Stage::Opening => self.first_lines(full, terms, book, works),
+            Stage::Opening => self.first_lines(terms, book, works),
             // The client was to wait; what it says keeps until it is up.
             Stage::Placing | Stage::Inheriting => Goes,
             Stage::Standing => self.client_lines(works),
@@ -389,7 +388,7 @@
         }
     }
 
-    fn first_lines(&mut self, full: bool, terms: &Terms, book: &Book, works: &mut Works) -> Fate {
+    fn first_lines(&mut self, terms: &Terms, book: &Book, works: &mut Works) -> Fate {
         while self.stage == Stage::Opening {
             let first = match self.up.next_line() {
                 Ok(None) => return Goes,
@@ -407,7 +406,7 @@
                     self.up.consume(&mut works.pool);
                     self.close_by = None;
                     self.began = works.now;
-                    if full {
+                    if works.sockets.open() >= terms.most_sockets {
                         // No descriptor for a dial: told before accepting itself would fail.
                         works.counters.turned_away += 1;
                         return self.part(&protocol::refusal(None), works);
@@ -650,6 +649,10 @@
             give_up_after,
         };
         works.counters.dials += 1;
+        if works.sockets.open() >= terms.most_sockets {
+            // Many first lines in one turn all find room before the first of their dials takes any.
+            return self.dial_failed(number, Fault { reach: Reach::Nothing, cause: Cause::Ours }, works);
+        }
         match Dial::begin(self.id, plan, works) {
             Ok(dial) => {
                 self.dial = Some(dial);
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -13,8 +13,9 @@
 use thistlecroft::units::{Chance, Moment, Span};
 use thistlecroft_facts::ReportPlaces;
 
-/// An empty line comes every two seconds; after more than two of them left out the watch is taken for dead.
-const SILENCE: Span = Span::from_ms(4_500);
+/// An empty line comes every two seconds. What the agent has counts as told, so a watch that died without a
+/// word must be found out before the grace of a drain has passed.
+const SILENCE: Span = Span::from_ms(2_500);
 /// Between attempts, doubling up to the longest. What discovery has to tell counts as told six seconds late
 /// at most, so the longest stays well below.
 const FIRST_PAUSE: Span = Span::from_ms(50);
@@ -37,17 +38,10 @@
     host_port: String,
     #[serde(default)]
     zone: String,
-    #[serde(default)]
-    cell: u64,
+    cell: Option<u64>,
     lifecycle: String,
-    #[serde(default = "one")]
-    weight: f64,
-    #[serde(default)]
-    started_at_ms: u64,
-}
-
-fn one() -> f64 {
-    1.0
+    weight: Option<f64>,
+    started_at_ms: Option<u64>,
 }
 
 /// Which backend is which, by the id that is the same at every relay, and where each is to be found.
@@ -108,10 +102,13 @@
             backend,
             mark: hash(entry.instance_id.as_bytes()),
             zone: ZoneId(zone as u16),
-            cell: CellId(entry.cell as u16),
+            cell: CellId(entry.cell.unwrap_or_default() as u16),
             standing,
-            weight: self.places.weight(entry.weight),
-            up_since: (entry.started_at_ms > 0).then(|| Moment::from_us(entry.started_at_ms * 1_000)),
+            weight: self.places.weight(entry.weight.unwrap_or(1.0)),
+            up_since: entry
+                .started_at_ms
+                .filter(|&ms| ms > 0)
+                .map(|ms| Moment::from_us(ms.saturating_mul(1_000))),
         }
     }
 }
@@ -196,7 +193,9 @@
 
     /// The last list stays in force.
     fn fail(&mut self, works: &mut Works, why: &str) {
-        log::warn!("discovery at {}: {why}; the last list stays", self.at);
+        // Told once: while discovery is down every attempt ends here.
+        let level = if self.pause == FIRST_PAUSE { log::Level::Warn } else { log::Level::Debug };
+        log::log!(level, "discovery at {}: {why}; the last list stays", self.at);
         works.counters.list_failures += 1;
         self.state = State::Resting;
         works.news.push_back(News::ListFailed);
--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -17,9 +17,11 @@
 use std::io::{self, Read};
 use std::num::NonZeroUsize;
 use std::os::unix::net::UnixStream;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::time::Duration;
 use thistlecroft::balance::Relay;
+use thistlecroft::ids::{BackendId, SessionId};
 use thistlecroft::units::{Moment, Span};
 
 /// Events in one turn, so that timers are never far behind.
@@ -116,7 +118,13 @@
             }
             self.works.now = self.clock.now();
             for event in events.iter() {
-                self.event(event.key);
+                // A fault in the code costs the connection it met, not the process.
+                if catch_unwind(AssertUnwindSafe(|| self.event(event.key))).is_err() {
+                    self.works.counters.panics += 1;
+                    if let Some(Owner::Client(id) | Owner::Dial(id)) = owner_of(event.key) {
+                        self.sessions.give_up(SessionId(id), &mut self.works);
+                    }
+                }
             }
             for _ in 0..ALARMS {
                 let Some(alarm) = self.works.alarms.due(self.works.now) else { break };
@@ -136,7 +144,7 @@
             Some(Owner::Watch) => self.watch.event(key, works),
             Some(Owner::Client(id)) => self.sessions.client_event(id, key, &self.watch.book, works),
             Some(Owner::Dial(id)) => self.sessions.dial_event(id, key, works),
-            Some(Owner::Probe(id)) => self.probes.event(thistlecroft::ids::BackendId(id), key, works),
+            Some(Owner::Probe(id)) => self.probes.event(BackendId(id), key, works),
             None => {}
         }
     }
