--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -143,6 +143,9 @@
     text: Vec<u8>,
     generation: Option<u64>,
     heard: Moment,
+    /// Only the alarm set last counts: were each to start an attempt, which sets one more, a discovery that
+    /// stays down would be asked ever faster until the loop did nothing else.
+    wake_at: Moment,
     pause: Span,
     chance: Chance,
     pub book: Book,
@@ -157,6 +160,7 @@
             text: Vec::new(),
             generation: None,
             heard: now,
+            wake_at: now,
             pause: FIRST_PAUSE,
             chance: Chance::from_seed(seed ^ 0x64_6973_636f),
             book,
@@ -185,7 +189,7 @@
             Ok(mut sock) => {
                 sock.want(true, true);
                 self.state = State::Connecting(sock, words);
-                works.alarms.set(works.now + SILENCE, Alarm::Watch);
+                self.wake(works.now + SILENCE, works);
             }
             Err(fault) => self.fail(works, &fault.to_string()),
         }
@@ -201,14 +205,22 @@
         works.news.push_back(News::ListFailed);
         let wait = self.pause * (0.5 + 0.5 * self.chance.float());
         self.pause = (self.pause * 2.0).min(LONGEST_PAUSE);
-        works.alarms.set(works.now + wait, Alarm::Watch);
+        self.wake(works.now + wait, works);
+    }
+
+    fn wake(&mut self, at: Moment, works: &mut Works) {
+        self.wake_at = at;
+        works.alarms.set(at, Alarm::Watch);
     }
 
     pub fn alarm(&mut self, works: &mut Works) {
+        if works.now < self.wake_at {
+            return;
+        }
         match self.state {
             State::Resting => self.open(works),
             _ if works.now.since(self.heard) >= SILENCE => self.fail(works, "silent"),
-            _ => works.alarms.set(self.heard + SILENCE, Alarm::Watch),
+            _ => self.wake(self.heard + SILENCE, works),
         }
     }
 
