--- a/relay/src/clients.rs
+++ b/relay/src/clients.rs
@@ -7,8 +7,8 @@
 use crate::sockets::{Door, Owner, Sock};
 use crate::timers::Alarm;
 use crate::works::Works;
-use std::collections::BTreeMap;
-use std::io::ErrorKind;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{ErrorKind, Read};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use thistlecroft::front::{Ending, Report, Verdict};
 use thistlecroft::ids::{BackendId, SessionId};
@@ -22,12 +22,22 @@
 const RESERVE: usize = 40;
 /// And these few more serve to tell clients that there is no room.
 const TELLING: usize = 8;
-/// A first line that has begun must end within this.
-const FIRST_LINE: Span = Span::from_ms(3_000);
-/// Connections that say nothing at all are kept so long: the front's may come early.
-const SAYS_NOTHING: Span = Span::from_ms(30_000);
+/// From its connecting, for all that a client says before its `OPEN` is read whole: an answer or an end is
+/// owed within three seconds, and a connection that says nothing holds a descriptor that others need.
+const FIRST_LINE: Span = Span::from_ms(2_000);
+/// One accepted late has at least this, to be read at all.
+const FIRST_LINE_LEAST: Span = Span::from_ms(200);
+/// While descriptors lack, a connection that says nothing makes room after this; a usual client's first line
+/// is there long before.
+const SHED_AFTER: Span = Span::from_ms(20);
 /// After our last word a client is given this long to end its side; the protocol allows a second in all.
 const PARTING: Span = Span::from_ms(400);
+/// The same while it still sends, which is dropped: closed with bytes unread, the connection would be reset
+/// and the last word with it lost.
+const DROPPING: Span = Span::from_ms(3_000);
+/// Dropped at one go: a megabyte a turn, so that sixty of them pass in time, and no more.
+const DROPS: usize = 16;
+const DROP: usize = 64 * 1024;
 /// After its backend has ended, or its client has; the protocol allows a second for the former.
 const BACKEND_ENDED: Span = Span::from_ms(700);
 const CLIENT_ENDED: Span = Span::from_ms(2_000);
@@ -36,6 +46,8 @@
 /// Connections from before the start are tried again after this, and given up after the other: lost after 40 s.
 const INHERITED_AGAIN: Span = Span::from_ms(200);
 const INHERITED_WITHIN: Span = Span::from_ms(38_000);
+/// The same where the list does not know the backend: it may be about to come, once.
+const UNKNOWN_WITHIN: Span = Span::from_ms(2_000);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -67,6 +79,12 @@
     /// What the relay itself says to the client, behind the lines that wait in `down`.
     words: Words,
     began: Moment,
+    /// When the client last said anything.
+    heard: Moment,
+    /// Its id, as long as no other connection may have the same.
+    claimed: Option<u64>,
+    /// It has been up: cutting it off would lose what is still on its way.
+    stood: bool,
     /// When the first client line without a line back came.
     asked: Option<Moment>,
     watched: bool,
@@ -87,12 +105,19 @@
     connect_timeout: Span,
     /// Descriptors that sessions may take together.
     most_sockets: usize,
+    /// Ids of sessions that are open: a backend turns a second one of the same id away, and the blame would
+    /// fall on it.
+    claimed: BTreeSet<u64>,
+    /// Sessions that hold a descriptor for nothing as yet, the longest silent first.
+    idle: BTreeSet<(Moment, u32)>,
 }
 
 pub struct Sessions {
     map: BTreeMap<u32, Session>,
     next: u32,
     door: Door,
+    /// Since when connections may have waited to be accepted.
+    behind_since: Option<Moment>,
     terms: Terms,
 }
 
@@ -106,8 +131,10 @@
 impl Sessions {
     pub fn new(mut door: Door, names: Names, connect_timeout: Span, sockets: usize) -> Sessions {
         door.want(true);
-        let terms = Terms { names, connect_timeout, most_sockets: sockets.saturating_sub(RESERVE) };
-        Sessions { map: BTreeMap::new(), next: 0, door, terms }
+        let most_sockets = sockets.saturating_sub(RESERVE);
+        let (claimed, idle) = (BTreeSet::new(), BTreeSet::new());
+        let terms = Terms { names, connect_timeout, most_sockets, claimed, idle };
+        Sessions { map: BTreeMap::new(), next: 0, door, behind_since: None, terms }
     }
 
     pub fn is_empty(&self) -> bool {
@@ -118,22 +145,32 @@
         self.map.len()
     }
 
-    pub fn accept(&mut self, works: &mut Works) {
+    /// Takes connections in, each with what it has said already, so that one that means to be served is never
+    /// among those that make room.
+    pub fn accept(&mut self, book: &Book, works: &mut Works) {
         for _ in 0..ACCEPTS {
-            if works.sockets.open() >= self.terms.most_sockets + TELLING {
+            let open = works.sockets.open();
+            if open >= self.terms.most_sockets
+                && !self.shed(SHED_AFTER, works)
+                && open >= self.terms.most_sockets + TELLING
+            {
                 return self.pause_accepting(works);
             }
-            match self.door.accept().and_then(|stream| works.sockets.adopt(Owner::Client(self.next), stream))
-            {
+            let id = self.next;
+            match self.door.accept().and_then(|stream| works.sockets.adopt(Owner::Client(id), stream)) {
                 Ok(mut client) => {
                     works.counters.connections += 1;
                     client.want(true, false);
-                    let session = Session::new(self.next, client, works);
-                    self.map.insert(self.next, session);
+                    let since = self.behind_since.unwrap_or(works.now);
+                    self.map.insert(id, Session::new(id, client, since, works));
                     self.next = self.next.wrapping_add(1);
+                    self.step(id, works, |session, terms, works| session.client_event(terms, book, works));
                 }
                 Err(fault) => match fault.kind() {
-                    ErrorKind::WouldBlock => return,
+                    ErrorKind::WouldBlock => {
+                        self.behind_since = None;
+                        return;
+                    }
                     ErrorKind::ConnectionAborted | ErrorKind::Interrupted | ErrorKind::ConnectionReset => {}
                     _ => {
                         // No descriptor or memory left: the clients stay in the backlog for a moment.
@@ -144,9 +181,11 @@
                 },
             }
         }
+        self.behind_since.get_or_insert(works.now);
     }
 
     fn pause_accepting(&mut self, works: &mut Works) {
+        self.behind_since.get_or_insert(works.now);
         self.door.want(false);
         works.alarms.set(works.now + ACCEPT_PAUSE, Alarm::Accepting);
     }
@@ -155,26 +194,46 @@
         self.door.want(true);
     }
 
+    /// Ends the connection that has been silent for longest, if for so long; true where that made room.
+    fn shed(&mut self, silent: Span, works: &mut Works) -> bool {
+        let Some(&(heard, id)) = self.terms.idle.first() else { return false };
+        if works.now.since(heard) < silent {
+            return false;
+        }
+        works.counters.shed += 1;
+        self.step(id, works, |_, _, _| Over);
+        true
+    }
+
     /// Runs one step of a session, for an event, an alarm or an order; whatever comes of it, what is waited for
     /// is settled in this one place. A fault in the code costs the session that met it, not the process.
     fn step(
         &mut self,
         id: u32,
         works: &mut Works,
-        step: impl FnOnce(&mut Session, &Terms, &mut Works) -> Fate,
+        step: impl FnOnce(&mut Session, &mut Terms, &mut Works) -> Fate,
     ) {
         let Some(session) = self.map.get_mut(&id) else { return };
-        let done = catch_unwind(AssertUnwindSafe(|| step(session, &self.terms, works)));
+        let was_idle = session.idle_since();
+        let done = catch_unwind(AssertUnwindSafe(|| step(session, &mut self.terms, works)));
         let fate = done.unwrap_or_else(|_| {
             works.counters.panics += 1;
             session.give_up(works)
         });
+        let idle = session.idle_since().filter(|_| fate == Goes);
+        if let Some(since) = was_idle {
+            self.terms.idle.remove(&(since, id));
+        }
+        if let Some(since) = idle {
+            self.terms.idle.insert((since, id));
+        }
         match fate {
             Goes => session.settle(),
             Over => {
                 if let Some(mut session) = self.map.remove(&id) {
                     session.up.clear(&mut works.pool);
                     session.down.clear(&mut works.pool);
+                    session.claimed.map(|id| self.terms.claimed.remove(&id));
                 }
             }
         }
@@ -242,6 +301,8 @@
         book: &Book,
         works: &mut Works,
     ) {
+        // Connections that only wait never keep a dial from its descriptor.
+        while works.sockets.open() >= self.terms.most_sockets && self.shed(Span::ZERO, works) {}
         self.step(id.0, works, |session, terms, works| {
             let number = session.dials;
             session.dials += 1;
@@ -299,7 +360,7 @@
 }
 
 impl Session {
-    fn new(id: u32, client: Sock, works: &mut Works) -> Session {
+    fn new(id: u32, client: Sock, since: Moment, works: &mut Works) -> Session {
         let mut session = Session {
             id,
             stage: Stage::Opening,
@@ -311,7 +372,10 @@
             up: Flow::default(),
             down: Flow::default(),
             words: Words::default(),
-            began: works.now,
+            began: since,
+            heard: works.now,
+            claimed: None,
+            stood: false,
             asked: None,
             watched: false,
             told_delay: Span::ZERO,
@@ -322,10 +386,18 @@
             close_by: None,
             starved: false,
         };
-        session.close_within(FIRST_LINE, works);
+        let left = FIRST_LINE - works.now.since(since);
+        session.close_within(left.max(FIRST_LINE_LEAST), works);
+        // Into the list of the idle by its first step, which follows.
         session
     }
 
+    /// Since when the client has been silent, where it holds its descriptor for nothing as yet.
+    fn idle_since(&self) -> Option<Moment> {
+        let idle = matches!(self.stage, Stage::Opening | Stage::Leaving | Stage::Parted) && !self.stood;
+        idle.then_some(self.heard)
+    }
+
     fn session_id(&self) -> SessionId {
         SessionId(self.id)
     }
@@ -370,10 +442,14 @@
 
     // ---- from the client ----
 
-    fn client_event(&mut self, terms: &Terms, book: &Book, works: &mut Works) -> Fate {
+    fn client_event(&mut self, terms: &mut Terms, book: &Book, works: &mut Works) -> Fate {
+        if self.stage == Stage::Parted {
+            return self.drop_rest(works);
+        }
         if self.up.has_room() {
             match self.up.take(&mut self.client, &mut works.pool) {
                 Ok(Took::Bytes(_)) => {
+                    self.heard = works.now;
                     if self.client_bytes(terms, book, works) == Over {
                         return Over;
                     }
@@ -391,11 +467,15 @@
         self.pass_down(works)
     }
 
-    fn client_bytes(&mut self, terms: &Terms, book: &Book, works: &mut Works) -> Fate {
+    fn client_bytes(&mut self, terms: &mut Terms, book: &Book, works: &mut Works) -> Fate {
         match self.stage {
             Stage::Opening => self.first_lines(terms, book, works),
-            // The client was to wait; what it says keeps until it is up.
-            Stage::Placing | Stage::Inheriting => Goes,
+            // The client was to wait. Passed on once it is up, another command would have the backend close,
+            // and kept, sixty megabytes would have no end.
+            Stage::Placing | Stage::Inheriting => {
+                self.client_left(works);
+                self.bad_line("more than one line before the answer", works)
+            }
             Stage::Standing => self.client_lines(works),
             Stage::Leaving | Stage::Parted => {
                 self.up.clear(&mut works.pool);
@@ -404,7 +484,7 @@
         }
     }
 
-    fn first_lines(&mut self, terms: &Terms, book: &Book, works: &mut Works) -> Fate {
+    fn first_lines(&mut self, terms: &mut Terms, book: &Book, works: &mut Works) -> Fate {
         while self.stage == Stage::Opening {
             let first = match self.up.next_line() {
                 Ok(None) => return Goes,
@@ -416,13 +496,20 @@
                     works.counters.pings += 1;
                     self.up.consume(&mut works.pool);
                     self.words.add(protocol::ALIVE);
-                    self.close_within(SAYS_NOTHING, works);
                 }
                 Ok(First::Open(open)) => {
                     self.up.consume(&mut works.pool);
+                    if self.up.has_bytes() {
+                        return self.bad_line("more than one line", works);
+                    }
+                    if !terms.claimed.insert(open.id) {
+                        return self.bad_line("an id that is open already", works);
+                    }
+                    self.claimed = Some(open.id);
                     self.close_by = None;
                     self.began = works.now;
-                    if works.sockets.open() >= terms.most_sockets {
+                    let idle_others = terms.idle.iter().any(|&(_, id)| id != self.id);
+                    if works.sockets.open() >= terms.most_sockets && !idle_others {
                         // No descriptor for a dial: told before accepting itself would fail.
                         works.counters.turned_away += 1;
                         return self.part(&protocol::refusal(None), works);
@@ -529,10 +616,6 @@
         self.close_by = None;
         match self.stage {
             Stage::Opening if self.up.has_bytes() => self.bad_line("slow", works),
-            Stage::Opening if works.now.since(self.began) < SAYS_NOTHING => {
-                self.close_within(SAYS_NOTHING, works);
-                Goes
-            }
             Stage::Standing => {
                 self.tell_end(if self.up.ended { Verdict::Ok } else { Verdict::Reset }, works);
                 Over
@@ -542,6 +625,22 @@
         }
     }
 
+    /// What a client still sends behind our last word. Each piece gives it a little longer to read that word,
+    /// up to a limit from when the word was said.
+    fn drop_rest(&mut self, works: &mut Works) -> Fate {
+        let mut piece = [0; DROP];
+        for _ in 0..DROPS {
+            match self.client.read(&mut piece) {
+                Ok(0) => return Over,
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => break,
+                Err(fault) if fault.kind() != ErrorKind::Interrupted => return Over,
+                _ => {}
+            }
+        }
+        self.close_within(PARTING.min(DROPPING - works.now.since(self.began)), works);
+        Goes
+    }
+
     fn overdue(&mut self, works: &mut Works) {
         self.watched = false;
         let (Some(asked), Stage::Standing) = (self.asked, self.stage) else { return };
@@ -577,6 +676,7 @@
             Stage::Leaving => {
                 self.client.finish_sending();
                 self.stage = Stage::Parted;
+                self.began = works.now;
                 if self.up.ended {
                     return Over;
                 }
@@ -629,12 +729,13 @@
         if self.stage != Stage::Inheriting || self.dial.is_some() {
             return Goes;
         }
-        let left = INHERITED_WITHIN - works.now.since(self.began);
+        let at = self.open.as_ref().and_then(|open| open.at.as_deref()).and_then(|name| book.named(name));
+        let within = if at.is_some() { INHERITED_WITHIN } else { UNKNOWN_WITHIN };
+        let left = within - works.now.since(self.began);
         if left == Span::ZERO {
             works.counters.torn_down += 1;
             return self.part(protocol::FAILED, works);
         }
-        let at = self.open.as_ref().and_then(|open| open.at.as_deref()).and_then(|name| book.named(name));
         match at {
             Some(backend) => self.dial(0, backend, left, terms, book, works),
             None => {
@@ -791,9 +892,7 @@
                 });
                 works.counters.accepted += 1;
                 self.stage = Stage::Standing;
-                self.open = None;
-                // Lines that the client sent early have waited for this.
-                self.client_lines(works);
+                (self.open, self.stood) = (None, true);
                 return false;
             }
             Some(Said::Load(_)) => {
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -114,7 +114,7 @@
 }
 
 /// FNV-1a: the same number for a name at every relay and in every release.
-pub fn hash(bytes: &[u8]) -> u64 {
+fn hash(bytes: &[u8]) -> u64 {
     bytes
         .iter()
         .fold(0xcbf2_9ce4_8422_2325, |sum, &byte| (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
--- a/relay/src/protocol.rs
+++ b/relay/src/protocol.rs
@@ -1,5 +1,4 @@
 //! The line protocol: what a line of text means, and what our own lines look like. Knows no sockets.
-use crate::discovery::hash;
 use thistlecroft::front::{Arrival, Report, Verdict};
 use thistlecroft::ids::ListenerId;
 use thistlecroft::units::Span;
@@ -23,6 +22,7 @@
 
 #[derive(Debug)]
 pub struct Open {
+    pub id: u64,
     /// The line before and behind the figure of `d`, passed on as it came.
     before: String,
     behind: String,
@@ -54,21 +54,34 @@
     }
     let words: Vec<&str> = line.split(' ').collect();
     let ["OPEN", id, key, list] = words[..] else { return Err("neither PING nor OPEN with three words") };
-    if id.is_empty() || key.is_empty() {
-        return Err("an empty word");
-    }
+    let id = number(id).ok_or("an id that is no number of sixteen digits")?;
+    let key = number(key).ok_or("a key that is no number of sixteen digits")?;
     let (mut listener, mut wait, mut group, mut at) = (None, None, None, None);
     let mut place = line.len() - list.len();
+    let mut named: Vec<&str> = Vec::new();
     for item in list.split(',') {
         let (name, value) = item.split_once('=').ok_or("an item that is no name and value")?;
+        if named.contains(&name) {
+            return Err("a name twice");
+        }
+        if name.is_empty() || !value.bytes().all(|byte| byte.is_ascii_graphic()) || value.is_empty() {
+            return Err("an empty name, or a value that is no word");
+        }
+        named.push(name);
         match name {
             "c" => listener = names.listeners.iter().position(|name| name == value),
             "d" => {
-                let ms: u64 = value.parse().map_err(|_| "d is no whole number")?;
+                let ms = digits(value).filter(|&ms| ms <= LONGEST_WAIT).ok_or("d is no time to wait")?;
                 let from = place + "d=".len();
-                wait = Some((Span::from_ms(ms.min(u64::from(u32::MAX))), from, from + value.len()));
+                wait = Some((Span::from_ms(ms), from, from + value.len()));
+            }
+            "g" => group = Some(number(value).ok_or("g is no number of sixteen digits")?),
+            "h" => {
+                value.parse().ok().filter(|h: &f64| h.is_finite() && *h >= 0.0).ok_or("h is no load")?;
+            }
+            "r" | "again" => {
+                digits(value).ok_or("a mark that is no number")?;
             }
-            "g" => group = names.groups.then(|| number(value)),
             "at" => at = Some(value.to_string()),
             _ => {}
         }
@@ -78,21 +91,31 @@
     let (wait, from, to) = wait.ok_or("no d")?;
     let arrival = Arrival {
         listener: ListenerId(listener as u16),
-        key: Some(number(key)),
-        group,
+        key: Some(key),
+        group: group.filter(|_| names.groups),
         dial_timeout: wait - MARGIN,
     };
-    Ok(First::Open(Box::new(Open { before: line[..from].into(), behind: line[to..].into(), arrival, at })))
+    Ok(First::Open(Box::new(Open {
+        id,
+        before: line[..from].into(),
+        behind: line[to..].into(),
+        arrival,
+        at,
+    })))
 }
 
-/// Names of flows and groups are sixteen hexadecimal digits; any other text does as well.
-fn number(text: &str) -> u64 {
-    if text.len() <= 16
-        && let Ok(number) = u64::from_str_radix(text, 16)
-    {
-        return number;
-    }
-    hash(text.as_bytes())
+/// More milliseconds than 32 bits hold in microseconds no client waits.
+const LONGEST_WAIT: u64 = u32::MAX as u64 / 1_000;
+
+/// Ids, keys and groups are sixteen hexadecimal digits. Backends close on what they can't read, which would
+/// look as if they had failed, so nothing else gets there.
+fn number(text: &str) -> Option<u64> {
+    let sound = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    sound.then(|| u64::from_str_radix(text, 16).ok()).flatten()
+}
+
+fn digits(text: &str) -> Option<u64> {
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok()).flatten()
 }
 
 /// A refusal, with the time to stay away where one is told; rounded up, so that nobody comes too soon.
--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -147,7 +147,7 @@
     fn event(&mut self, key: usize) {
         let works = &mut self.works;
         match owner_of(key) {
-            Some(Owner::Door) => self.sessions.accept(works),
+            Some(Owner::Door) => self.sessions.accept(&self.watch.book, works),
             Some(Owner::Signals) => self.signalled(),
             Some(Owner::Watch) => self.watch.event(key, works),
             Some(Owner::Client(id)) => self.sessions.client_event(id, key, &self.watch.book, works),
