--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -169,7 +169,7 @@
                 };
                 let backend = names.backend(event.array(12));
                 let session = names.session(event.u64(4));
-                relay.inherited(now, session, backend, arrival, &mut Door { number, names, reply });
+                relay.inherit(now, session, backend, arrival, &mut Door { number, names, reply });
             }
             1110 => {
                 if let Some(session) = known(names, 4) {
--- a/relay/src/front.rs
+++ b/relay/src/front.rs
@@ -83,7 +83,7 @@
         News::Listed(scope, rows) => relay.listed(scope, &rows),
         News::ListFailed => relay.list_failed(now, desk),
         News::Arrived(id, arrival) => relay.arrived(now, id, arrival, desk),
-        News::Inherited(id, at, arrival) => relay.inherited(now, id, at, arrival, desk),
+        News::Inherited(id, at, arrival) => relay.inherit(now, id, at, arrival, desk),
         News::Ready(id, dial) => relay.ready(now, id, dial, desk),
         News::Ended(id, ending) => relay.ended(now, id, ending, desk),
         News::Left(id) => relay.left(id, desk),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -16,6 +16,7 @@
 const HEAR_EVERY: Span = Span::from_ms(2_000); // each backend, at most: reports are renewed about as often
 const PROBE_AT_LEAST: Span = Span::from_ms(5_000); // the design's slowest
 const PROBES_WORTH: f64 = 0.005; // the part of the result that probes may cost
+const HASTE: f64 = 0.25; // of the time to the next probe, where a session is refused for want of room
 const SPENT_OVER: Span = Span::from_ms(10_000); // what sessions pay for probes, so that a rush is no burst
 const KEYS_HELD: usize = 20_000; // against floods of new keys
 const KEY_AGE: Span = Span::from_ms(120_000); // several times the cap: an older count has no more to say
@@ -39,7 +40,6 @@
 const NOTE_AGE: Span = Span::from_ms(2_000); // notes on late messages come once a second
 const PATIENCE: f64 = 4.0; // times the set-up time of late: a dial as slow as that is lost
 const SILENT: Span = Span::from_ms(1_000); // no line back for so long: a pause is over by then
-const STOP_STEPS: usize = 8; // tenths of the time to stop; two before them, while clients still come
 const KEPT: f64 = 0.99; // of what is counted of late, each housekeeping
 const HOUSEKEEPING: Span = Span::from_ms(500); // often enough to act on a report while it is fresh
 
@@ -151,6 +151,8 @@
     errands: BTreeSet<(Moment, Errand)>,
     /// Probes that the sessions so far pay for and that are not yet sent.
     probes_due: f64,
+    probed: Moment,
+    next_probe: Moment,
     failed_calls: u32,
     /// How many sessions of each group were met of late, and of all groups.
     met: BTreeMap<u64, f64>,
@@ -168,8 +170,8 @@
         if relay.deployment.ask_within.is_some() {
             front.subscribe();
         }
-        let first = HEAR_EVERY * relay.chance.float() * 0.1;
-        relay.plan(now + first, Errand::Probe, front);
+        relay.next_probe = now + HEAR_EVERY * relay.chance.float() * 0.1;
+        relay.plan(relay.next_probe, Errand::Probe, front);
         let phase = HOUSEKEEPING * relay.chance.float();
         relay.plan(now + phase, Errand::Housekeeping, front);
         relay
@@ -218,21 +220,14 @@
     }
 
     /// A connection that already runs through this relay as it starts.
-    pub fn inherited(
-        &mut self,
-        now: Moment,
-        id: SessionId,
-        at: BackendId,
-        arrival: Arrival,
-        front: &mut dyn Front,
-    ) {
-        self.meet(arrival.group);
-        self.sessions.insert(id, Session { dials: 1, ..Session::new(arrival, now) });
+    pub fn inherit(&mut self, now: Moment, id: SessionId, at: BackendId, of: Arrival, front: &mut dyn Front) {
+        self.meet(of.group);
+        self.sessions.insert(id, Session { dials: 1, ..Session::new(of, now) });
         // It has stood for longer than this instance; a fresh cool-down would shield an overload at start
         // from relief.
         let long_ago = now - COOL_DOWN;
         let dial = Dial { number: 0, backend: at, sent: long_ago };
-        self.save_for_probes();
+        self.save_for_probes(now, front);
         self.turn(id, State::Ready(dial, long_ago), front);
     }
 
@@ -255,7 +250,7 @@
         }
         self.backends.entry(dial.backend).and_modify(|at| (at.strikes, at.ejections) = (0, 0));
         self.learn_set_up(now.since(dial.sent));
-        self.save_for_probes();
+        self.save_for_probes(now, front);
         self.turn(id, State::Ready(dial, now), front);
     }
 
@@ -300,15 +295,12 @@
 
     /// The client has left, or the front has ended the session.
     pub fn left(&mut self, id: SessionId, front: &mut dyn Front) {
-        let Some(session) = self.sessions.get(&id) else { return };
-        match session.state {
-            State::Dialling(dial) => {
-                if self.deployment.may_withdraw {
-                    front.withdraw(id, dial.number);
-                }
-                self.turn(id, State::Settled, front);
-            }
-            State::Ready(..) => self.turn(id, State::Settled, front),
+        let Some(&Session { state, .. }) = self.sessions.get(&id) else { return };
+        if let (State::Dialling(dial), true) = (state, self.deployment.may_withdraw) {
+            front.withdraw(id, dial.number);
+        }
+        match state {
+            State::Dialling(_) | State::Ready(..) => self.turn(id, State::Settled, front),
             State::Settled => {}
             State::New | State::Held | State::Over => self.turn(id, State::Over, front),
         }
@@ -318,13 +310,13 @@
         self.until.map_or(session.due, |until| until.min(session.due))
     }
 
-    /// The process is to end. All at once would have the clients come back together, to this very relay while
-    /// it is still dealt out; so they go in even steps, and no dial may last beyond them.
+    /// The process is to end. All at once would have the clients come back together: they go in even steps,
+    /// late ones, since the next relay may itself have just been stopped. No dial may last beyond them.
     pub fn stopping(&mut self, now: Moment, front: &mut dyn Front) {
         let tenth = self.deployment.stop_within * 0.1;
         self.until = Some(now + tenth * 8.0);
-        for step in 2..=9 {
-            self.plan(now + tenth * step as f64, Errand::Leave(STOP_STEPS - step.min(STOP_STEPS - 1)), front);
+        for step in 5..=9 {
+            self.plan(now + tenth * step as f64, Errand::Leave(10 - step), front);
         }
     }
 
@@ -387,12 +379,10 @@
     }
 
     pub fn woken(&mut self, now: Moment, front: &mut dyn Front) {
-        while let Some(&(at, errand)) = self.errands.first() {
-            if at > now {
-                break;
-            }
+        while let Some(&(at, errand)) = self.errands.first().filter(|(at, _)| *at <= now) {
             self.errands.pop_first();
             match errand {
+                Errand::Probe if at != self.next_probe => {} // a sooner one was planned since
                 Errand::Probe => self.probe(now, front),
                 Errand::Housekeeping => {
                     self.stood = self.stood * KEPT + self.sessions.len() as f64 * HOUSEKEEPING.secs();
@@ -407,11 +397,7 @@
                 }
                 Errand::Leave(steps) => self.leave(now, steps, front),
                 Errand::Subscribe => front.subscribe(),
-                Errand::Redial(id) => {
-                    if self.sessions.get(&id).is_some_and(|s| matches!(s.state, State::Held)) {
-                        self.dial(now, id, front);
-                    }
-                }
+                Errand::Redial(id) => self.dial(now, id, front),
             }
         }
     }
@@ -449,7 +435,10 @@
     }
 
     fn dial(&mut self, now: Moment, id: SessionId, front: &mut dyn Front) {
+        let Some(Session { state: State::New | State::Held, .. }) = self.sessions.get(&id) else { return };
         let Some(backend) = self.pick(now, id) else {
+            // Room may only be wanting on old reports.
+            self.plan_probe(now, HASTE, front);
             return self.refuse(now, id, front);
         };
         let session = &self.sessions[&id];
@@ -589,10 +578,24 @@
 
     /// Each session pays for so many probes: hundreds of relays that each hear of all backends as often as a
     /// few did would spend more on probes than the service earns, and keep the backends busy answering.
-    fn save_for_probes(&mut self) {
+    fn save_for_probes(&mut self, now: Moment, front: &mut dyn Front) {
         let each = PROBES_WORTH / self.deployment.probe_price.max(f64::MIN_POSITIVE);
         let most = self.ready_ones().count().max(1) as f64 * (SPENT_OVER.secs() / HEAR_EVERY.secs());
         self.probes_due = (self.probes_due + each).min(most);
+        self.plan_probe(now, 1.0, front);
+    }
+
+    /// The next probe, sooner than planned where sessions have paid since: a relay just started stood by one
+    /// report for five seconds while dozens came, and refused them on it.
+    fn plan_probe(&mut self, now: Moment, haste: f64, front: &mut dyn Front) {
+        let most = HEAR_EVERY * (1.0 / self.ready_ones().count().max(1) as f64);
+        let paid = SPENT_OVER * (1.0 / self.probes_due.max(f64::MIN_POSITIVE));
+        let every = (paid.max(most) * haste).min(PROBE_AT_LEAST).max(self.deployment.tick);
+        let at = (self.probed + every).max(now);
+        if at < self.next_probe || self.probed == now {
+            self.next_probe = at;
+            self.plan(at, Errand::Probe, front);
+        }
     }
 
     fn probe(&mut self, now: Moment, front: &mut dyn Front) {
@@ -600,11 +603,9 @@
         if let Some(&id) = self.any_of(&ready).filter(|_| self.deployment.may_probe) {
             front.probe(id);
         }
-        let most = HEAR_EVERY * (1.0 / ready.len().max(1) as f64);
-        let paid = SPENT_OVER * (1.0 / self.probes_due.max(f64::MIN_POSITIVE));
-        let every = paid.max(most).min(PROBE_AT_LEAST).max(self.deployment.tick);
+        self.probed = now;
+        self.plan_probe(now, 1.0, front);
         self.probes_due = (self.probes_due - 1.0).max(0.0);
-        self.plan(now + every, Errand::Probe, front);
     }
 
     /// Backends driven past what they can do serve none of their messages in time: this relay sends away its
