--- a/src/balance.rs
+++ b/src/balance.rs
@@ -123,9 +123,8 @@
 struct Entry {
     at: BackendId,
     load: f64,
-    /// The same as if the group were surely not held there.
-    opened: f64,
-    near: bool,
+    /// Only those of the lowest that there is are drawn from.
+    rank: u32,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -437,7 +436,6 @@
     fn dial(&mut self, now: Moment, id: SessionId, front: &mut dyn Front) {
         let Some(Session { state: State::New | State::Held, .. }) = self.sessions.get(&id) else { return };
         let Some(backend) = self.pick(now, id) else {
-            // Room may only be wanting on old reports.
             self.plan_probe(now, HASTE, front);
             return self.refuse(now, id, front);
         };
@@ -717,32 +715,31 @@
         if let Some(group) = group {
             able.sort_by_cached_key(|&at| mixed(self.backends[&at].listing.mark, group));
         }
-        let weighed: Vec<Entry> = able
-            .into_iter()
-            .enumerate()
-            .map(|(place, at)| {
-                let backend = &self.backends[&at];
-                // Of hundreds of relays one knows next to nothing of where a group is held: most likely with
-                // the first of its order, and with as many more as its part of all sessions takes.
-                let held = place == 0 || group.is_none_or(|group| backend.groups.contains_key(&group));
-                let opening = if pool.tells_share { OPENING } else { OPENING_COUNT };
-                let opening = if held { 0.0 } else { opening };
-                let (told, place) = (self.load(now, at, pool), place as f64);
-                let near = crossing_is_free || backend.listing.zone == self.deployment.zone;
-                let load = told + opening * place / (place + takes).max(1.0);
-                Entry { at, load, opened: told + opening, near }
-            })
-            .collect();
-        // A backend driven past what it can do serves nobody, and clients it drops come back at once: what
-        // finds no room anywhere is refused instead. Where little room is left a group gets no new backend on
-        // a guess.
-        let passes: &[fn(&Entry) -> bool] = if pool.tells_share {
-            &[|one| one.near && one.load < HOT, |one| one.load < HOT, |one| one.opened < FULL]
-        } else {
-            &[|one| one.near, |_| true]
+        let fleet = able.iter().map(|&at| self.load(now, at, pool)).sum::<f64>() / able.len() as f64;
+        let weigh = |(place, at): (usize, BackendId)| {
+            let backend = &self.backends[&at];
+            // Of hundreds of relays one knows next to nothing of where a group is held: most likely with the
+            // first of its order, and with as many more as its part of all sessions takes.
+            let held = place == 0 || group.is_none_or(|group| backend.groups.contains_key(&group));
+            let opening = if pool.tells_share { OPENING } else { OPENING_COUNT };
+            let opening = if held { 0.0 } else { opening };
+            let (told, place) = (self.load(now, at, pool), place as f64);
+            let far = !crossing_is_free && backend.listing.zone != self.deployment.zone;
+            let load = told + opening * place / (place + takes).max(1.0);
+            // A backend driven past what it can do serves nobody, and clients it drops come back at once:
+            // what finds no room anywhere is refused instead. Where little room is left a group gets no new
+            // backend on a guess; but while the fleet has room, to refuse it would be one.
+            let rank = match pool.tells_share {
+                true if load >= HOT && told + opening < FULL => 2,
+                true if load >= HOT && (told >= FULL || fleet >= HOT) => return None,
+                true if load >= HOT => 3,
+                _ => u32::from(far),
+            };
+            Some(Entry { at, load, rank })
         };
-        let among = |wanted: &fn(&Entry) -> bool| weighed.iter().copied().filter(wanted).collect();
-        let mut list: Vec<Entry> = passes.iter().map(among).find(|list: &Vec<Entry>| !list.is_empty())?;
+        let mut list: Vec<Entry> = able.into_iter().enumerate().filter_map(weigh).collect();
+        let best = list.iter().map(|entry| entry.rank).min()?;
+        list.retain(|entry| entry.rank == best);
         let pair = match group {
             Some(_) => (*list.first()?, *list.get(1).unwrap_or(&list[0])),
             None => {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -444,6 +444,23 @@
     }
 }
 
+#[test]
+fn a_group_is_not_refused_on_a_guess_while_the_fleet_has_room() {
+    // The load of the group's first backend, that of the others, and whether a group new to all finds room.
+    let home = |bench: &mut Bench| bench.arrive(1, arrival(1, 7, ms(1_000))).unwrap().0;
+    for (first, others, served) in
+        [(0.85, 0.2, true), (0.85, 0.4, true), (0.85, 0.55, false), (0.1, 0.7, true)]
+    {
+        let mut bench = Bench::new(deployment(REPEATABLE), &rows(4));
+        (0..4).for_each(|at| bench.report(at, Some(10.0), Some(0.1)));
+        let home = home(&mut bench);
+        bench.end(1, 0, Verdict::Withdrawn, true);
+        bench.pass(ms(1_100));
+        (0..4).for_each(|at| bench.report(at, Some(10.0), Some(if at == home { first } else { others })));
+        assert_eq!(bench.arrive(9, arrival(9, 7, ms(1_000))).is_some(), served, "{first} {others}");
+    }
+}
+
 #[test]
 fn an_old_report_gives_way_to_listed_weights() {
     // All weigh the same. Backend 1 was heard of 15 s ago, idle: where the list tells of loads it counts as
