--- a/src/balance.rs
+++ b/src/balance.rs
@@ -371,7 +371,13 @@
     pub fn overdue(&mut self, now: Moment, id: SessionId, waited: Span, front: &mut dyn Front) {
         self.delay_noted(now, id, waited, front);
         let Some(&Session { state: State::Ready(dial, _), .. }) = self.sessions.get(&id) else { return };
-        if waited >= SILENT {
+        if self.backends.get(&dial.backend).is_some_and(|at| at.ejected_until > now) {
+            // Two signs that agree. Whoever else stands there would find out only by a line of his own.
+            let there =
+                |one: &Session| matches!(one.state, State::Ready(at, _) if at.backend == dial.backend);
+            let all = self.sessions.iter().filter(|(_, one)| there(one)).map(|(&id, _)| id);
+            all.collect::<Vec<_>>().into_iter().for_each(|id| self.send_away(id, front));
+        } else if waited >= SILENT {
             self.strike(now, dial.backend, Verdict::Timeout);
             self.send_away(id, front);
         }
@@ -510,8 +516,7 @@
     }
 
     fn jitter(&mut self, count: u32) -> Span {
-        let most = CAP.min(BASE * f64::from(1u32 << count.min(16)));
-        most * self.chance.float()
+        CAP.min(BASE * f64::from(1u32 << count.min(16))) * self.chance.float()
     }
 
     /// Counts a failure of the session's client; the answer is the design's delay before a further try.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -576,6 +576,24 @@
     }
 }
 
+#[test]
+fn a_backend_that_is_out_and_silent_is_left_by_all_at_once() {
+    // Probes of it that failed, how long one line had none back, and how many of its three are sent away.
+    for (failed, waited, moved) in [(0, 250, 0), (1, 250, 0), (2, 250, 3), (0, 1_000, 1), (1, 1_000, 1)] {
+        let mut bench = Bench::new(deployment(REPEATABLE), &rows(4));
+        for id in 0..12 {
+            bench.inherit(id, id % 4);
+        }
+        for _ in 0..failed {
+            bench.relay.probed(bench.now, BackendId(1), Verdict::Timeout, Default::default());
+        }
+        bench.relay.overdue(bench.now, SessionId(5), ms(waited), &mut bench.book);
+        assert_eq!(bench.sent_away(), moved, "{failed} {waited}");
+        let elsewhere = |asked: &Asked| matches!(asked, Asked::SendAway(id) if id % 4 != 1);
+        assert!(!bench.book.asked.iter().any(elsewhere), "{failed} {waited}");
+    }
+}
+
 #[test]
 fn told_to_stop_all_is_over_in_time_and_step_by_step() {
     for (standing, within) in [(0, 3_700), (1, 3_700), (30, 3_700), (30, 1_900)] {
