--- a/src/balance.rs
+++ b/src/balance.rs
@@ -34,6 +34,7 @@
 const FULL: f64 = 0.8; // load from which nothing is placed: between reports it may rise by the rest
 const OVERDRIVEN: f64 = 0.9; // load from which connections are sent away
 const DRAIN: f64 = 0.5; // load down to which, where work has piled up
+const SETTLED: Span = Span::from_ms(2_000); // relief moves nobody sooner: no report holds his load yet
 const STRIKES: u32 = 2; // failures in a row that eject: a single one may be chance
 const MOST_OUT: usize = 2; // one backend in so many may be ejected at a time
 const EJECT: Span = Span::from_ms(4_000); // the first time, doubling: longer than a short pause
@@ -612,9 +613,8 @@
     }
 
     /// Backends driven past what they can do serve none of their messages in time: this relay sends away its
-    /// part of what is too much, the least utility for its load first. One report justifies one such step,
-    /// and nobody is moved before his cool-down, so that a wrong judgement costs little and clients don't go
-    /// round in circles.
+    /// part of what is too much, the least utility for its load first. One report justifies one such step, so
+    /// that a wrong judgement costs little and clients don't go round in circles.
     fn relieve(&mut self, now: Moment, front: &mut dyn Front) {
         let shortest = self.deployment.shortest_target;
         let mut over: BTreeMap<BackendId, f64> = BTreeMap::new();
@@ -634,7 +634,7 @@
             let Some(part) = over.get(&dial.backend) else { continue };
             let load = session.load.unwrap_or(1.0).max(f64::MIN_POSITIVE);
             *excess.entry(dial.backend).or_default() += part * load;
-            if now.since(since) >= COOL_DOWN {
+            if now.since(since) >= SETTLED {
                 movable.push((self.row(session.arrival.listener).utility / load, id, dial.backend, load));
             }
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -308,6 +308,8 @@
         (0.85, 10, Some(9_000), 0..=0),
         (1.2, 10, Some(9_000), 4..=6),
         (1.2, 10, Some(1_000), 0..=0),
+        // Guards against a rush that overdrives a backend and may not be undone for a whole cool-down.
+        (1.2, 10, Some(2_200), 4..=6),
         // Guards against an overload at start that nobody may be moved from.
         (1.2, 10, None, 4..=6),
         // Guards against work that stays piled up behind a load just under one.
