--- a/src/balance.rs
+++ b/src/balance.rs
@@ -18,6 +18,7 @@
 const PROBES_WORTH: f64 = 0.005; // the part of the result that probes may cost
 const HASTE: f64 = 0.25; // of the time to the next probe, where a session is refused for want of room
 const SPENT_OVER: Span = Span::from_ms(10_000); // what sessions pay for probes, so that a rush is no burst
+const FIRST_PROBES: f64 = 10.0; // paid for by nobody: one a second at start, as the design has it
 const KEYS_HELD: usize = 20_000; // against floods of new keys
 const KEY_AGE: Span = Span::from_ms(120_000); // several times the cap: an older count has no more to say
 const POOL_AGE: Span = Span::from_ms(30_000); // an older report counts as none
@@ -166,7 +167,8 @@
 
 impl Relay {
     pub fn new(deployment: Deployment, seed: u64, now: Moment, front: &mut dyn Front) -> Relay {
-        let mut relay = Relay { chance: Chance::from_seed(seed), deployment, ..Relay::default() };
+        let chance = Chance::from_seed(seed);
+        let mut relay = Relay { chance, deployment, probes_due: FIRST_PROBES, ..Relay::default() };
         if relay.deployment.ask_within.is_some() {
             front.subscribe();
         }
@@ -321,8 +323,7 @@
     }
 
     fn leave(&mut self, now: Moment, steps: usize, front: &mut dyn Front) {
-        let states: Vec<(SessionId, State)> =
-            self.sessions.iter().map(|(&id, one)| (id, one.state)).collect();
+        let states: Vec<_> = self.sessions.iter().map(|(&id, one)| (id, one.state)).collect();
         let standing = states.iter().filter(|(_, state)| matches!(state, State::Ready(..))).count();
         let mut part = standing.div_ceil(steps);
         for (id, state) in states {
@@ -498,8 +499,7 @@
 
     /// The final answer: a refusal where trying again is known to be harmless, a teardown otherwise.
     fn finish(&mut self, id: SessionId, wait: Option<Span>, front: &mut dyn Front) {
-        let session = &self.sessions[&id];
-        let harmless = self.allowed(session, |scope, _, _| scope == Scope::All);
+        let harmless = self.allowed(&self.sessions[&id], |scope, _, _| scope == Scope::All);
         match wait {
             Some(wait) if harmless => {
                 let told = self.deployment.tells_retry_after.then_some(wait);
@@ -708,8 +708,8 @@
                 able.push(at);
             }
         }
-        let healthy: Vec<BackendId> =
-            able.iter().copied().filter(|&at| self.backends[&at].ejected_until <= now).collect();
+        let is_in = |at: &BackendId| self.backends[at].ejected_until <= now;
+        let healthy: Vec<BackendId> = able.iter().copied().filter(is_in).collect();
         let mut able = if healthy.is_empty() { able } else { healthy };
         if able.len() > 1 {
             able.retain(|&at| Some(at) != last);
