--- a/src/balance.rs
+++ b/src/balance.rs
@@ -18,7 +18,6 @@
 const PROBES_WORTH: f64 = 0.005; // the part of the result that probes may cost
 const HASTE: f64 = 0.25; // of the time to the next probe, where a session is refused for want of room
 const SPENT_OVER: Span = Span::from_ms(10_000); // what sessions pay for probes, so that a rush is no burst
-const FIRST_PROBES: f64 = 10.0; // paid for by nobody: one a second at start, as the design has it
 const KEYS_HELD: usize = 20_000; // against floods of new keys
 const KEY_AGE: Span = Span::from_ms(120_000); // several times the cap: an older count has no more to say
 const POOL_AGE: Span = Span::from_ms(30_000); // an older report counts as none
@@ -167,8 +166,7 @@
 
 impl Relay {
     pub fn new(deployment: Deployment, seed: u64, now: Moment, front: &mut dyn Front) -> Relay {
-        let chance = Chance::from_seed(seed);
-        let mut relay = Relay { chance, deployment, probes_due: FIRST_PROBES, ..Relay::default() };
+        let mut relay = Relay { chance: Chance::from_seed(seed), deployment, ..Relay::default() };
         if relay.deployment.ask_within.is_some() {
             front.subscribe();
         }
