--- a/src/balance.rs
+++ b/src/balance.rs
@@ -24,7 +24,7 @@
 const POOL_AGE_LISTED: Span = Span::from_ms(10_000); // the same where the list's weights tell of loads
 // Ours.
 const REPORT_LAG: Span = Span::from_ms(1_000); // reports may be so old when they come
-const EACH_MOST: f64 = 0.05; // of a backend for one connection: a fresh relay knows few
+const EACH_MOST: f64 = 0.1; // of a backend for one connection: a fresh relay knows few
 const OPENING: f64 = 0.5; // of a backend for a group new to it, against spilling groups over the fleet
 const OPENING_COUNT: f64 = 15.0; // the same in connections, where only those are told
 const MET_DOUBT: f64 = 20.0; // a group counts as one session in so many until more is known of it
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -446,6 +446,17 @@
     }
 }
 
+#[test]
+fn a_placement_counts_for_what_connections_weigh_here() {
+    // Connections and load reported, and how many more are placed on it before the next report.
+    for (connections, load, placed) in [(4.0, 0.4, 4), (8.0, 0.4, 8), (2.0, 0.75, 1)] {
+        let mut bench = Bench::new(deployment(REPEATABLE), &rows(1));
+        bench.report(0, Some(connections), Some(load));
+        let served = |id: &u32| bench.arrive(*id, arrival(u64::from(*id) + 1, 0, ms(1_000))).is_some();
+        assert_eq!((0..20).filter(served).count(), placed, "{connections} {load}");
+    }
+}
+
 #[test]
 fn a_group_is_not_refused_on_a_guess_while_the_fleet_has_room() {
     // The load of the group's first backend, that of the others, and whether a group new to all finds room.
