Re-read: each load reckoned once a pick, one way to answer, only the origin kept for SIGHUP

pick reckoned every backend's load twice, once for the fleet's mean and once to weigh it; both now read the same figures. Refusing and tearing down stood as twins in clients.rs but for word and counter. The service cloned what it was told at start to keep the whole of it for SIGHUP, which compares only the file's keys: an Origin holds those and the path.

--- a/relay/src/clients.rs
+++ b/relay/src/clients.rs
@@ -1,5 +1,6 @@
 //! Sessions: each owns its client's socket and the dial that is out for it, and is in one named stage.
 use crate::backends::{Dial, Plan, Stage as DialStage};
+use crate::counters::Counters;
 use crate::discovery::Book;
 use crate::front::News;
 use crate::lines::{Flow, TooLong, Took, Words};
@@ -324,22 +325,21 @@
     }
 
     pub fn refuse(&mut self, id: SessionId, retry_after: Option<Span>, works: &mut Works) {
-        self.step(id.0, works, |session, _, works| {
-            if session.stage != Stage::Placing {
-                return Goes;
-            }
-            works.counters.refused += 1;
-            session.part(&protocol::refusal(retry_after), works)
-        });
+        self.answer(id, &protocol::refusal(retry_after), |counters| &mut counters.refused, works);
     }
 
     pub fn tear_down(&mut self, id: SessionId, works: &mut Works) {
+        self.answer(id, protocol::FAILED, |counters| &mut counters.torn_down, works);
+    }
+
+    /// The final answer of a session that was not accepted; one that has its answer gets no second.
+    fn answer(&mut self, id: SessionId, word: &str, count: fn(&mut Counters) -> &mut u64, works: &mut Works) {
         self.step(id.0, works, |session, _, works| {
             if session.stage != Stage::Placing {
                 return Goes;
             }
-            works.counters.torn_down += 1;
-            session.part(protocol::FAILED, works)
+            *count(&mut works.counters) += 1;
+            session.part(word, works)
         });
     }
 
--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -8,7 +8,7 @@
 use crate::front::{Desk, News, Order, hand_in};
 use crate::protocol::Names;
 use crate::sockets::{Owner, Sockets, key_of, owner_of};
-use crate::start::{Posting, read_file};
+use crate::start::{Origin, Posting, read_file};
 use crate::timers::{Alarm, Alarms, Clock};
 use crate::works::Works;
 use polling::{Event, Events, PollMode, Poller};
@@ -47,8 +47,8 @@
     stop_within: Span,
     stopping: Option<Moment>,
     signals: [UnixStream; 3],
-    /// What it was told at start, for what a later text would change.
-    posting: Posting,
+    /// For what a later text would change.
+    origin: Origin,
 }
 
 const STOP_BYTE: usize = 0;
@@ -63,10 +63,10 @@
         let now = clock.now();
         let poller = Rc::new(Poller::new()?);
         let mut sockets = Sockets::new(poller.clone());
-        let site = &posting.site;
-        let deployment = site.deployment.clone();
+        let site = posting.site;
+        let deployment = site.deployment;
         let names = Names {
-            listeners: site.listeners.clone(),
+            listeners: site.listeners,
             groups: deployment.groups,
             notes_tell_delay: site.notes_tell_delay,
         };
@@ -75,7 +75,7 @@
         let pool = Pool::new((posting.memory_mb << 20) / BUFFER_PART / SIZE);
         let (alarms, news, counters) = (Alarms::default(), VecDeque::new(), Counters::default());
         let mut works = Works { now, sockets, pool, alarms, news, counters, starved: VecDeque::new() };
-        let book = Book::new(site.zones.clone(), site.places);
+        let book = Book::new(site.zones, site.places);
         let mut watch = Watch::new(posting.discovery, posting.seed, book, now);
         if let Some(known) = &posting.known {
             match watch.know(known) {
@@ -99,14 +99,14 @@
             poller,
             works,
             sessions: Sessions::new(door, names, connect_timeout, posting.sockets),
-            probes: Probes::new(connect_timeout, posting.site.idle),
+            probes: Probes::new(connect_timeout, site.idle),
             watch,
             relay,
             orders,
             stop_within,
             stopping: None,
             signals,
-            posting,
+            origin: posting.origin,
         })
     }
 
@@ -196,10 +196,10 @@
 
     /// Only discovery's address can change while the process runs; a bad file changes nothing.
     fn reread(&mut self) {
-        let path = self.posting.path.as_deref().ok_or_else(|| "the configuration is in no file".to_string());
+        let path = self.origin.path.as_deref().ok_or_else(|| "the configuration is in no file".to_string());
         match path.and_then(read_file) {
             Ok(later) => {
-                let differs = self.posting.differs(&later);
+                let differs = self.origin.differs(&later.origin);
                 if !differs.is_empty() {
                     log::warn!("changes of {} need a restart", differs.join(", "));
                 }
--- a/relay/src/start.rs
+++ b/relay/src/start.rs
@@ -14,15 +14,20 @@
     pub sockets: usize,
     pub known: Option<ListText>,
     pub site: Site,
-    /// The file, where it came from one, so that it can be read again.
+    pub origin: Origin,
+}
+
+/// Where it came from, kept to be read again.
+pub struct Origin {
+    /// The file, where there is one.
     pub path: Option<String>,
     /// As they stood in the text, by name.
-    pub keys: serde_json::Map<String, serde_json::Value>,
+    keys: serde_json::Map<String, serde_json::Value>,
 }
 
-impl Posting {
+impl Origin {
     /// Keys of a later text that this process can't take up. The list known at start is none: discovery tells it.
-    pub fn differs(&self, later: &Posting) -> Vec<String> {
+    pub fn differs(&self, later: &Origin) -> Vec<String> {
         let names = self.keys.keys().chain(later.keys.keys().filter(|name| !self.keys.contains_key(*name)));
         let differs = |name: &&String| self.keys.get(*name) != later.keys.get(*name);
         names
@@ -52,8 +57,9 @@
 
 pub fn read_file(path: &str) -> Result<Posting, String> {
     let text = std::fs::read(path).map_err(|fault| format!("{path}: {fault}"))?;
-    let posting = read(&text).map_err(|fault| format!("{path}: {fault}"))?;
-    Ok(Posting { path: Some(path.to_string()), ..posting })
+    let mut posting = read(&text).map_err(|fault| format!("{path}: {fault}"))?;
+    posting.origin.path = Some(path.to_string());
+    Ok(posting)
 }
 
 pub fn read(text: &[u8]) -> Result<Posting, String> {
@@ -79,8 +85,7 @@
         sockets: text.limits.sockets,
         known: text.known,
         site: facts::read(text.settings.to_string().as_bytes())?,
-        path: None,
-        keys,
+        origin: Origin { path: None, keys },
     })
 }
 
--- a/relay/tests/sockets.rs
+++ b/relay/tests/sockets.rs
@@ -299,6 +299,12 @@
     format!("OPEN {:016x} 7f3a9c21e0b4d655 {items}\r\n", LAST.fetch_add(1, Ordering::Relaxed))
 }
 
+/// A counter, from the line in the log that has them all.
+fn counted(line: &str, name: &str) -> u32 {
+    let figure = line.split(&format!(" {name}=")).nth(1).and_then(|rest| rest.split(' ').next());
+    figure.unwrap().parse().unwrap()
+}
+
 /// How the program ended; one that doesn't is killed, which is no success.
 fn end_of(child: &mut Child) -> std::process::ExitStatus {
     let until = Instant::now() + LONG;
@@ -789,15 +795,7 @@
     assert_eq!(relay.open("safe", 2_000).hears(), "UP receipt");
     relay.signal("USR1");
     let line = relay.logged("turned_away=");
-    let count = |name: &str| -> u32 {
-        line.split(&format!(" {name}="))
-            .nth(1)
-            .and_then(|rest| rest.split(' ').next())
-            .unwrap()
-            .parse()
-            .unwrap()
-    };
-    assert_eq!(count("turned_away") + count("refused"), told, "{line}");
+    assert_eq!(counted(&line, "turned_away") + counted(&line, "refused"), told, "{line}");
     assert!(line.contains("accept_failures=0 "), "{line}");
 }
 
@@ -816,8 +814,7 @@
         relay.signal("USR1");
         line = relay.logged("accept_failures=");
     }
-    let count = line.split("accept_failures=").nth(1).and_then(|rest| rest.split(' ').next());
-    let count: u32 = count.unwrap().parse().unwrap();
+    let count = counted(&line, "accept_failures");
     // One try each 20 ms; a loop that spins makes thousands at once.
     assert!((1..1_000).contains(&count), "{count}");
     clients[0].say("still here\r\n");
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -718,7 +718,8 @@
         if let Some(group) = group {
             able.sort_by_cached_key(|&at| mixed(self.backends[&at].listing.mark, group));
         }
-        let fleet = able.iter().map(|&at| self.load(now, at, pool)).sum::<f64>() / able.len() as f64;
+        let loads: Vec<f64> = able.iter().map(|&at| self.load(now, at, pool)).collect();
+        let fleet = loads.iter().sum::<f64>() / loads.len() as f64;
         let weigh = |(place, at): (usize, BackendId)| {
             let backend = &self.backends[&at];
             // Of hundreds of relays one knows next to nothing of where a group is held: most likely with the
@@ -726,7 +727,7 @@
             let held = place == 0 || group.is_none_or(|group| backend.groups.contains_key(&group));
             let opening = if pool.tells_share { OPENING } else { OPENING_COUNT };
             let opening = if held { 0.0 } else { opening };
-            let (told, place) = (self.load(now, at, pool), place as f64);
+            let (told, place) = (loads[place], place as f64);
             let far = !crossing_is_free && backend.listing.zone != self.deployment.zone;
             let load = told + opening * place / (place + takes).max(1.0);
             // A backend driven past what it can do serves nobody, and clients it drops come back at once:
