--- /dev/null
+++ b/fleet/src/crowd.rs
@@ -0,0 +1,855 @@
+//! Clients by the thousand on one thread. Each comes when it is due whatever the others met (open loop), waits for its
+//! answer, sends a line each beat and checks that it comes back once and in order, and comes again when it is refused,
+//! moved or cut off. Times count from when a client was due, not from when this thread got round to it.
+use crate::clock::Stopwatch;
+use crate::stage::{Play, Stage, Works};
+use crate::tape::{Answer, RelayNo, Sighting, Tag, Tape};
+use crate::traffic::{Arrival, Traffic, scattered};
+use crate::wire::Wire;
+use hdrhistogram::Histogram;
+use slab::Slab;
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use thistlecroft::units::{Chance, Moment, Span};
+
+/// Each time limit of the rules is so much longer on sockets.
+pub const SLACK: Span = Span::from_ms(50);
+/// Beyond the limit, so that a late turn of this thread blames nobody.
+const PATIENCE: Span = Span::from_ms(300);
+/// Waited for the other side's end after a last word.
+const LAST: Span = Span::from_ms(2_500);
+const STROLL: Span = Span::from_ms(100);
+/// Refused by this many doors in a row, a client goes home.
+const DOORS_TRIED: u32 = 60;
+/// Set-up and line delays up to this are told apart; longer ones count as this.
+const LONGEST: u64 = 60_000_000;
+/// A line of a client that does not read what comes back.
+const FLOOD_LINE: usize = 1_000;
+
+/// Where clients connect: a relay, or for a baseline a box itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Doorway {
+    pub at: SocketAddr,
+    pub relay: Option<RelayNo>,
+    /// The front deals clients to it.
+    pub open: bool,
+}
+
+/// How clients are dealt to doors.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dealing {
+    Even,
+    Random,
+    /// To the door with the fewest own connections.
+    LeastOwn,
+}
+
+/// Clients that break the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rude {
+    /// Connects and says nothing.
+    Silent,
+    /// Half a first line, then nothing.
+    Half,
+    /// A line that means nothing.
+    Garbage,
+    /// More than its first line before its answer.
+    Talks,
+    /// Is served, sends lines as fast as they go and reads none.
+    Unreading,
+}
+
+impl Rude {
+    pub const ALL: [(Rude, &'static str); 5] = [
+        (Rude::Silent, "clients-silent"),
+        (Rude::Half, "clients-half-a-line"),
+        (Rude::Garbage, "clients-garbage"),
+        (Rude::Talks, "clients-talk"),
+        (Rude::Unreading, "clients-unreading"),
+    ];
+}
+
+#[derive(Clone, Debug)]
+pub enum Cue {
+    /// The front takes in or leaves out a door.
+    Door(usize, bool),
+    /// So many standing clients break off and come again, spread over the time.
+    Drop(usize, Span),
+    Rude(Rude, usize),
+    /// Nobody comes any more, and those who stand leave.
+    Finish,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Part {
+    Away,
+    Connecting,
+    Sending,
+    Waiting,
+    Standing,
+    /// Has ended its sending and waits for the other side's end.
+    Ending,
+    /// Has had its last word.
+    Told,
+}
+
+struct Client {
+    place: usize,
+    stage: Part,
+    wire: Option<Wire>,
+    /// An alarm of an earlier stage says nothing.
+    serial: u64,
+    tag: Tag,
+    connections: u64,
+    door: usize,
+    doors_tried: u32,
+    tries: u32,
+    due: Moment,
+    asked: Moment,
+    life_ends: Option<Moment>,
+    again: bool,
+    retries: bool,
+    has_stood: bool,
+    next_line: u64,
+    out: VecDeque<(u64, Moment)>,
+    chance: Chance,
+    rude: Option<Rude>,
+}
+
+#[derive(Debug)]
+pub enum Alarm {
+    Arrive,
+    Come(usize, u64),
+    Late(usize, u64),
+    Leave(usize, u64),
+    Beat(usize, u64),
+    Closed(usize, u64),
+}
+
+/// What clients of one listener met.
+#[derive(Clone, Debug)]
+pub struct KindSums {
+    pub name: String,
+    pub utility: f64,
+    pub arrivals: u64,
+    /// Seconds that clients meant to stand within the run.
+    pub asked_s: f64,
+    /// Seconds of these in which messages came back in time.
+    pub served_s: f64,
+    pub up: u64,
+    pub busy: u64,
+    pub failed: u64,
+    pub unanswered: u64,
+    pub moved: u64,
+    pub cut_off: u64,
+    /// Clients that gave up coming.
+    pub lost: u64,
+    /// Microseconds from when a client was due to its first `UP`.
+    pub set_up: Histogram<u32>,
+    /// Microseconds from a line to its return.
+    pub lines: Histogram<u32>,
+}
+
+#[derive(Clone, Debug)]
+pub struct CrowdSums {
+    pub kinds: Vec<KindSums>,
+    /// Microseconds from when a client was due to when its connection began.
+    pub late: Histogram<u32>,
+    pub wrong_lines: u64,
+    pub rude: u64,
+    /// Rude ones that heard a word or an end.
+    pub rude_answered: u64,
+    pub worst_turn: Span,
+    pub worked: Span,
+}
+
+fn histogram() -> Histogram<u32> {
+    Histogram::new_with_bounds(1, LONGEST, 3).expect("bounds that the crate allows")
+}
+
+impl CrowdSums {
+    /// Sums of clients on another thread.
+    pub fn add(&mut self, other: &CrowdSums) {
+        for (one, two) in self.kinds.iter_mut().zip(&other.kinds) {
+            one.arrivals += two.arrivals;
+            one.asked_s += two.asked_s;
+            one.served_s += two.served_s;
+            one.up += two.up;
+            one.busy += two.busy;
+            one.failed += two.failed;
+            one.unanswered += two.unanswered;
+            one.moved += two.moved;
+            one.cut_off += two.cut_off;
+            one.lost += two.lost;
+            // Both were made with the same bounds.
+            let _ = one.set_up.add(&two.set_up);
+            let _ = one.lines.add(&two.lines);
+        }
+        let _ = self.late.add(&other.late);
+        self.wrong_lines += other.wrong_lines;
+        self.rude += other.rude;
+        self.rude_answered += other.rude_answered;
+        self.worst_turn = self.worst_turn.max(other.worst_turn);
+        self.worked += other.worked;
+    }
+}
+
+pub struct Crowd {
+    traffic: Traffic,
+    /// With their numbers among all arrivals of the run.
+    arrivals: Vec<(u64, Arrival)>,
+    next: usize,
+    until: Moment,
+    doors: Vec<Doorway>,
+    own: Vec<usize>,
+    dealing: Dealing,
+    dealt: usize,
+    chance: Chance,
+    clients: Slab<Client>,
+    serial: u64,
+    finishing: bool,
+    idle_noted: bool,
+    sums: CrowdSums,
+}
+
+/// What a crowd is told at its opening.
+#[derive(Clone, Debug)]
+pub struct Bill {
+    pub traffic: Traffic,
+    pub arrivals: Vec<(u64, Arrival)>,
+    /// The run's end, for the seconds asked.
+    pub until: Moment,
+    pub doors: Vec<Doorway>,
+    pub dealing: Dealing,
+    pub seed: u64,
+}
+
+impl Crowd {
+    /// # Errors
+    /// Where a poller or a thread is not to be had.
+    pub fn open(bill: Bill, clock: Stopwatch, tape: Tape) -> io::Result<Stage<Crowd>> {
+        Stage::open("crowd", clock, tape, move |works| {
+            let kinds = bill.traffic.kinds.iter().map(|kind| KindSums {
+                name: kind.name.clone(),
+                utility: kind.utility,
+                arrivals: 0,
+                asked_s: 0.0,
+                served_s: 0.0,
+                up: 0,
+                busy: 0,
+                failed: 0,
+                unanswered: 0,
+                moved: 0,
+                cut_off: 0,
+                lost: 0,
+                set_up: histogram(),
+                lines: histogram(),
+            });
+            let sums = CrowdSums {
+                kinds: kinds.collect(),
+                late: histogram(),
+                wrong_lines: 0,
+                rude: 0,
+                rude_answered: 0,
+                worst_turn: Span::ZERO,
+                worked: Span::ZERO,
+            };
+            if let Some((_, first)) = bill.arrivals.first() {
+                works.set(first.due, Alarm::Arrive);
+            }
+            Ok(Crowd {
+                own: vec![0; bill.doors.len()],
+                traffic: bill.traffic,
+                arrivals: bill.arrivals,
+                next: 0,
+                until: bill.until,
+                doors: bill.doors,
+                dealing: bill.dealing,
+                dealt: 0,
+                chance: Chance::from_seed(bill.seed),
+                clients: Slab::new(),
+                serial: 0,
+                finishing: false,
+                idle_noted: false,
+                sums,
+            })
+        })
+    }
+
+    /// All that are due by now.
+    fn arrive(&mut self, works: &mut Works<Alarm>) {
+        while let Some((number, arrival)) = self.arrivals.get(self.next) {
+            if self.finishing {
+                return;
+            }
+            if arrival.due > works.now {
+                return works.set(arrival.due, Alarm::Arrive);
+            }
+            let (number, seed, due) = (*number, arrival.seed, arrival.due);
+            let sums = &mut self.sums.kinds[usize::from(arrival.kind)];
+            sums.arrivals += 1;
+            sums.asked_s += arrival.life.min(self.until.since(due)).secs();
+            let client = Client {
+                place: self.next,
+                stage: Part::Away,
+                wire: None,
+                serial: 0,
+                // Room for a million connections of each client.
+                tag: Tag(number << 20),
+                connections: number << 20,
+                door: 0,
+                doors_tried: 0,
+                tries: 0,
+                due,
+                asked: due,
+                life_ends: None,
+                again: false,
+                retries: false,
+                has_stood: false,
+                next_line: 0,
+                out: VecDeque::new(),
+                chance: Chance::from_seed(seed),
+                rude: None,
+            };
+            self.next += 1;
+            let id = self.clients.insert(client);
+            self.connect(id, works);
+        }
+    }
+
+    fn arrival(&self, id: usize) -> &Arrival {
+        &self.arrivals[self.clients[id].place].1
+    }
+
+    fn kind(&mut self, id: usize) -> &mut KindSums {
+        let kind = usize::from(self.arrivals[self.clients[id].place].1.kind);
+        &mut self.sums.kinds[kind]
+    }
+
+    /// The client's next stage: alarms of the one before say nothing any more.
+    fn turn(&mut self, id: usize, stage: Part) -> u64 {
+        self.serial += 1;
+        let client = &mut self.clients[id];
+        (client.stage, client.serial) = (stage, self.serial);
+        self.serial
+    }
+
+    fn gone(&mut self, id: usize, works: &mut Works<Alarm>) {
+        self.hang_up(id);
+        self.clients.remove(id);
+        self.note_idle(works);
+    }
+
+    fn note_idle(&mut self, works: &mut Works<Alarm>) {
+        if self.finishing && self.clients.is_empty() && !self.idle_noted {
+            self.idle_noted = true;
+            works.note(Sighting::Mark { text: IDLE.into() });
+        }
+    }
+
+    fn hang_up(&mut self, id: usize) {
+        let client = &mut self.clients[id];
+        if client.wire.take().is_some() {
+            self.own[client.door] = self.own[client.door].saturating_sub(1);
+        }
+    }
+
+    fn away(&mut self, id: usize, span: Span, works: &mut Works<Alarm>) {
+        self.hang_up(id);
+        if self.finishing || self.clients[id].life_ends.is_some_and(|ends| works.now + span >= ends) {
+            return self.gone(id, works);
+        }
+        let serial = self.turn(id, Part::Away);
+        self.clients[id].due = works.now + span;
+        works.set(works.now + span, Alarm::Come(id, serial));
+    }
+
+    fn deal(&mut self, id: usize) -> Option<usize> {
+        let open: Vec<usize> = (0..self.doors.len()).filter(|&door| self.doors[door].open).collect();
+        if open.is_empty() {
+            return None;
+        }
+        Some(match self.dealing {
+            Dealing::Even => {
+                self.dealt += 1;
+                open[self.dealt % open.len()]
+            }
+            Dealing::Random => open[self.clients[id].chance.below(open.len() as u64) as usize],
+            Dealing::LeastOwn => *open.iter().min_by_key(|&&door| self.own[door]).expect("not empty"),
+        })
+    }
+
+    fn connect(&mut self, id: usize, works: &mut Works<Alarm>) {
+        let client = &mut self.clients[id];
+        let _ = self.sums.late.record(works.clock.now().since(client.due).us().clamp(1, LONGEST));
+        client.connections += 1;
+        client.tag = Tag(scattered(client.connections));
+        let Some(door) = self.deal(id) else { return self.never_taken(id, works) };
+        self.clients[id].door = door;
+        match Wire::connect(self.doors[door].at, &works.poller, id) {
+            Ok(mut wire) => {
+                wire.settle(true);
+                self.own[door] += 1;
+                self.clients[id].wire = Some(wire);
+                let serial = self.turn(id, Part::Connecting);
+                let wait = match self.clients[id].rude {
+                    None => self.traffic.kinds[usize::from(self.arrival(id).kind)].wait,
+                    Some(_) => Span::from_ms(10_000),
+                };
+                works.set(works.now + wait, Alarm::Late(id, serial));
+            }
+            Err(fault) => {
+                log::debug!("a client can't connect: {fault}");
+                self.never_taken(id, works);
+            }
+        }
+    }
+
+    /// The front finds out by itself in a while; the client tries the next door.
+    fn never_taken(&mut self, id: usize, works: &mut Works<Alarm>) {
+        let relay = self.doors.get(self.clients[id].door).and_then(|door| door.relay);
+        works.note(Sighting::NeverTaken { relay });
+        let client = &mut self.clients[id];
+        client.doors_tried += 1;
+        if client.doors_tried > DOORS_TRIED || client.rude.is_some() {
+            if client.rude.is_none() {
+                self.kind(id).lost += 1;
+            }
+            return self.gone(id, works);
+        }
+        self.away(id, STROLL, works);
+    }
+
+    fn say_first(&mut self, id: usize, works: &mut Works<Alarm>) {
+        let arrival = self.arrival(id).clone();
+        let kind = &self.traffic.kinds[usize::from(arrival.kind)];
+        let client = &mut self.clients[id];
+        let mut line = format!(
+            "OPEN {:016x} {:016x} c={},d={}",
+            client.tag.0,
+            arrival.key,
+            kind.name,
+            kind.wait.us() / 1_000
+        );
+        if let Some(group) = arrival.group {
+            line += &format!(",g={group:016x}");
+        }
+        line += &format!(",h={:.3}", arrival.load);
+        line += if client.retries { ",r=1" } else { "" };
+        line += if client.again { ",again=1" } else { "" };
+        line += "\r\n";
+        match client.rude {
+            Some(Rude::Silent) => line.clear(),
+            Some(Rude::Half) => line.truncate(line.len() / 2),
+            Some(Rude::Garbage) => line = "what is this\r\n".into(),
+            Some(Rude::Talks) => line += "M 0 0\r\n",
+            Some(Rude::Unreading) | None => {}
+        }
+        let Some(wire) = &mut client.wire else { return };
+        let done = wire.say(line.as_bytes()).is_ok();
+        wire.settle(false);
+        if !done {
+            return self.never_taken(id, works);
+        }
+        self.turn(id, Part::Sending);
+        self.sent(id, works);
+    }
+
+    /// The wait counts from the last byte.
+    fn sent(&mut self, id: usize, works: &mut Works<Alarm>) {
+        let client = &mut self.clients[id];
+        if client.stage != Part::Sending || !client.wire.as_ref().is_some_and(Wire::is_flushed) {
+            return;
+        }
+        client.asked = works.now;
+        client.doors_tried = 0;
+        let serial = self.turn(id, Part::Waiting);
+        if self.clients[id].rude.is_some() {
+            // It never ends by itself; what the relay makes of it is an answer or an end.
+            return;
+        }
+        let arrival = self.arrival(id);
+        let (listener, leaves) = (arrival.kind, arrival.leaves_after);
+        let wait = self.traffic.kinds[usize::from(listener)].wait;
+        let client = &self.clients[id];
+        let (session, due, again) = (client.tag, client.due, client.again);
+        let relay = self.doors[client.door].relay;
+        works.note(Sighting::Asked { session, relay, listener, wait, due, again });
+        works.set(works.now + wait + SLACK + PATIENCE, Alarm::Late(id, serial));
+        if let (Some(after), false) = (leaves, client.has_stood) {
+            works.set(works.now + after, Alarm::Leave(id, serial));
+        }
+    }
+
+    fn lines(&mut self, id: usize, works: &mut Works<Alarm>) {
+        while let Some(line) = self.clients.get_mut(id).and_then(|client| client.wire.as_mut()?.line()) {
+            let client = &self.clients[id];
+            let session = client.tag;
+            if let Some(rude) = client.rude {
+                self.rude_heard(id, rude, &line, works);
+                continue;
+            }
+            match client.stage {
+                Part::Waiting => self.answered(id, &line, works),
+                Part::Standing | Part::Ending => self.line_back(id, &line, works),
+                Part::Told => works.note(Sighting::SaidMore { session }),
+                _ => {}
+            }
+        }
+    }
+
+    fn answered(&mut self, id: usize, line: &str, works: &mut Works<Alarm>) {
+        let session = self.clients[id].tag;
+        let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
+        match word {
+            "UP" => {
+                works.note(Sighting::Answered { session, answer: Answer::Up });
+                let (life, beat) = (self.arrival(id).life, self.traffic.beat);
+                let sums = self.kind(id);
+                sums.up += 1;
+                let client = &mut self.clients[id];
+                if !client.has_stood {
+                    let took = works.now.since(client.due).us();
+                    let _ = self.kind(id).set_up.record(took.clamp(1, LONGEST));
+                }
+                let client = &mut self.clients[id];
+                client.has_stood = true;
+                client.tries = 0;
+                client.life_ends.get_or_insert(works.now + life);
+                client.out.clear();
+                // Beats of many clients must not fall together.
+                let first = beat * client.chance.float();
+                let serial = self.turn(id, Part::Standing);
+                works.set(works.now + first, Alarm::Beat(id, serial));
+            }
+            "BUSY" => {
+                let told = rest.trim().parse().ok().map(Span::from_ms);
+                works.note(Sighting::Answered { session, answer: Answer::Busy(told) });
+                self.kind(id).busy += 1;
+                self.turned_down(id, told, works);
+            }
+            _ => {
+                works.note(Sighting::Answered { session, answer: Answer::Failed });
+                self.kind(id).failed += 1;
+                self.turned_down(id, None, works);
+            }
+        }
+    }
+
+    /// Waits for the end of the connection, then comes again if it does at all.
+    fn turned_down(&mut self, id: usize, told: Option<Span>, works: &mut Works<Alarm>) {
+        let serial = self.turn(id, Part::Told);
+        let back_off = self.traffic.back_off;
+        let heeds = self.arrival(id).heeds;
+        let client = &mut self.clients[id];
+        client.retries = true;
+        let wait = told.filter(|_| heeds).unwrap_or(back_off * (0.5 + client.chance.float()));
+        client.due = works.now + wait;
+        works.set(works.now + Span::from_ms(500), Alarm::Closed(id, serial));
+    }
+
+    fn come_again(&mut self, id: usize, works: &mut Works<Alarm>) {
+        let client = &mut self.clients[id];
+        client.tries += 1;
+        if client.tries > self.traffic.retries || self.finishing {
+            self.kind(id).lost += u64::from(!self.finishing);
+            return self.gone(id, works);
+        }
+        let left = client.due.since(works.now);
+        self.away(id, left, works);
+    }
+
+    fn rejoin(&mut self, id: usize, works: &mut Works<Alarm>) {
+        let (least, most) = self.traffic.rejoin;
+        let client = &mut self.clients[id];
+        (client.again, client.retries) = (true, false);
+        let span = least + (most - least) * client.chance.float();
+        self.away(id, span, works);
+    }
+
+    fn line_back(&mut self, id: usize, line: &str, works: &mut Works<Alarm>) {
+        let session = self.clients[id].tag;
+        let word = line.split(' ').next().unwrap_or_default();
+        match word {
+            "LOAD" => {}
+            "MOVE" => {
+                works.note(Sighting::Moved { session });
+                self.kind(id).moved += 1;
+                self.rejoin(id, works);
+            }
+            "BYE" => {
+                works.note(Sighting::Ended { session });
+                self.gone(id, works);
+            }
+            _ => {
+                let expected = self.clients[id].out.front().copied();
+                match expected.filter(|(number, _)| line == format!("M {:016x} {number}", session.0)) {
+                    Some((_, at)) => self.line_right(id, at, works),
+                    None => {
+                        works.note(Sighting::LineWrong { session });
+                        self.sums.wrong_lines += 1;
+                    }
+                }
+            }
+        }
+    }
+
+    fn line_right(&mut self, id: usize, at: Moment, works: &mut Works<Alarm>) {
+        let client = &mut self.clients[id];
+        client.out.pop_front();
+        let (session, waited) = (client.tag, works.now.since(at));
+        let target = self.traffic.kinds[usize::from(self.arrival(id).kind)].message_target;
+        let beat = self.traffic.beat.secs();
+        let sums = self.kind(id);
+        let _ = sums.lines.record(waited.us().clamp(1, LONGEST));
+        if waited <= target {
+            sums.served_s += beat;
+        }
+        if waited > Span::from_ms(1_000) {
+            works.note(Sighting::LineLate { session, waited });
+        }
+    }
+
+    fn beat(&mut self, id: usize, works: &mut Works<Alarm>) {
+        let beat = self.traffic.beat;
+        let client = &mut self.clients[id];
+        let Some(wire) = &mut client.wire else { return };
+        if self.finishing || client.life_ends.is_some_and(|ends| works.now >= ends) {
+            wire.finish_sending();
+            let serial = self.turn(id, Part::Ending);
+            return works.set(works.now + LAST, Alarm::Closed(id, serial));
+        }
+        client.next_line += 1;
+        client.out.push_back((client.next_line, works.now));
+        let line = format!("M {:016x} {}\r\n", client.tag.0, client.next_line);
+        if wire.say(line.as_bytes()).is_err() {
+            return self.ended(id, works);
+        }
+        wire.settle(false);
+        works.set(works.now + beat, Alarm::Beat(id, client.serial));
+    }
+
+    /// The other side has ended the connection, or broken it.
+    fn ended(&mut self, id: usize, works: &mut Works<Alarm>) {
+        let client = &self.clients[id];
+        let (session, stage) = (client.tag, client.stage);
+        if client.rude.is_some() {
+            self.sums.rude_answered += 1;
+            return self.gone(id, works);
+        }
+        match stage {
+            Part::Connecting | Part::Sending => self.never_taken(id, works),
+            Part::Waiting => {
+                works.note(Sighting::Dropped { session });
+                self.kind(id).failed += 1;
+                self.turned_down(id, None, works);
+                self.come_again(id, works);
+            }
+            Part::Standing => {
+                works.note(Sighting::CutOff { session });
+                self.kind(id).cut_off += 1;
+                self.rejoin(id, works);
+            }
+            Part::Ending => {
+                works.note(Sighting::Ended { session });
+                self.gone(id, works);
+            }
+            Part::Told => self.come_again(id, works),
+            Part::Away => {}
+        }
+    }
+
+    // ---- what the one who directs wants ----
+
+    fn drop_some(&mut self, count: usize, over: Span, works: &mut Works<Alarm>) {
+        let standing: Vec<usize> = self
+            .clients
+            .iter()
+            .filter(|(_, client)| client.stage == Part::Standing && client.rude.is_none())
+            .map(|(id, _)| id)
+            .collect();
+        let count = count.min(standing.len());
+        for number in 0..count {
+            let id = standing[number * standing.len() / count];
+            let client = &mut self.clients[id];
+            works.note(Sighting::Ended { session: client.tag });
+            if let Some(wire) = &client.wire {
+                wire.break_off();
+            }
+            (client.again, client.retries) = (true, false);
+            let span = over * self.chance.float();
+            self.away(id, span, works);
+        }
+    }
+
+    fn come_rudely(&mut self, rude: Rude, count: usize, works: &mut Works<Alarm>) {
+        if self.arrivals.is_empty() {
+            return;
+        }
+        for _ in 0..count {
+            self.sums.rude += 1;
+            let number = (1 << 43) + self.sums.rude;
+            let client = Client {
+                place: 0,
+                stage: Part::Away,
+                wire: None,
+                serial: 0,
+                tag: Tag(number << 20),
+                connections: number << 20,
+                door: 0,
+                doors_tried: 0,
+                tries: 0,
+                due: works.now,
+                asked: works.now,
+                life_ends: None,
+                again: false,
+                retries: false,
+                has_stood: false,
+                next_line: 0,
+                out: VecDeque::new(),
+                chance: Chance::from_seed(self.chance.below(u64::MAX)),
+                rude: Some(rude),
+            };
+            let id = self.clients.insert(client);
+            self.connect(id, works);
+        }
+    }
+
+    fn rude_heard(&mut self, id: usize, rude: Rude, line: &str, works: &mut Works<Alarm>) {
+        if rude == Rude::Unreading && line.starts_with("UP") {
+            let serial = self.turn(id, Part::Standing);
+            works.set(works.now, Alarm::Beat(id, serial));
+        } else {
+            self.sums.rude_answered += 1;
+            self.gone(id, works);
+        }
+    }
+
+    /// More than all buffers on the way hold; what comes back is left unread.
+    fn flood(&mut self, id: usize, works: &mut Works<Alarm>) {
+        let client = &mut self.clients[id];
+        let Some(wire) = &mut client.wire else { return };
+        wire.freeze(false);
+        let said = if wire.is_flushed() {
+            let line = format!("{}\r\n", "f".repeat(FLOOD_LINE));
+            wire.say(line.repeat(64).as_bytes())
+        } else {
+            wire.flush()
+        };
+        wire.freeze(true);
+        match said {
+            Ok(()) => works.set(works.now + Span::from_ms(20), Alarm::Beat(id, client.serial)),
+            Err(_) => {
+                self.sums.rude_answered += 1;
+                self.gone(id, works);
+            }
+        }
+    }
+
+    fn finish(&mut self, works: &mut Works<Alarm>) {
+        self.finishing = true;
+        let all: Vec<usize> = self.clients.iter().map(|(id, _)| id).collect();
+        for id in all {
+            let client = &self.clients[id];
+            match client.stage {
+                _ if client.rude.is_some() => self.gone(id, works),
+                Part::Standing => self.beat(id, works),
+                Part::Away | Part::Connecting => self.gone(id, works),
+                _ => {}
+            }
+        }
+        self.note_idle(works);
+    }
+
+    fn current(&self, id: usize, serial: u64) -> bool {
+        self.clients.get(id).is_some_and(|client| client.serial == serial)
+    }
+}
+
+/// Noted once after `Cue::Finish`, when the last client has gone.
+pub const IDLE: &str = "all clients have gone";
+
+impl Play for Crowd {
+    type Alarm = Alarm;
+    type Cue = Cue;
+    type Sums = CrowdSums;
+
+    fn event(&mut self, id: usize, writable: bool, works: &mut Works<Alarm>) {
+        let Some(client) = self.clients.get_mut(id) else { return };
+        let stage = client.stage;
+        let Some(wire) = &mut client.wire else { return };
+        if stage == Part::Connecting {
+            if !writable {
+                return;
+            }
+            return match wire.is_up() {
+                Ok(true) => self.say_first(id, works),
+                Ok(false) => {}
+                Err(_) => self.never_taken(id, works),
+            };
+        }
+        let broke = wire.read().and_then(|_| wire.flush()).is_err();
+        wire.settle(false);
+        self.sent(id, works);
+        self.lines(id, works);
+        let over = |client: &Client| client.wire.as_ref().is_some_and(|wire| broke || wire.ended);
+        if self.clients.get(id).is_some_and(over) {
+            self.ended(id, works);
+        }
+    }
+
+    fn alarm(&mut self, alarm: Alarm, works: &mut Works<Alarm>) {
+        match alarm {
+            Alarm::Arrive => self.arrive(works),
+            Alarm::Come(id, serial) if self.current(id, serial) => self.connect(id, works),
+            Alarm::Late(id, serial) if self.current(id, serial) => {
+                if self.clients[id].stage == Part::Connecting {
+                    return self.never_taken(id, works);
+                }
+                works.note(Sighting::Unanswered { session: self.clients[id].tag });
+                self.kind(id).unanswered += 1;
+                self.turned_down(id, None, works);
+                self.come_again(id, works);
+            }
+            Alarm::Leave(id, serial) if self.current(id, serial) => {
+                works.note(Sighting::LeftEarly { session: self.clients[id].tag });
+                if let Some(wire) = &self.clients[id].wire {
+                    wire.break_off();
+                }
+                self.gone(id, works);
+            }
+            Alarm::Beat(id, serial) if self.current(id, serial) => {
+                if self.clients[id].rude.is_some() {
+                    self.flood(id, works)
+                } else {
+                    self.beat(id, works)
+                }
+            }
+            Alarm::Closed(id, serial) if self.current(id, serial) => match self.clients[id].stage {
+                Part::Told => self.come_again(id, works),
+                _ => {
+                    works.note(Sighting::Ended { session: self.clients[id].tag });
+                    self.gone(id, works);
+                }
+            },
+            _ => {}
+        }
+    }
+
+    fn cue(&mut self, cue: Cue, works: &mut Works<Alarm>) -> bool {
+        works.now = works.clock.now();
+        match cue {
+            Cue::Door(door, open) => self.doors[door].open = open,
+            Cue::Drop(count, over) => self.drop_some(count, over, works),
+            Cue::Rude(rude, count) => self.come_rudely(rude, count, works),
+            Cue::Finish => self.finish(works),
+        }
+        true
+    }
+
+    fn sums(mut self, works: &Works<Alarm>) -> CrowdSums {
+        (self.sums.worst_turn, self.sums.worked) = (works.worst_turn, works.worked);
+        self.sums
+    }
+}
--- /dev/null
+++ b/fleet/src/listing.rs
@@ -0,0 +1,123 @@
+//! Discovery's list without its sockets: the truth, what an agent has of it, and the text of both.
+use crate::tape::{BoxNo, Lifecycle};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// A row of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    pub at: SocketAddr,
+    pub zone: String,
+    pub cell: u16,
+    pub lifecycle: Lifecycle,
+    /// Unix time; 0 for long ago.
+    pub started_ms: u64,
+}
+
+/// The name of a box on the list, the same for all relays.
+pub fn name_of(at: BoxNo) -> String {
+    format!("box-{:04}", at.0)
+}
+
+/// The list as one agent has it. Versions count its changes.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    generation: u64,
+    rows: BTreeMap<BoxNo, (u64, Row)>,
+    /// Changes before this version are not known any more: who asks with an older or a higher one has the whole.
+    known_from: u64,
+}
+
+impl Listing {
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    pub fn rows(&self) -> impl Iterator<Item = (BoxNo, &Row)> {
+        self.rows.iter().map(|(at, (_, row))| (*at, row))
+    }
+
+    pub fn put(&mut self, at: BoxNo, row: Row) {
+        self.generation += 1;
+        self.rows.insert(at, (self.generation, row));
+    }
+
+    /// As an agent does that has lost its memory: the same rows, versions from the start.
+    pub fn forget_versions(&mut self) {
+        self.generation = 1;
+        self.known_from = 1;
+        self.rows.retain(|_, (_, row)| row.lifecycle != Lifecycle::Gone);
+        self.rows.values_mut().for_each(|(version, _)| *version = 1);
+    }
+
+    /// The text for one who holds that version: what changed since, or the whole; and the rows that it names.
+    pub fn text_since(&self, held: Option<u64>) -> (String, Vec<(BoxNo, Lifecycle)>) {
+        let held = held.filter(|held| (self.known_from..=self.generation).contains(held));
+        let told: Vec<(&BoxNo, &Row)> = self
+            .rows
+            .iter()
+            .filter(|(_, (version, _))| held.is_none_or(|held| *version > held))
+            .filter(|(_, (_, row))| held.is_some() || row.lifecycle != Lifecycle::Gone)
+            .map(|(at, (_, row))| (at, row))
+            .collect();
+        let instances: Vec<_> = told.iter().map(|(at, row)| object(**at, row)).collect();
+        let text = json!({"generation": self.generation, "reset": held.is_none(), "instances": instances})
+            .to_string();
+        (text, told.iter().map(|(at, row)| (**at, row.lifecycle)).collect())
+    }
+}
+
+fn object(at: BoxNo, row: &Row) -> serde_json::Value {
+    json!({
+        "instanceId": name_of(at),
+        "hostPort": row.at.to_string(),
+        "zone": row.zone,
+        "machineType": "stand-in",
+        "cell": row.cell,
+        "lifecycle": match row.lifecycle {
+            Lifecycle::Ready => "Ready",
+            Lifecycle::Draining => "Terminating",
+            Lifecycle::Gone => "Gone",
+        },
+        "weight": 1.0,
+        "startedAtMs": row.started_ms,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn who_asks_has_what_changed_since_or_the_whole() {
+        let row = |lifecycle| Row {
+            at: "127.0.0.1:9".parse().unwrap(),
+            zone: "a".into(),
+            cell: 0,
+            lifecycle,
+            started_ms: 0,
+        };
+        let mut list = Listing::default();
+        list.put(BoxNo(0), row(Lifecycle::Ready));
+        list.put(BoxNo(1), row(Lifecycle::Ready));
+        list.put(BoxNo(0), row(Lifecycle::Gone));
+        use Lifecycle::{Gone, Ready};
+        let cases = [
+            (None, true, vec![(1, Ready)]),
+            (Some(1), false, vec![(0, Gone), (1, Ready)]),
+            (Some(2), false, vec![(0, Gone)]),
+            (Some(3), false, vec![]),
+            (Some(9), true, vec![(1, Ready)]),
+        ];
+        for (held, reset, rows) in cases {
+            let (text, told) = list.text_since(held);
+            let told: Vec<_> = told.iter().map(|(at, lifecycle)| (at.0, *lifecycle)).collect();
+            assert_eq!(told, rows, "{held:?}");
+            assert!(text.contains(&format!("\"reset\":{reset}")), "{held:?}: {text}");
+        }
+        list.forget_versions();
+        assert_eq!(list.text_since(Some(3)).1.len(), 1, "the whole, since its versions are others now");
+        assert_eq!(list.text_since(Some(1)).1.len(), 0);
+    }
+}
--- /dev/null
+++ b/fleet/src/post.rs
@@ -0,0 +1,268 @@
+//! Relays as processes: their configuration, their start, their signals, what they cost, and their end.
+use crate::clock::duration;
+use rustix::process::{Pid, Resource, Signal, getrlimit, kill_process, setrlimit};
+use serde_json::json;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+use thistlecroft::deployment::{Effect, Scope};
+use thistlecroft::units::Span;
+
+/// A relay answers `PING` within this, or has not started.
+const START: Duration = Duration::from_secs(10);
+const LOOK: Duration = Duration::from_millis(10);
+
+/// A row of the settings' listeners.
+#[derive(Clone, Debug)]
+pub struct ListenerTerms {
+    pub name: String,
+    pub wait: Span,
+    pub handshake_target: Span,
+    pub message_target: Span,
+    pub effect: Effect,
+    pub utility: f64,
+}
+
+/// The settings that all relays of a run are given; keys are the platform's.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub zones: Vec<String>,
+    pub listeners: Vec<ListenerTerms>,
+    pub connect_time: Span,
+    pub most_dials: u32,
+    pub longest_retry_after: Option<Span>,
+    pub probes: bool,
+    pub groups: bool,
+    pub cold_start_share: f64,
+    pub warm_up: Span,
+    pub cold_factor: f64,
+    pub cold_window: Span,
+    pub memory_mb: u64,
+    pub sockets: u64,
+}
+
+/// What one relay is told beside the terms.
+#[derive(Clone, Debug)]
+pub struct Orders {
+    pub name: String,
+    pub number: usize,
+    pub relays: usize,
+    pub zone: usize,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// The list as it last had it, in discovery's form.
+    pub known: Option<serde_json::Value>,
+}
+
+/// The text that `ROUTER_CONFIG` names.
+pub fn configuration(terms: &Terms, orders: &Orders) -> String {
+    let listeners: Vec<_> = terms
+        .listeners
+        .iter()
+        .map(|row| {
+            let (effect, scope, window) = match row.effect {
+                Effect::Repeatable => ("retryable", "all", Span::ZERO),
+                Effect::OnceOnly => ("fragile", "all", Span::ZERO),
+                Effect::Referenced { scope, window } => {
+                    let scope = match scope {
+                        Scope::All => "all",
+                        Scope::Zone => "zone",
+                        Scope::Cell => "cell",
+                    };
+                    ("dedup", scope, window)
+                }
+            };
+            json!({"name": row.name, "deadlineUs": row.wait.us(), "handshakeTargetUs": row.handshake_target.us(),
+                "effect": effect, "dedupScope": scope, "dedupWindowUs": window.us(), "utility": row.utility})
+        })
+        .collect();
+    let targets: Vec<u64> = terms.listeners.iter().map(|row| row.message_target.us()).collect();
+    json!({
+        "name": orders.name, "listen": orders.listen.to_string(), "discovery": orders.discovery.to_string(),
+        "seed": format!("{:016x}", orders.seed),
+        "limits": {"cores": 1.0, "memory_mb": terms.memory_mb, "sockets": terms.sockets},
+        "known": orders.known,
+        "settings": {
+            "az": orders.zone, "zones": terms.zones, "balancers": orders.relays, "me": orders.number,
+            "tickUs": 2_000, "discovery": "automatic", "listeners": listeners,
+            "extra": {"groups": terms.groups, "tellsDelay": false, "tellsLoad": false, "messageAimUs": targets},
+            "invariants": {"askWithinUs": 1, "coldUs": terms.warm_up.us(), "fallUs": terms.cold_window.us(),
+                "overloadFactor": terms.cold_factor, "startCapacity": terms.cold_start_share},
+            "permissions": {"connIdleUs": 9_000_000, "dialTimeoutUs": terms.connect_time.us(),
+                "maxDials": terms.most_dials,
+                "maxRetryAfterUs": terms.longest_retry_after.unwrap_or(Span::ZERO).us(),
+                "mayCancel": true, "probes": terms.probes, "retryAfter": terms.longest_retry_after.is_some()},
+            "report": {"fields": ["inflight", "x0"], "how": "pull"},
+        },
+    })
+    .to_string()
+}
+
+/// A relay's process. Dropped, it is killed.
+pub struct Post {
+    child: Child,
+    pub at: SocketAddr,
+    config: PathBuf,
+    log: PathBuf,
+}
+
+impl Post {
+    /// Starts a program as a relay and waits until it answers `PING`. `program` is the command and its arguments;
+    /// configuration and log are written into `folder`.
+    ///
+    /// # Errors
+    /// One line: the program is not to be started, or ended, or did not answer; with the last line of its log.
+    pub fn start(program: &[String], terms: &Terms, orders: &Orders, folder: &Path) -> Result<Post, String> {
+        let config = folder.join(format!("{}.json", orders.name));
+        let log = folder.join(format!("{}.log", orders.name));
+        let failed = |fault: std::io::Error| format!("{}: {fault}", folder.display());
+        std::fs::write(&config, configuration(terms, orders)).map_err(failed)?;
+        let out = std::fs::File::options().create(true).append(true).open(&log).map_err(failed)?;
+        let [name, arguments @ ..] = program else { return Err("no program to start as a relay".into()) };
+        let mut command = Command::new(name);
+        command
+            .args(arguments)
+            .env("ROUTER_CONFIG", &config)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::from(out));
+        die_with_us(&mut command);
+        let child = command.spawn().map_err(|fault| format!("{name} can't be started: {fault}"))?;
+        let mut post = Post { child, at: orders.listen, config, log };
+        post.wait_ready().map_err(|why| format!("{} at {}: {why}", orders.name, orders.listen))?;
+        Ok(post)
+    }
+
+    fn wait_ready(&mut self) -> Result<(), String> {
+        let until = Instant::now() + START;
+        loop {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                let last = std::fs::read_to_string(&self.log).unwrap_or_default();
+                let last = last.lines().last().unwrap_or("it said nothing").to_string();
+                return Err(format!("it ended at once ({status}): {last}"));
+            }
+            match answers(self.at) {
+                true => return Ok(()),
+                false if Instant::now() > until => return Err("it does not answer PING".into()),
+                false => std::thread::sleep(LOOK),
+            }
+        }
+    }
+
+    pub fn config(&self) -> &Path {
+        &self.config
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            // It may have ended by itself, which is found out elsewhere.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
+    pub fn tell_to_stop(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// How it ended, where it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Waits for its end; none where it goes on.
+    pub fn wait(&mut self, within: Span) -> Option<ExitStatus> {
+        let until = Instant::now() + duration(within);
+        loop {
+            match self.ended() {
+                Some(status) => return Some(status),
+                None if Instant::now() > until => return None,
+                None => std::thread::sleep(LOOK),
+            }
+        }
+    }
+
+    /// CPU time used so far, and bytes of memory resident; none where the process has ended.
+    pub fn cost(&self) -> Option<(Span, u64)> {
+        let read = |name: &str| std::fs::read_to_string(format!("/proc/{}/{name}", self.child.id())).ok();
+        let stat = read("stat")?;
+        // The name in brackets may hold anything; the fields behind it don't.
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        let second = rustix::param::clock_ticks_per_second();
+        let pages: u64 = read("statm")?.split_whitespace().nth(1)?.parse().ok()?;
+        Some((Span::from_us(ticks * 1_000_000 / second), pages * rustix::param::page_size() as u64))
+    }
+}
+
+impl Drop for Post {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A child that we start is killed with the thread that started it, however that ends.
+fn die_with_us(command: &mut Command) {
+    use std::os::unix::process::CommandExt;
+    // SAFETY: the one call between fork and exec is a system call that allocates nothing.
+    unsafe {
+        command.pre_exec(|| {
+            rustix::process::set_parent_process_death_signal(Some(Signal::KILL)).map_err(std::io::Error::from)
+        });
+    }
+}
+
+fn answers(at: SocketAddr) -> bool {
+    let asked = || -> std::io::Result<bool> {
+        let mut stream = TcpStream::connect_timeout(&at, Duration::from_millis(200))?;
+        stream.set_read_timeout(Some(Duration::from_millis(500)))?;
+        stream.write_all(b"PING\r\n")?;
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line)?;
+        Ok(line.trim_end() == "PONG")
+    };
+    asked().unwrap_or(false)
+}
+
+/// An address of the loopback range for a relay, at which nobody listens now.
+///
+/// # Errors
+/// Where the system gives no port.
+pub fn free_address(number: usize) -> std::io::Result<SocketAddr> {
+    let [.., high, low] = (number as u32 + 1).to_be_bytes();
+    let process = (std::process::id() % 60) as u8;
+    let at = std::net::Ipv4Addr::new(127, 2 + process, high, low);
+    std::net::TcpListener::bind((at, 0))?.local_addr()
+}
+
+/// Raises this process's limit of descriptors, and with it that of the relays it starts, to what it needs.
+///
+/// # Errors
+/// One line that names the limit and what is needed.
+pub fn need_descriptors(needed: u64) -> Result<u64, String> {
+    let limit = getrlimit(Resource::Nofile);
+    let (soft, hard) = (limit.current.unwrap_or(u64::MAX), limit.maximum.unwrap_or(u64::MAX));
+    if soft >= needed {
+        return Ok(soft);
+    }
+    if hard < needed {
+        return Err(format!(
+            "{needed} descriptors are needed and the limit is {hard} (ulimit -Hn): raise it, or run fewer clients"
+        ));
+    }
+    let raised = rustix::process::Rlimit { current: Some(needed), maximum: limit.maximum };
+    setrlimit(Resource::Nofile, raised)
+        .map_err(|fault| format!("the limit of descriptors stays at {soft}: {fault}"))?;
+    Ok(needed)
+}
--- /dev/null
+++ b/fleet/src/referee.rs
@@ -0,0 +1,634 @@
+//! Reads what boxes and clients saw, and says of each of the four rules whether it was kept, with the shortest story
+//! of its first break. No I/O. What nobody can have seen is not judged: a box that stands still notes late, and a
+//! relay that was killed owes no answer for what it held.
+use crate::tape::{Answer, BoxNo, Entry, Lifecycle, RelayNo, Reply, Sighting, Tag};
+use std::collections::BTreeMap;
+use thistlecroft::deployment::{Effect, Scope};
+use thistlecroft::units::{Moment, Span};
+
+/// Each time limit is so much longer on sockets.
+const SLACK: Span = Span::from_ms(50);
+/// Sightings of two threads, or of two sockets in one turn, may stand in the wrong order by so much.
+const BLUR: Span = Span::from_ms(50);
+/// A line may be kept for so long, and the end of a box's side for as long.
+const SECOND: Span = Span::from_ms(1_000);
+/// How long after its box has gone silent a connection may stand as if nothing were.
+const SILENT: Span = Span::from_ms(8_000);
+/// What discovery has to tell counts as told so much later.
+const DEEMED: Span = Span::from_ms(6_000);
+/// An answer that only waited: given so near the end of the wait, with nothing out for so long.
+const NEAR: Span = Span::from_ms(150);
+const NOTHING_OUT: Span = Span::from_ms(250);
+/// The part of a break's story that is told.
+const STORY: usize = 14;
+
+/// The figures by which it is judged.
+#[derive(Clone, Debug)]
+pub struct Law {
+    /// What may be repeated, by listener.
+    pub effects: Vec<Effect>,
+    /// A second dial may go out while one is, by listener; where not stated, none may.
+    pub hedged: Vec<bool>,
+    /// Nothing new goes to a box so long after it was told as draining or gone.
+    pub grace: Span,
+    /// Where boxes are, for the scope of referenced sessions.
+    pub places: Vec<(String, u16)>,
+}
+
+/// A broken rule.
+#[derive(Clone, Debug)]
+pub struct Break {
+    pub rule: usize,
+    pub at: Moment,
+    pub what: String,
+    /// Who said what, and when.
+    pub story: Vec<String>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Ruling {
+    /// The first break of each rule.
+    pub first: [Option<Break>; 4],
+    pub breaks: [usize; 4],
+    /// Sessions that were judged.
+    pub sessions: usize,
+    pub answered: usize,
+    /// Sessions that nobody owes an answer: the client left, or its relay was killed.
+    pub excused: usize,
+    pub dials: usize,
+    pub most_dials: usize,
+    /// The greatest part of a cold box's budget that was used.
+    pub worst_push: f64,
+}
+
+impl Ruling {
+    pub fn kept(&self) -> bool {
+        self.breaks == [0; 4]
+    }
+
+    /// `rules kept`, or which broke and how often.
+    pub fn line(&self) -> String {
+        if self.kept() {
+            return "rules kept".into();
+        }
+        let broken = (1..).zip(self.breaks).filter(|(_, count)| *count > 0);
+        let broken: Vec<String> =
+            broken.map(|(rule, count)| format!("rule {rule} broken {count} times")).collect();
+        broken.join(", ")
+    }
+}
+
+#[derive(Clone, Debug)]
+struct DialStory {
+    at: BoxNo,
+    came: Moment,
+    first: Moment,
+    over: Option<(Moment, Option<Reply>)>,
+    /// Its box stood still when it came or before it was over: the times say little.
+    blurred: bool,
+}
+
+#[derive(Clone, Debug)]
+struct SessionStory {
+    asked: Moment,
+    wait: Span,
+    relay: Option<RelayNo>,
+    listener: usize,
+    answer: Option<(Moment, Answer)>,
+    ends: Option<Moment>,
+    excused: bool,
+    dials: Vec<DialStory>,
+    box_ended: Option<Moment>,
+    box_held: Span,
+    left: bool,
+}
+
+/// From when to when something was so; open at its end while it still is.
+#[derive(Default)]
+struct Times(Vec<(Moment, Option<Moment>)>);
+
+impl Times {
+    fn begin(&mut self, at: Moment) {
+        self.end(at);
+        self.0.push((at, None));
+    }
+
+    fn end(&mut self, at: Moment) {
+        if let Some((_, end @ None)) = self.0.last_mut() {
+            *end = Some(at);
+        }
+    }
+
+    /// If it was so at any time between the two.
+    fn meets(&self, from: Moment, to: Moment) -> bool {
+        self.0.iter().any(|&(began, ended)| began <= to && ended.is_none_or(|ended| ended >= from))
+    }
+}
+
+#[derive(Default)]
+struct BoxStory {
+    still: Times,
+    /// Anything is wrong with it, or it is not running.
+    ailing: Times,
+    /// From when on nothing new may come, by relay; what all are deemed told counts for those not told.
+    told: BTreeMap<RelayNo, Moment>,
+    shut: Option<Moment>,
+}
+
+pub struct Referee<'a> {
+    law: &'a Law,
+    entries: &'a [Entry],
+    sessions: BTreeMap<Tag, SessionStory>,
+    boxes: BTreeMap<BoxNo, BoxStory>,
+    killed: BTreeMap<RelayNo, Vec<Moment>>,
+    late: Vec<(Moment, Span)>,
+    ruling: Ruling,
+    end: Moment,
+}
+
+/// Judges a run from its sightings, which must stand in the order of time.
+pub fn judge(entries: &[Entry], law: &Law) -> Ruling {
+    let mut referee = Referee {
+        law,
+        entries,
+        sessions: BTreeMap::new(),
+        boxes: BTreeMap::new(),
+        killed: BTreeMap::new(),
+        late: Vec::new(),
+        ruling: Ruling::default(),
+        end: entries.last().map_or(Moment::default(), |entry| entry.at),
+    };
+    referee.first_look();
+    for entry in entries {
+        referee.read(entry);
+    }
+    referee.whole_sessions();
+    referee.ruling
+}
+
+impl Referee<'_> {
+    /// What excuses must be known before anything is blamed.
+    fn first_look(&mut self) {
+        for Entry { at, seen } in self.entries {
+            match seen {
+                Sighting::Asked { session, relay, listener, wait, .. } => {
+                    let story = SessionStory {
+                        asked: *at,
+                        wait: *wait,
+                        relay: *relay,
+                        listener: usize::from(*listener),
+                        answer: None,
+                        ends: None,
+                        excused: false,
+                        dials: Vec::new(),
+                        box_ended: None,
+                        box_held: Span::ZERO,
+                        left: false,
+                    };
+                    self.sessions.insert(*session, story);
+                }
+                Sighting::BoxEnded { session, .. } => {
+                    if let Some(story) = self.sessions.get_mut(session) {
+                        story.box_ended = Some(*at);
+                    }
+                }
+                Sighting::BoxHeld { session, waited, .. } => {
+                    if let Some(story) = self.sessions.get_mut(session) {
+                        story.box_held = story.box_held.max(*waited);
+                    }
+                }
+                Sighting::Still { at: of, on } => {
+                    let still = &mut self.boxes.entry(*of).or_default().still;
+                    if *on { still.begin(*at) } else { still.end(*at) }
+                }
+                Sighting::Ailment { at: of, on, .. } => {
+                    let ailing = &mut self.boxes.entry(*of).or_default().ailing;
+                    if *on { ailing.begin(*at) } else { ailing.end(*at) }
+                }
+                Sighting::BoxStopped { at: of } => self.boxes.entry(*of).or_default().ailing.begin(*at),
+                Sighting::BoxStarted { at: of, .. } => self.boxes.entry(*of).or_default().ailing.end(*at),
+                Sighting::RelayKilled { relay } => self.killed.entry(*relay).or_default().push(*at),
+                Sighting::ToolLate { by } => self.late.push((*at, *by)),
+                _ => {}
+            }
+        }
+    }
+
+    /// How late what was noted between the two may have been seen.
+    fn lateness(&self, from: Moment, to: Moment) -> Span {
+        let near = self.late.iter().filter(|(at, by)| *at + *by >= from && *at <= to + *by);
+        near.map(|(_, by)| *by).max().unwrap_or(Span::ZERO)
+    }
+
+    fn was_killed(&self, relay: Option<RelayNo>, from: Moment, to: Moment) -> bool {
+        let Some(times) = relay.and_then(|relay| self.killed.get(&relay)) else { return false };
+        times.iter().any(|at| *at + BLUR >= from && *at <= to + BLUR)
+    }
+
+    fn broken(&mut self, rule: usize, at: Moment, what: String, session: Option<Tag>, of: Option<BoxNo>) {
+        self.ruling.breaks[rule - 1] += 1;
+        if self.ruling.first[rule - 1].as_ref().is_some_and(|first| first.at <= at) {
+            return;
+        }
+        let about = |entry: &&Entry| match session {
+            Some(session) => {
+                session_of(&entry.seen) == Some(session) || of.is_some_and(|of| is_news(&entry.seen, of))
+            }
+            None => of.is_some_and(|of| is_news(&entry.seen, of) || is_dial(&entry.seen, of)),
+        };
+        let story: Vec<String> = self.entries.iter().filter(about).map(tell).collect();
+        // Of a long story its end, in which it broke.
+        let until = self.entries.iter().filter(about).filter(|entry| entry.at <= at + SECOND).count();
+        let story = story[until.saturating_sub(STORY)..until].to_vec();
+        self.ruling.first[rule - 1] = Some(Break { rule, at, what, story });
+    }
+
+    fn read(&mut self, entry: &Entry) {
+        let at = entry.at;
+        match &entry.seen {
+            Sighting::Answered { session, answer } => self.answered(at, *session, *answer),
+            Sighting::SaidMore { session } => {
+                self.broken(1, at, "more was said after the final answer".into(), Some(*session), None);
+            }
+            Sighting::Unanswered { session } | Sighting::Dropped { session } => {
+                let Some(story) = self.sessions.get_mut(session) else { return };
+                story.ends = Some(at);
+                let (from, relay) = (story.asked, story.relay);
+                if relay.is_some() && !self.was_killed(relay, from, at) {
+                    let what = match entry.seen {
+                        Sighting::Dropped { .. } => "its connection ended without an answer",
+                        _ => "it had no answer within its wait",
+                    };
+                    self.broken(1, at, what.into(), Some(*session), None);
+                } else if let Some(story) = self.sessions.get_mut(session) {
+                    story.excused = true;
+                }
+            }
+            Sighting::LeftEarly { session } => {
+                if let Some(story) = self.sessions.get_mut(session) {
+                    (story.excused, story.left, story.ends) = (true, true, Some(at));
+                }
+            }
+            Sighting::Moved { session } | Sighting::Ended { session } => {
+                if let Some(story) = self.sessions.get_mut(session) {
+                    story.ends = Some(at);
+                }
+            }
+            Sighting::CutOff { session } => self.cut_off(at, *session),
+            Sighting::LineLate { session, waited } => self.line_late(at, *session, *waited),
+            Sighting::LineWrong { session } => {
+                self.broken(
+                    1,
+                    at,
+                    "a line came back that was not sent, or not in order".into(),
+                    Some(*session),
+                    None,
+                );
+            }
+            Sighting::DialCame { at: of, session, first } => self.dial_came(at, *of, *session, *first),
+            Sighting::DialReplied { at: of, session, reply } => {
+                self.dial_over(at, *of, *session, Some(*reply))
+            }
+            Sighting::DialGone { at: of, session } => self.dial_over(at, *of, *session, None),
+            Sighting::BoxDrains { at: of } | Sighting::BoxStopped { at: of } => {
+                self.boxes.entry(*of).or_default().shut.get_or_insert(at);
+            }
+            Sighting::BoxStarted { at: of, .. } => {
+                let story = self.boxes.entry(*of).or_default();
+                (story.shut, story.told) = (None, BTreeMap::new());
+            }
+            Sighting::Told { relay, at: of, lifecycle: Lifecycle::Draining | Lifecycle::Gone } => {
+                let story = self.boxes.entry(*of).or_default();
+                // Of a box that runs again by now the news is old.
+                if story.shut.is_some() {
+                    story.told.entry(*relay).or_insert(at);
+                }
+            }
+            Sighting::BoxFell { at: of } => {
+                self.broken(4, at, format!("box {} was pushed over while cold", of.0), None, Some(*of));
+            }
+            Sighting::BoxLoad { pushed, .. } => {
+                self.ruling.worst_push = self.ruling.worst_push.max(*pushed);
+            }
+            Sighting::Mark { text } if text.starts_with("SYNTAX") => {
+                self.broken(1, at, format!("a box met a line that no client sent: {text}"), None, None);
+            }
+            _ => {}
+        }
+    }
+
+    fn answered(&mut self, at: Moment, session: Tag, answer: Answer) {
+        let Some(story) = self.sessions.get(&session) else { return };
+        let (asked, wait, relay) = (story.asked, story.wait, story.relay);
+        if story.answer.is_some() {
+            return self.broken(1, at, "it was answered twice".into(), Some(session), None);
+        }
+        if let Some(story) = self.sessions.get_mut(&session) {
+            story.answer = Some((at, answer));
+            if answer != Answer::Up {
+                story.ends = Some(at);
+            }
+        }
+        let due = asked + wait + SLACK;
+        let late = self.lateness(asked, at);
+        if relay.is_some() && at > due + late {
+            let what =
+                format!("its answer came {} ms after its wait was over", at.since(asked + wait).us() / 1_000);
+            self.broken(1, at, what, Some(session), None);
+        }
+    }
+
+    fn cut_off(&mut self, at: Moment, session: Tag) {
+        let Some(story) = self.sessions.get_mut(&session) else { return };
+        story.ends = Some(at);
+        let (relay, ended) = (story.relay, story.box_ended);
+        let of = story
+            .dials
+            .iter()
+            .find(|dial| matches!(dial.over, Some((_, Some(Reply::Up)))))
+            .map(|dial| dial.at);
+        // As a box that is its own door it may end what it likes.
+        if relay.is_none()
+            || ended.is_some_and(|ended| ended <= at + BLUR)
+            || self.was_killed(relay, at - SECOND, at)
+        {
+            return;
+        }
+        let since = at - SILENT;
+        if of.is_some_and(|of| self.boxes.get(&of).is_some_and(|story| story.ailing.meets(since, at))) {
+            return;
+        }
+        self.broken(1, at, "it was cut off without MOVE while its box answered".into(), Some(session), of);
+    }
+
+    fn line_late(&mut self, at: Moment, session: Tag, waited: Span) {
+        let Some(story) = self.sessions.get(&session) else { return };
+        let from = at - waited;
+        let ailing = |dial: &DialStory| {
+            self.boxes
+                .get(&dial.at)
+                .is_some_and(|story| story.ailing.meets(from, at) || story.still.meets(from, at))
+        };
+        let of_box = story.dials.iter().any(ailing);
+        let late = story.box_held + self.lateness(from, at);
+        if story.relay.is_none() || of_box || waited <= SECOND + SLACK + late {
+            return;
+        }
+        let what = format!("a line took {} ms, its box had answered before", waited.us() / 1_000);
+        self.broken(1, at, what, Some(session), None);
+    }
+
+    fn dial_came(&mut self, at: Moment, of: BoxNo, session: Tag, first: Moment) {
+        self.ruling.dials += 1;
+        let Some(story) = self.sessions.get(&session) else { return };
+        let relay = story.relay;
+        let here = self.boxes.entry(of).or_default();
+        let blurred = here.still.meets(at - BLUR, at);
+        let told = relay.and_then(|relay| here.told.get(&relay).copied());
+        let told = match (told, here.shut) {
+            (Some(told), Some(shut)) => Some(told.min(shut + DEEMED)),
+            (None, Some(shut)) => Some(shut + DEEMED),
+            (told, None) => told,
+        };
+        let grace = self.law.grace;
+        let late = self.lateness(first, at);
+        if let (Some(told), Some(_), false) = (told, relay, blurred)
+            && first > told + grace + SLACK + late
+        {
+            let after = first.since(told).us() / 1_000;
+            let what = format!("box {} was dialled {after} ms after its drain was told", of.0);
+            self.broken(3, at, what, Some(session), Some(of));
+        }
+        if let Some(story) = self.sessions.get_mut(&session) {
+            story.dials.push(DialStory { at: of, came: at, first, over: None, blurred });
+        }
+    }
+
+    fn dial_over(&mut self, at: Moment, of: BoxNo, session: Tag, reply: Option<Reply>) {
+        let still = self.boxes.get(&of);
+        let Some(story) = self.sessions.get_mut(&session) else { return };
+        let open = story.dials.iter_mut().rev().find(|dial| dial.at == of && dial.over.is_none());
+        if let Some(dial) = open {
+            dial.over = Some((at, reply));
+            dial.blurred |= still.is_some_and(|story| story.still.meets(dial.came, at));
+        }
+    }
+
+    /// What can only be said when all of a session is known.
+    fn whole_sessions(&mut self) {
+        let tags: Vec<Tag> = self.sessions.keys().copied().collect();
+        for tag in tags {
+            let story = self.sessions[&tag].clone();
+            self.ruling.sessions += 1;
+            self.ruling.most_dials = self.ruling.most_dials.max(story.dials.len());
+            if story.answer.is_some() {
+                self.ruling.answered += 1;
+            } else if story.excused {
+                self.ruling.excused += 1;
+            }
+            if story.relay.is_none() {
+                continue;
+            }
+            let end_of_wait = story.asked + story.wait;
+            if story.answer.is_none()
+                && !story.excused
+                && story.ends.is_none()
+                && self.end > end_of_wait + SECOND
+            {
+                self.broken(1, end_of_wait, "it was never answered".into(), Some(tag), None);
+            }
+            self.kept_back(tag, &story);
+            self.orphaned(tag, &story);
+            self.dials_at_once(tag, &story);
+            self.effects(tag, &story);
+        }
+    }
+
+    fn kept_back(&mut self, tag: Tag, story: &SessionStory) {
+        let Some((at, Answer::Busy(_) | Answer::Failed)) = story.answer else { return };
+        let nothing_out = story.dials.iter().map(|dial| dial.over.map_or(at, |(over, _)| over)).max();
+        let since = nothing_out.unwrap_or(story.asked);
+        let blurred = story.dials.iter().any(|dial| dial.blurred);
+        if at + NEAR >= story.asked + story.wait && at.since(since) > NOTHING_OUT && !blurred {
+            let what =
+                format!("its answer was kept back for {} ms with no dial out", at.since(since).us() / 1_000);
+            self.broken(1, at, what, Some(tag), None);
+        }
+    }
+
+    /// One that its box has ended must be ended or moved within a second.
+    fn orphaned(&mut self, tag: Tag, story: &SessionStory) {
+        let (Some(ended), Some((_, Answer::Up))) = (story.box_ended, story.answer) else { return };
+        let over = story.ends.unwrap_or(self.end);
+        let late = self.lateness(ended, over);
+        if over > ended + SECOND + SLACK + late && !self.was_killed(story.relay, ended, over) {
+            self.broken(1, over, "its box had ended it a second before and more".into(), Some(tag), None);
+        }
+    }
+
+    fn dials_at_once(&mut self, tag: Tag, story: &SessionStory) {
+        if self.law.hedged.get(story.listener).copied().unwrap_or(false) {
+            return;
+        }
+        for pair in story.dials.windows(2) {
+            let [one, two] = pair else { continue };
+            let late = self.lateness(one.came, two.came);
+            let over = one.over.filter(|(_, reply)| *reply != Some(Reply::Up)).map(|(over, _)| over);
+            if one.blurred || two.blurred || over.is_some_and(|over| over <= two.came + BLUR + late) {
+                continue;
+            }
+            let what = format!("boxes {} and {} had a dial of it at once", one.at.0, two.at.0);
+            self.broken(2, two.came, what, Some(tag), None);
+        }
+    }
+
+    fn effects(&mut self, tag: Tag, story: &SessionStory) {
+        let ran = |dial: &&DialStory| !matches!(dial.over, Some((_, Some(Reply::Busy))));
+        let Some(first) = story.dials.iter().find(ran) else { return };
+        let refused = matches!(story.answer, Some((_, Answer::Busy(_))));
+        let further = story.dials.iter().filter(|dial| dial.came > first.came);
+        let place = |of: BoxNo| self.law.places.get(usize::from(of.0));
+        let found = match self.law.effects.get(story.listener) {
+            Some(Effect::OnceOnly) => {
+                let again =
+                    further.clone().next().map(|dial| (dial.came, "a once-only session was dialled again"));
+                again.or(refused.then_some((first.came, "a once-only session that may have run was refused")))
+            }
+            Some(Effect::Referenced { scope, window }) => {
+                let outside = |dial: &&DialStory| match scope {
+                    Scope::All => false,
+                    Scope::Zone => {
+                        place(dial.at).map(|place| &place.0) != place(first.at).map(|place| &place.0)
+                    }
+                    Scope::Cell => place(dial.at) != place(first.at),
+                };
+                let late = |dial: &&DialStory| dial.first > first.first + *window + SLACK;
+                let apart = further
+                    .clone()
+                    .find(outside)
+                    .map(|dial| (dial.came, "it was repeated where its mark is not known"));
+                let late = || {
+                    further
+                        .clone()
+                        .find(late)
+                        .map(|dial| (dial.came, "it was repeated after its mark was forgotten"))
+                };
+                let refused = || {
+                    (refused && *scope != Scope::All)
+                        .then_some((first.came, "it may have run and was refused"))
+                };
+                apart.or_else(late).or_else(refused)
+            }
+            _ => None,
+        };
+        if let Some((at, what)) = found {
+            self.broken(2, at, what.into(), Some(tag), None);
+        }
+    }
+}
+
+fn session_of(seen: &Sighting) -> Option<Tag> {
+    Some(match seen {
+        Sighting::Asked { session, .. }
+        | Sighting::Answered { session, .. }
+        | Sighting::SaidMore { session }
+        | Sighting::Unanswered { session }
+        | Sighting::Dropped { session }
+        | Sighting::LeftEarly { session }
+        | Sighting::Moved { session }
+        | Sighting::CutOff { session }
+        | Sighting::Ended { session }
+        | Sighting::LineLate { session, .. }
+        | Sighting::LineWrong { session }
+        | Sighting::DialCame { session, .. }
+        | Sighting::DialReplied { session, .. }
+        | Sighting::DialGone { session, .. }
+        | Sighting::BoxEnded { session, .. }
+        | Sighting::BoxHeld { session, .. } => *session,
+        _ => return None,
+    })
+}
+
+fn is_dial(seen: &Sighting, of: BoxNo) -> bool {
+    matches!(seen, Sighting::DialCame { at, .. } if *at == of)
+}
+
+fn is_news(seen: &Sighting, of: BoxNo) -> bool {
+    match seen {
+        Sighting::BoxStarted { at, .. }
+        | Sighting::BoxDrains { at }
+        | Sighting::BoxStopped { at }
+        | Sighting::BoxFell { at }
+        | Sighting::Told { at, .. }
+        | Sighting::Ailment { at, .. } => *at == of,
+        _ => false,
+    }
+}
+
+/// A sighting as a line of a story.
+pub fn tell(entry: &Entry) -> String {
+    let ms = |span: &Span| span.us() / 1_000;
+    let relay =
+        |relay: &Option<RelayNo>| relay.map_or("a box itself".into(), |relay| format!("relay {}", relay.0));
+    let text = match &entry.seen {
+        Sighting::Asked { session, relay: of, wait, .. } => {
+            format!("client {:016x} asks {} and waits {} ms", session.0, relay(of), ms(wait))
+        }
+        Sighting::Answered { answer, .. } => match answer {
+            Answer::Up => "the client hears UP".into(),
+            Answer::Busy(Some(wait)) => format!("the client hears BUSY {}", ms(wait)),
+            Answer::Busy(None) => "the client hears BUSY".into(),
+            Answer::Failed => "the client hears that it failed".into(),
+        },
+        Sighting::SaidMore { .. } => "the client hears a further line".into(),
+        Sighting::Unanswered { .. } => "the client's wait is over, nothing has come".into(),
+        Sighting::Dropped { .. } => "the client's connection ends without an answer".into(),
+        Sighting::LeftEarly { .. } => "the client leaves".into(),
+        Sighting::NeverTaken { relay: of } => format!("{} takes no connection", relay(of)),
+        Sighting::Moved { .. } => "the client hears MOVE".into(),
+        Sighting::CutOff { .. } => "the client's connection is cut off".into(),
+        Sighting::Ended { .. } => "the client's connection ends well".into(),
+        Sighting::LineLate { waited, .. } => format!("a line is back after {} ms", ms(waited)),
+        Sighting::LineWrong { .. } => "the client hears a line that it did not send".into(),
+        Sighting::DialCame { at, .. } => format!("box {} has a dial of it", at.0),
+        Sighting::DialReplied { at, reply, .. } => format!(
+            "box {} replies {}",
+            at.0,
+            match reply {
+                Reply::Up => "UP",
+                Reply::Busy => "BUSY",
+                Reply::Failed => "that it failed",
+            }
+        ),
+        Sighting::DialGone { at, .. } => format!("box {} sees the dial given up", at.0),
+        Sighting::BoxEnded { at, .. } => format!("box {} ends the connection", at.0),
+        Sighting::BoxHeld { at, waited, .. } => format!("box {} keeps a line for {} ms", at.0, ms(waited)),
+        Sighting::BoxStarted { at, cold } => {
+            format!("box {} starts{}", at.0, if *cold { ", cold" } else { "" })
+        }
+        Sighting::BoxDrains { at } => format!("box {} drains", at.0),
+        Sighting::BoxStopped { at } => format!("box {} stops", at.0),
+        Sighting::BoxFell { at } => format!("box {} falls over", at.0),
+        Sighting::Still { at, on } => {
+            format!("box {} {}", at.0, if *on { "stands still" } else { "goes on" })
+        }
+        Sighting::Ailment { at, name, on } => {
+            format!("box {}: {name}{}", at.0, if *on { "" } else { " is over" })
+        }
+        Sighting::Told { relay, at, lifecycle } => {
+            format!("relay {} is told: box {} {lifecycle:?}", relay.0, at.0)
+        }
+        Sighting::Agent { relay, fault, on } => {
+            format!("relay {}: {fault}{}", relay.0, if *on { "" } else { " is over" })
+        }
+        Sighting::RelayStarted { relay } => format!("relay {} starts", relay.0),
+        Sighting::RelayToldToStop { relay } => format!("relay {} is told to stop", relay.0),
+        Sighting::RelayKilled { relay } => format!("relay {} is killed", relay.0),
+        Sighting::RelayStopped { relay } => format!("relay {} has stopped", relay.0),
+        Sighting::ToolLate { by } => format!("the stand-ins are {} ms late", ms(by)),
+        Sighting::Mark { text } => text.clone(),
+        Sighting::BoxLoad { at, load, .. } => format!("box {} has a load of {load:.2}", at.0),
+        Sighting::RelayCost { relay, .. } => format!("relay {} is measured", relay.0),
+    };
+    format!("{:9.3} s  {text}", entry.at.us() as f64 / 1e6)
+}
--- /dev/null
+++ b/fleet/src/stage.rs
@@ -0,0 +1,174 @@
+//! The loop that every thread of the stand-ins runs: sockets, alarms, and cues from the one who directs.
+use crate::clock::{Stopwatch, duration};
+use crate::tape::{Sighting, Tape};
+use polling::{Events, Poller};
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread::JoinHandle;
+use std::time::Duration;
+use thistlecroft::units::{Moment, Span};
+
+/// A turn longer than this is noted: what was seen in it was seen late.
+const LATE_TURN: Span = Span::from_ms(20);
+const ALARMS: usize = 4_096;
+
+/// What a loop works with.
+pub struct Works<A> {
+    pub now: Moment,
+    pub clock: Stopwatch,
+    pub poller: Arc<Poller>,
+    pub tape: Tape,
+    alarms: BTreeMap<(Moment, u64), A>,
+    serial: u64,
+    /// The longest turn so far.
+    pub worst_turn: Span,
+    /// Time spent working and not waiting.
+    pub worked: Span,
+}
+
+impl<A> Works<A> {
+    pub fn set(&mut self, at: Moment, alarm: A) {
+        self.serial += 1;
+        self.alarms.insert((at, self.serial), alarm);
+    }
+
+    pub fn note(&self, seen: Sighting) {
+        self.tape.note(self.now, seen);
+    }
+}
+
+/// What is played on a loop.
+pub trait Play {
+    type Alarm;
+    type Cue: Send + 'static;
+    /// Told by the loop's end.
+    type Sums: Send + 'static;
+    fn event(&mut self, key: usize, writable: bool, works: &mut Works<Self::Alarm>);
+    fn alarm(&mut self, alarm: Self::Alarm, works: &mut Works<Self::Alarm>);
+    /// False ends the loop.
+    fn cue(&mut self, cue: Self::Cue, works: &mut Works<Self::Alarm>) -> bool;
+    fn sums(self, works: &Works<Self::Alarm>) -> Self::Sums;
+}
+
+/// A loop on its thread. Dropped, it ends.
+pub struct Stage<P: Play> {
+    cues: Option<Sender<P::Cue>>,
+    poller: Arc<Poller>,
+    thread: Option<JoinHandle<P::Sums>>,
+}
+
+impl<P: Play + 'static> Stage<P> {
+    /// # Errors
+    /// Where there is no poller or thread to be had, or what `open` says.
+    pub fn open(
+        name: &str,
+        clock: Stopwatch,
+        tape: Tape,
+        open: impl FnOnce(&mut Works<P::Alarm>) -> io::Result<P> + Send + 'static,
+    ) -> io::Result<Stage<P>> {
+        let poller = Arc::new(Poller::new()?);
+        let (cues, heard) = channel();
+        let (opened, is_open) = channel();
+        let own = poller.clone();
+        let thread = std::thread::Builder::new().name(name.to_string()).spawn(move || {
+            let (alarms, now) = (BTreeMap::new(), clock.now());
+            let (worst_turn, worked) = (Span::ZERO, Span::ZERO);
+            let mut works = Works { now, clock, poller: own, tape, alarms, serial: 0, worst_turn, worked };
+            match open(&mut works) {
+                Ok(mut play) => {
+                    let _ = opened.send(Ok(()));
+                    run(&mut play, &mut works, &heard);
+                    Some(play.sums(&works))
+                }
+                Err(fault) => {
+                    let _ = opened.send(Err(fault));
+                    None
+                }
+            }
+        })?;
+        let opened = is_open.recv().unwrap_or_else(|_| Err(io::Error::other("the thread ended at once")));
+        let thread = match opened {
+            Ok(()) => std::thread::Builder::new()
+                .name(format!("{name}-end"))
+                .spawn(move || thread.join().ok().flatten().expect("a stand-in's loop has a fault"))?,
+            Err(fault) => {
+                let _ = thread.join();
+                return Err(fault);
+            }
+        };
+        Ok(Stage { cues: Some(cues), poller, thread: Some(thread) })
+    }
+
+    /// Carried out soon, in the order given.
+    pub fn cue(&self, cue: P::Cue) {
+        if let Some(cues) = &self.cues {
+            let _ = cues.send(cue);
+            let _ = self.poller.notify();
+        }
+    }
+
+    /// Ends the loop and has its sums.
+    pub fn close(mut self) -> P::Sums {
+        self.cues = None;
+        let _ = self.poller.notify();
+        let thread = self.thread.take().expect("closed once");
+        thread.join().expect("a stand-in's loop has a fault")
+    }
+}
+
+impl<P: Play> Drop for Stage<P> {
+    fn drop(&mut self) {
+        self.cues = None;
+        let _ = self.poller.notify();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn run<P: Play>(play: &mut P, works: &mut Works<P::Alarm>, cues: &Receiver<P::Cue>) {
+    let mut events = Events::new();
+    loop {
+        loop {
+            match cues.try_recv() {
+                Ok(cue) => {
+                    if !play.cue(cue, works) {
+                        return;
+                    }
+                }
+                Err(std::sync::mpsc::TryRecvError::Empty) => break,
+                Err(std::sync::mpsc::TryRecvError::Disconnected) => return,
+            }
+        }
+        let first = works.alarms.first_key_value().map(|((at, _), _)| *at);
+        let wait = first.map(|at| duration(at.since(works.clock.now())) + Duration::from_micros(20));
+        events.clear();
+        if let Err(fault) = works.poller.wait(&mut events, wait)
+            && fault.kind() != io::ErrorKind::Interrupted
+        {
+            log::error!("poller: {fault}");
+            return;
+        }
+        let began = works.clock.now();
+        works.now = began;
+        for event in events.iter() {
+            play.event(event.key, event.writable, works);
+            works.now = works.clock.now();
+        }
+        for _ in 0..ALARMS {
+            let Some(entry) = works.alarms.first_entry().filter(|entry| entry.key().0 <= works.now) else {
+                break;
+            };
+            let alarm = entry.remove();
+            play.alarm(alarm, works);
+        }
+        let took = works.clock.now().since(began);
+        works.worked += took;
+        works.worst_turn = works.worst_turn.max(took);
+        if took > LATE_TURN {
+            works.note(Sighting::ToolLate { by: took });
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/tape.rs
@@ -0,0 +1,256 @@
+//! What boxes, discovery, clients and the run itself saw, in the order of its happening as far as threads allow.
+use serde::Serialize;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+use thistlecroft::units::{Moment, Span};
+
+/// The id in a session's first line: new with each connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Tag(pub u64);
+
+/// A box by its place in the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+pub struct BoxNo(pub u16);
+
+/// A relay by its place among those of the run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+pub struct RelayNo(pub u16);
+
+/// The final answer of a session, as its client read it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Up,
+    Busy(Option<Span>),
+    Failed,
+}
+
+/// How a box answered a dial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    Up,
+    /// Turned away: it never ran.
+    Busy,
+    /// It may have run.
+    Failed,
+}
+
+/// What the list says of a box.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lifecycle {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Sighting {
+    /// The last byte of a first line was written; the client waits for so long. A baseline has no relay.
+    Asked {
+        session: Tag,
+        relay: Option<RelayNo>,
+        listener: u16,
+        wait: Span,
+        due: Moment,
+        again: bool,
+    },
+    Answered {
+        session: Tag,
+        answer: Answer,
+    },
+    /// A line behind a refusal or a teardown.
+    SaidMore {
+        session: Tag,
+    },
+    /// The client's wait was over and nothing had come.
+    Unanswered {
+        session: Tag,
+    },
+    /// The connection ended or broke before the answer.
+    Dropped {
+        session: Tag,
+    },
+    /// The client left before the answer, by its own will.
+    LeftEarly {
+        session: Tag,
+    },
+    /// The relay never took it: no connection, or broken before the last byte.
+    NeverTaken {
+        relay: Option<RelayNo>,
+    },
+    Moved {
+        session: Tag,
+    },
+    /// Up, then ended or broken by the other side without `MOVE` or `BYE`.
+    CutOff {
+        session: Tag,
+    },
+    /// Ended as the client wished, or as its box said.
+    Ended {
+        session: Tag,
+    },
+    LineLate {
+        session: Tag,
+        waited: Span,
+    },
+    LineWrong {
+        session: Tag,
+    },
+    /// A dial's first line was read whole; `first` is when its first byte was.
+    DialCame {
+        at: BoxNo,
+        session: Tag,
+        first: Moment,
+    },
+    DialReplied {
+        at: BoxNo,
+        session: Tag,
+        reply: Reply,
+    },
+    /// The relay ended the dial before a reply.
+    DialGone {
+        at: BoxNo,
+        session: Tag,
+    },
+    /// The box ended a connection that stood, or broke it.
+    BoxEnded {
+        at: BoxNo,
+        session: Tag,
+    },
+    /// The box itself kept a line for so long.
+    BoxHeld {
+        at: BoxNo,
+        session: Tag,
+        waited: Span,
+    },
+    BoxStarted {
+        at: BoxNo,
+        cold: bool,
+    },
+    BoxDrains {
+        at: BoxNo,
+    },
+    BoxStopped {
+        at: BoxNo,
+    },
+    /// Pushed over while cold.
+    BoxFell {
+        at: BoxNo,
+    },
+    /// It stands still, or goes on: what it sees in between it sees late.
+    Still {
+        at: BoxNo,
+        on: bool,
+    },
+    Ailment {
+        at: BoxNo,
+        name: &'static str,
+        on: bool,
+    },
+    /// Load over capacity, connections held, what it can do of its capacity, and how much of the cold budget is used.
+    BoxLoad {
+        at: BoxNo,
+        load: f64,
+        held: usize,
+        share: f64,
+        pushed: f64,
+    },
+    /// Discovery has written it to the relay.
+    Told {
+        relay: RelayNo,
+        at: BoxNo,
+        lifecycle: Lifecycle,
+    },
+    Agent {
+        relay: RelayNo,
+        fault: &'static str,
+        on: bool,
+    },
+    RelayStarted {
+        relay: RelayNo,
+    },
+    RelayToldToStop {
+        relay: RelayNo,
+    },
+    /// Killed outright, or gone by itself.
+    RelayKilled {
+        relay: RelayNo,
+    },
+    RelayStopped {
+        relay: RelayNo,
+    },
+    RelayCost {
+        relay: RelayNo,
+        cpu: Span,
+        resident: u64,
+    },
+    /// A thread of the stand-ins was so late: what it saw in that time was seen late.
+    ToolLate {
+        by: Span,
+    },
+    Mark {
+        text: String,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub at: Moment,
+    pub seen: Sighting,
+}
+
+/// Where sightings go. Cheap to clone, one for each thread.
+#[derive(Clone)]
+pub struct Tape(Sender<Entry>);
+
+pub fn tape() -> (Tape, Reel) {
+    let (tell, told) = channel();
+    (Tape(tell), Reel { told, entries: Vec::new() })
+}
+
+impl Tape {
+    pub fn note(&self, at: Moment, seen: Sighting) {
+        // Nobody listens any more once a run is over; nothing is lost by that.
+        let _ = self.0.send(Entry { at, seen });
+    }
+}
+
+/// All that was noted so far.
+pub struct Reel {
+    told: Receiver<Entry>,
+    pub entries: Vec<Entry>,
+}
+
+impl Reel {
+    /// Takes in what has come; the place of the first new entry.
+    pub fn gather(&mut self) -> usize {
+        let from = self.entries.len();
+        self.entries.extend(self.told.try_iter());
+        from
+    }
+
+    /// Waits until an entry is such, from the first one on; false if none came within that time.
+    pub fn wait_for(&mut self, within: Duration, such: impl Fn(&Sighting) -> bool) -> bool {
+        self.wait_until(within, |entries| entries.iter().any(|entry| such(&entry.seen)))
+    }
+
+    pub fn wait_until(&mut self, within: Duration, done: impl Fn(&[Entry]) -> bool) -> bool {
+        let until = Instant::now() + within;
+        self.gather();
+        while !done(&self.entries) {
+            let left = until.saturating_duration_since(Instant::now());
+            match self.told.recv_timeout(left) {
+                Ok(entry) => self.entries.push(entry),
+                Err(_) => return false,
+            }
+            self.gather();
+        }
+        true
+    }
+
+    /// In the order of time: threads note their own at their own pace.
+    pub fn into_sorted(mut self) -> Vec<Entry> {
+        self.gather();
+        self.entries.sort_by_key(|entry| entry.at);
+        self.entries
+    }
+}
--- /dev/null
+++ b/fleet/src/yard.rs
@@ -0,0 +1,1080 @@
+//! Boxes, their set-up store and discovery's agents, on one thread. Boxes speak the platform's protocol whole;
+//! what they are made to suffer is an `Ailment`, with a name that scenarios use.
+use crate::clock::Stopwatch;
+use crate::listing::{Listing, Row};
+use crate::model::{Make, Store, Workload};
+use crate::stage::{Play, Stage, Works};
+use crate::tape::{BoxNo, Lifecycle, RelayNo, Reply, Sighting, Tag, Tape};
+use crate::wire::Wire;
+use polling::{Event, PollMode};
+use slab::Slab;
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use std::collections::VecDeque;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::{AsRawFd, BorrowedFd};
+use thistlecroft::units::{Chance, Moment, Span};
+
+const BACKLOG: i32 = 4096;
+const ACCEPTS: usize = 256;
+/// An idle watch hears an empty line.
+const AGENT_BEAT: Span = Span::from_ms(2_000);
+/// A line that the box itself keeps for longer is noted, so that no relay is blamed for it.
+const HELD: Span = Span::from_ms(200);
+/// Takes nothing from the time of set-ups, and no reply looks as if it had come before its dial.
+const QUICK: Span = Span::from_ms(1);
+const LONGEST_LINE: usize = 4096;
+
+/// What may be wrong with a box.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ailment {
+    /// The machine is gone from the network: nothing comes up, what is open is silent. It comes back cold.
+    Vanished,
+    /// The process stands still and then goes on: nothing is read or written, connections come up.
+    Frozen,
+    /// Takes dials and answers none; what stands is served.
+    Mute,
+    /// So many times slower.
+    Slow(f64),
+    /// Stands still for the second span once in each of the first.
+    Pausing(Span, Span),
+    /// This part of the dials is answered `ERR` at once.
+    Failing(f64),
+    /// Connections are reset as soon as they come up.
+    ResetsBefore,
+    /// Dials are reset once their line is read.
+    ResetsAfter,
+    /// Half an answer, then nothing.
+    HalfAnswer,
+    /// What the client has ended is never ended from here.
+    NeverCloses,
+    /// Replies `UP`, and then breaks the connection.
+    DropsYoung,
+}
+
+impl Ailment {
+    pub fn name(self) -> &'static str {
+        match self {
+            Ailment::Vanished => "silent",
+            Ailment::Frozen => "freeze",
+            Ailment::Mute => "mute",
+            Ailment::Slow(_) => "slow",
+            Ailment::Pausing(..) => "pauses",
+            Ailment::Failing(_) => "errors",
+            Ailment::ResetsBefore => "reset-before",
+            Ailment::ResetsAfter => "reset-after",
+            Ailment::HalfAnswer => "half-answer",
+            Ailment::NeverCloses => "never-closes",
+            Ailment::DropsYoung => "drops-young",
+        }
+    }
+}
+
+/// What may be wrong with the agent that tells a relay of the boxes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AgentFault {
+    /// Open watches stay open; nothing is written.
+    Silent,
+    /// Watches are broken and new ones refused.
+    Down,
+    /// Goes on with empty lines, tells no change.
+    Stale,
+    /// Loses its memory: versions begin anew. Over at once.
+    Restart,
+    /// Writes one line that is no list. Over at once.
+    Malformed,
+}
+
+impl AgentFault {
+    pub fn name(self) -> &'static str {
+        match self {
+            AgentFault::Silent => "discovery-silent",
+            AgentFault::Down => "discovery-down",
+            AgentFault::Stale => "discovery-stale",
+            AgentFault::Restart => "discovery-restart",
+            AgentFault::Malformed => "discovery-malformed",
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct BoxPlan {
+    pub make: Make,
+    pub zone: String,
+    pub cell: u16,
+    /// Runs and is listed from the beginning; else it joins, cold, when it is cued.
+    pub present: bool,
+}
+
+/// All that stands in the yard at its opening.
+#[derive(Clone, Debug)]
+pub struct Ground {
+    pub boxes: Vec<BoxPlan>,
+    pub relays: usize,
+    /// A change is told so late, drawn for each relay and change.
+    pub notice: (Span, Span),
+    /// Calls that the set-up store has in work at once, and how long each takes; none: set-ups call nothing.
+    pub store: Option<(usize, Span)>,
+    /// How often reports are refreshed and loads noted.
+    pub report_every: Span,
+    pub seed: u64,
+}
+
+#[derive(Clone, Debug)]
+pub enum Cue {
+    Ail(BoxNo, Ailment),
+    /// Ends whatever is wrong with it.
+    Heal(BoxNo),
+    /// The process dies, and comes back cold after so long.
+    Crash(BoxNo, Option<Span>),
+    /// Wants nothing new from now on, sends its clients away evenly over the time and then stops.
+    Drain(BoxNo, Span),
+    /// One that was not present, or has stopped, starts cold.
+    Join(BoxNo),
+    Agent(RelayNo, AgentFault, bool),
+}
+
+#[derive(Debug, PartialEq)]
+enum Heard {
+    Nothing,
+    /// Its `UP` is being worked on, or never comes.
+    Dialled,
+    Standing,
+    /// Said `BYE` or the like; waits for the other side's end.
+    Over,
+}
+
+struct Speech {
+    at: BoxNo,
+    heard: Heard,
+    session: Tag,
+    load: f64,
+    group: Option<u64>,
+    first: Option<Moment>,
+    echoes: VecDeque<(Moment, String)>,
+    free_at: Moment,
+}
+
+struct Watching {
+    relay: RelayNo,
+    follows: bool,
+    /// The version it has been told.
+    held: Option<u64>,
+    asked: bool,
+}
+
+enum Role {
+    Box(Speech),
+    Agent(Watching),
+    /// Fills the backlog of a box that has vanished.
+    Plug(BoxNo),
+}
+
+struct Conn {
+    wire: Wire,
+    role: Role,
+    serial: u64,
+}
+
+struct Door {
+    at: SocketAddr,
+    listener: Option<TcpListener>,
+}
+
+struct StandIn {
+    plan: BoxPlan,
+    door: Door,
+    work: Workload,
+    ailment: Option<Ailment>,
+    still: bool,
+    draining: bool,
+    running: bool,
+    /// Alarms that came while it stood still.
+    waiting: Vec<Alarm>,
+    report: String,
+    /// Counts its starts: an alarm of an earlier life says nothing.
+    life: u32,
+    listed_since_ms: u64,
+}
+
+struct Agent {
+    door: Door,
+    list: Listing,
+    fault: Option<AgentFault>,
+    /// What it has been told itself while it could not take it.
+    missed: Vec<(BoxNo, Row)>,
+}
+
+#[derive(Clone, Debug)]
+pub enum Alarm {
+    Up(usize, u64),
+    Echo(usize, u64),
+    Still(BoxNo, u32, bool),
+    Back(BoxNo, u32),
+    SendAway(BoxNo, u32, Span),
+    Stop(BoxNo, u32),
+    Notice(RelayNo, BoxNo, Row),
+    Beat,
+    Report,
+}
+
+pub struct Yard {
+    boxes: Vec<StandIn>,
+    agents: Vec<Agent>,
+    conns: Slab<Conn>,
+    serial: u64,
+    store: Option<Store>,
+    chance: Chance,
+    notice: (Span, Span),
+    report_every: Span,
+}
+
+/// What a yard says at its end.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct YardSums {
+    pub worst_turn: Span,
+    pub worked: Span,
+}
+
+/// The yard on its thread, and where its people listen.
+pub struct Opened {
+    pub stage: Stage<Yard>,
+    pub boxes: Vec<SocketAddr>,
+    /// One for each relay.
+    pub agents: Vec<SocketAddr>,
+}
+
+const BOX_DOOR: usize = 1 << 40;
+const AGENT_DOOR: usize = 1 << 41;
+
+/// Addresses of the loopback range that no connection's own end takes, and other than those of runs beside this.
+fn loopback(kind: u8, number: usize) -> Ipv4Addr {
+    let [.., high, low] = (number as u32 + 1).to_be_bytes();
+    let process = 64 + (std::process::id() % 64) as u8;
+    Ipv4Addr::new(127, process + kind * 64, high, low)
+}
+
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&at.into()).map_err(|fault| io::Error::new(fault.kind(), format!("{at}: {fault}")))?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
+impl Yard {
+    /// # Errors
+    /// Where addresses, descriptors or a thread are not to be had.
+    pub fn open(ground: Ground, clock: Stopwatch, tape: Tape) -> io::Result<Opened> {
+        let door = |kind, number| -> io::Result<Door> {
+            let listener = listen((loopback(kind, number), 0).into())?;
+            Ok(Door { at: listener.local_addr()?, listener: Some(listener) })
+        };
+        let doors: Vec<Door> =
+            (0..ground.boxes.len()).map(|number| door(0, number)).collect::<io::Result<_>>()?;
+        let agent_doors: Vec<Door> =
+            (0..ground.relays).map(|number| door(1, number)).collect::<io::Result<_>>()?;
+        let boxes = doors.iter().map(|door| door.at).collect();
+        let agents = agent_doors.iter().map(|door| door.at).collect();
+        let stage =
+            Stage::open("yard", clock, tape, move |works| Yard::set_up(ground, doors, agent_doors, works))?;
+        Ok(Opened { stage, boxes, agents })
+    }
+
+    fn set_up(
+        ground: Ground,
+        doors: Vec<Door>,
+        agent_doors: Vec<Door>,
+        works: &mut Works<Alarm>,
+    ) -> io::Result<Yard> {
+        let mut list = Listing::default();
+        let mut boxes = Vec::new();
+        for (number, (plan, mut door)) in (0..).zip(ground.boxes.into_iter().zip(doors)) {
+            if plan.present {
+                watch_door(door.listener.as_ref(), BOX_DOOR | number as usize, works)?;
+                list.put(BoxNo(number), row(&plan, door.at, Lifecycle::Ready, 0));
+                works.note(Sighting::BoxStarted { at: BoxNo(number), cold: false });
+            } else {
+                door.listener = None;
+            }
+            boxes.push(StandIn {
+                work: Workload::start(plan.make, works.now, false),
+                running: plan.present,
+                plan,
+                door,
+                ailment: None,
+                still: false,
+                draining: false,
+                waiting: Vec::new(),
+                report: "inflight=0,x0=0".into(),
+                life: 0,
+                listed_since_ms: 0,
+            });
+        }
+        let mut agents = Vec::new();
+        for (number, door) in agent_doors.into_iter().enumerate() {
+            watch_door(door.listener.as_ref(), AGENT_DOOR | number, works)?;
+            agents.push(Agent { door, list: list.clone(), fault: None, missed: Vec::new() });
+        }
+        works.set(works.now + AGENT_BEAT, Alarm::Beat);
+        works.set(works.now + ground.report_every, Alarm::Report);
+        Ok(Yard {
+            boxes,
+            agents,
+            conns: Slab::new(),
+            serial: 0,
+            store: ground.store.map(|(lanes, each)| Store::new(lanes, each)),
+            chance: Chance::from_seed(ground.seed),
+            notice: ground.notice,
+            report_every: ground.report_every,
+        })
+    }
+
+    fn this(&mut self, at: BoxNo) -> &mut StandIn {
+        &mut self.boxes[usize::from(at.0)]
+    }
+
+    // ---- connections ----
+
+    fn add(&mut self, stream: TcpStream, role: Role, works: &mut Works<Alarm>) {
+        self.serial += 1;
+        let entry = self.conns.vacant_entry();
+        match Wire::new(stream, &works.poller, entry.key()) {
+            Ok(mut wire) => {
+                wire.settle(false);
+                entry.insert(Conn { wire, role, serial: self.serial });
+            }
+            Err(fault) => log::warn!("yard: {fault}"),
+        }
+    }
+
+    fn accept(&mut self, key: usize, works: &mut Works<Alarm>) {
+        for _ in 0..ACCEPTS {
+            let number = key & 0xffff;
+            let to_box = key & BOX_DOOR != 0;
+            let door = if to_box { &self.boxes[number].door } else { &self.agents[number].door };
+            let Some(listener) = &door.listener else { return };
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(fault) => {
+                    if fault.kind() != io::ErrorKind::WouldBlock {
+                        log::warn!("yard: accept: {fault}");
+                    }
+                    return;
+                }
+            };
+            if !to_box {
+                let relay = RelayNo(number as u16);
+                let watching = Watching { relay, follows: false, held: None, asked: false };
+                self.add(stream, Role::Agent(watching), works);
+                continue;
+            }
+            if self.boxes[number].ailment == Some(Ailment::ResetsBefore) {
+                let _ = SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO));
+                continue;
+            }
+            let speech = Speech {
+                at: BoxNo(number as u16),
+                heard: Heard::Nothing,
+                session: Tag(0),
+                load: 0.0,
+                group: None,
+                first: None,
+                echoes: VecDeque::new(),
+                free_at: works.now,
+            };
+            self.add(stream, Role::Box(speech), works);
+        }
+    }
+
+    /// The connection is over; what it held at its box is given back.
+    fn remove(&mut self, id: usize, works: &mut Works<Alarm>) {
+        let conn = self.conns.remove(id);
+        if let Role::Box(speech) = &conn.role
+            && speech.heard == Heard::Standing
+        {
+            let (load, group) = (speech.load, speech.group);
+            self.this(speech.at).work.leave(works.now, load, group);
+        }
+    }
+
+    fn break_off(&mut self, id: usize, works: &mut Works<Alarm>) {
+        if let Some(conn) = self.conns.get(id) {
+            conn.wire.break_off();
+            self.remove(id, works);
+        }
+    }
+
+    fn box_event(&mut self, id: usize, works: &mut Works<Alarm>) {
+        let Some(conn) = self.conns.get_mut(id) else { return };
+        let Role::Box(speech) = &mut conn.role else { return };
+        let broke = conn.wire.read().and_then(|_| conn.wire.flush()).is_err();
+        if speech.first.is_none() && conn.wire.has_bytes() {
+            speech.first = Some(works.now);
+        }
+        // Bounded by what one read brings.
+        while let Some(conn) = self.conns.get_mut(id) {
+            let Some(line) = conn.wire.line() else { break };
+            self.box_line(id, line, works);
+        }
+        let Some(conn) = self.conns.get_mut(id) else { return };
+        let Role::Box(speech) = &conn.role else { return };
+        if broke || conn.wire.ended {
+            let (at, session) = (speech.at, speech.session);
+            match speech.heard {
+                Heard::Nothing => return self.remove(id, works),
+                Heard::Dialled => {
+                    works.note(Sighting::DialGone { at, session });
+                    return self.remove(id, works);
+                }
+                Heard::Over => return self.remove(id, works),
+                Heard::Standing if broke => return self.remove(id, works),
+                Heard::Standing => {
+                    if self.this(at).ailment == Some(Ailment::NeverCloses) {
+                        self.conns[id].wire.settle(false);
+                        return;
+                    }
+                    let report = self.this(at).report.clone();
+                    self.last_word(id, &format!("BYE {report}\r\n"), works);
+                }
+            }
+        }
+        if let Some(conn) = self.conns.get_mut(id) {
+            conn.wire.settle(false);
+        }
+    }
+
+    /// Says this, ends the sending, and waits for the other side's end where it has not come.
+    fn last_word(&mut self, id: usize, text: &str, works: &mut Works<Alarm>) {
+        let Some(conn) = self.conns.get_mut(id) else { return };
+        let Role::Box(speech) = &mut conn.role else { return };
+        let stood = speech.heard == Heard::Standing;
+        speech.heard = Heard::Over;
+        let (at, load, group) = (speech.at, speech.load, speech.group);
+        let done = conn.wire.say(text.as_bytes()).is_err() || conn.wire.ended;
+        conn.wire.finish_sending();
+        conn.wire.settle(false);
+        if stood {
+            self.this(at).work.leave(works.now, load, group);
+        }
+        if done {
+            self.remove(id, works);
+        }
+    }
+
+    fn box_line(&mut self, id: usize, line: String, works: &mut Works<Alarm>) {
+        let conn = &mut self.conns[id];
+        let Role::Box(speech) = &mut conn.role else { return };
+        match speech.heard {
+            Heard::Over => {}
+            Heard::Dialled => self.last_word(id, "ERR\r\n", works),
+            Heard::Standing => self.echo(id, line, works),
+            Heard::Nothing => {
+                let at = speech.at;
+                if line == "PING" || line == "STATS" {
+                    // A probe; the connection may go on with another.
+                    speech.first = None;
+                    let this = &self.boxes[usize::from(at.0)];
+                    let answer = match (this.ailment, line.as_str()) {
+                        (Some(Ailment::Mute), _) => return,
+                        (Some(Ailment::Failing(part)), _) if self.chance.float() < part => "ERR\r\n".into(),
+                        (_, "PING") => "PONG\r\n".into(),
+                        _ => format!("PONG {}\r\n", this.report),
+                    };
+                    let _ = conn.wire.say(answer.as_bytes());
+                    return;
+                }
+                match dialled(&line) {
+                    Some((session, load, group)) => {
+                        speech.heard = Heard::Dialled;
+                        (speech.session, speech.load, speech.group) = (session, load, group);
+                        self.dial_came(id, at, works);
+                    }
+                    None => {
+                        works.note(Sighting::Mark { text: format!("SYNTAX box {} met {line:?}", at.0) });
+                        self.last_word(id, "SYNTAX\r\n", works);
+                    }
+                }
+            }
+        }
+    }
+
+    fn dial_came(&mut self, id: usize, at: BoxNo, works: &mut Works<Alarm>) {
+        let conn = &self.conns[id];
+        let (key, serial) = (id, conn.serial);
+        let Role::Box(speech) = &conn.role else { return };
+        let (session, load) = (speech.session, speech.load);
+        works.note(Sighting::DialCame { at, session, first: speech.first.unwrap_or(works.now) });
+        if self.this(at).work.sent(works.now, load) {
+            works.note(Sighting::BoxFell { at });
+            return self.stop(at, None, works);
+        }
+        let part = self.chance.float();
+        let this = self.this(at);
+        let refuses = this.draining || this.work.is_full();
+        let (ailment, report) = (this.ailment, this.report.clone());
+        let reply = |reply| Sighting::DialReplied { at, session, reply };
+        match ailment {
+            Some(Ailment::Mute) => return,
+            Some(Ailment::ResetsAfter) => {
+                works.note(reply(Reply::Failed));
+                return self.break_off(id, works);
+            }
+            Some(Ailment::HalfAnswer) => {
+                let _ = self.conns[id].wire.say(b"UP rec");
+                return;
+            }
+            Some(Ailment::Failing(share)) if part < share => {
+                works.note(reply(Reply::Failed));
+                return self.last_word(id, &format!("ERR {report}\r\n"), works);
+            }
+            _ => {}
+        }
+        if refuses {
+            works.note(reply(Reply::Busy));
+            return self.last_word(id, &format!("BUSY {report}\r\n"), works);
+        }
+        let now = works.now;
+        let called = self.store.as_mut().map_or(now, |store| store.call(now));
+        let own = self.this(at).work.setup(now);
+        works.set(called + own.max(QUICK), Alarm::Up(key, serial));
+    }
+
+    fn up(&mut self, id: usize, works: &mut Works<Alarm>) {
+        let conn = &mut self.conns[id];
+        let Role::Box(speech) = &mut conn.role else { return };
+        if speech.heard != Heard::Dialled {
+            return;
+        }
+        speech.heard = Heard::Standing;
+        let (at, session, load, group) = (speech.at, speech.session, speech.load, speech.group);
+        works.note(Sighting::DialReplied { at, session, reply: Reply::Up });
+        let broke = conn.wire.say(format!("UP r{:x}\r\n", session.0).as_bytes()).is_err();
+        conn.wire.settle(false);
+        self.this(at).work.take(works.now, load, group);
+        let drops = self.this(at).ailment == Some(Ailment::DropsYoung);
+        if broke {
+            self.remove(id, works);
+        } else if drops {
+            works.note(Sighting::BoxEnded { at, session });
+            self.break_off(id, works);
+        }
+    }
+
+    fn echo(&mut self, id: usize, line: String, works: &mut Works<Alarm>) {
+        let conn = &mut self.conns[id];
+        let Role::Box(speech) = &mut conn.role else { return };
+        let this = &mut self.boxes[usize::from(speech.at.0)];
+        let delay = this.work.delay(works.now);
+        let due = speech.free_at.max(works.now + delay);
+        speech.free_at = due;
+        if due > works.now + HELD {
+            let waited = due.since(works.now);
+            works.note(Sighting::BoxHeld { at: speech.at, session: speech.session, waited });
+        }
+        if due <= works.now && speech.echoes.is_empty() {
+            let _ = conn.wire.say(format!("{line}\r\n").as_bytes());
+        } else {
+            speech.echoes.push_back((due, line));
+            works.set(due, Alarm::Echo(id, conn.serial));
+        }
+    }
+
+    fn echo_due(&mut self, id: usize, works: &mut Works<Alarm>) {
+        let conn = &mut self.conns[id];
+        let Role::Box(speech) = &mut conn.role else { return };
+        while speech.echoes.front().is_some_and(|(due, _)| *due <= works.now) {
+            if let Some((_, line)) = speech.echoes.pop_front() {
+                let _ = conn.wire.say(format!("{line}\r\n").as_bytes());
+            }
+        }
+        conn.wire.settle(false);
+    }
+
+    // ---- what happens to boxes ----
+
+    fn of(&self, at: BoxNo) -> Vec<usize> {
+        let ours = |conn: &Conn| match &conn.role {
+            Role::Box(speech) => speech.at == at,
+            Role::Plug(plugged) => *plugged == at,
+            Role::Agent(_) => false,
+        };
+        self.conns.iter().filter(|(_, conn)| ours(conn)).map(|(id, _)| id).collect()
+    }
+
+    /// Stands still, or goes on: then all that it would have done in the meantime is done.
+    fn set_still(&mut self, at: BoxNo, still: bool, works: &mut Works<Alarm>) {
+        if self.this(at).still == still || !self.this(at).running {
+            return;
+        }
+        self.this(at).still = still;
+        works.note(Sighting::Still { at, on: still });
+        let this = &self.boxes[usize::from(at.0)];
+        if let Some(listener) = &this.door.listener {
+            // SAFETY: the listener lives; it is deleted from the poller before it is closed.
+            let fd = unsafe { BorrowedFd::borrow_raw(listener.as_raw_fd()) };
+            let event = Event::new(BOX_DOOR | usize::from(at.0), !still, false);
+            let _ = works.poller.modify_with_mode(fd, event, PollMode::Level);
+        }
+        for id in self.of(at) {
+            self.conns[id].wire.freeze(still);
+        }
+        if !still {
+            let now = works.now;
+            std::mem::take(&mut self.this(at).waiting).into_iter().for_each(|alarm| works.set(now, alarm));
+        }
+    }
+
+    /// The process ends: what is open breaks, nothing comes up any more.
+    fn stop(&mut self, at: BoxNo, back: Option<Span>, works: &mut Works<Alarm>) {
+        if !self.this(at).running {
+            return;
+        }
+        for id in self.of(at) {
+            if let Role::Box(speech) = &self.conns[id].role {
+                match speech.heard {
+                    Heard::Standing => works.note(Sighting::BoxEnded { at, session: speech.session }),
+                    Heard::Dialled => works.note(Sighting::DialReplied {
+                        at,
+                        session: speech.session,
+                        reply: Reply::Failed,
+                    }),
+                    _ => {}
+                }
+            }
+            self.break_off(id, works);
+        }
+        if self.this(at).still {
+            works.note(Sighting::Still { at, on: false });
+        }
+        let this = self.this(at);
+        (this.running, this.still, this.draining, this.ailment) = (false, false, false, None);
+        this.life += 1;
+        this.waiting.clear();
+        let life = this.life;
+        if let Some(listener) = this.door.listener.take() {
+            // SAFETY: the listener is closed after this.
+            let _ = works.poller.delete(unsafe { BorrowedFd::borrow_raw(listener.as_raw_fd()) });
+        }
+        works.note(Sighting::BoxStopped { at });
+        self.list(at, Lifecycle::Gone, works);
+        if let Some(back) = back {
+            works.set(works.now + back, Alarm::Back(at, life));
+        }
+    }
+
+    fn begin(&mut self, at: BoxNo, works: &mut Works<Alarm>) {
+        if self.this(at).running {
+            return;
+        }
+        let (now, unix) = (works.now, works.clock.unix_ms(works.now));
+        let this = self.this(at);
+        match listen(this.door.at) {
+            Ok(listener) => {
+                if let Err(fault) = watch_door(Some(&listener), BOX_DOOR | usize::from(at.0), works) {
+                    log::warn!("box {}: {fault}", at.0);
+                }
+                let this = self.this(at);
+                this.door.listener = Some(listener);
+                this.work = Workload::start(this.plan.make, now, true);
+                this.running = true;
+                this.listed_since_ms = unix;
+                this.report = "inflight=0,x0=0".into();
+                works.note(Sighting::BoxStarted { at, cold: true });
+                self.list(at, Lifecycle::Ready, works);
+            }
+            Err(fault) => {
+                // Somebody has its port for the moment.
+                log::warn!("box {} can't start: {fault}", at.0);
+                let life = this.life;
+                works.set(now + Span::from_ms(500), Alarm::Back(at, life));
+            }
+        }
+    }
+
+    /// No new connection comes up any more: the backlog is one, and filled.
+    fn plug(&mut self, at: BoxNo, works: &mut Works<Alarm>) {
+        let this = &self.boxes[usize::from(at.0)];
+        let to = this.door.at;
+        if let Some(listener) = &this.door.listener {
+            let _ = SockRef::from(listener).listen(0);
+        }
+        for _ in 0..4 {
+            self.serial += 1;
+            let entry = self.conns.vacant_entry();
+            if let Ok(wire) = Wire::connect(to, &works.poller, entry.key()) {
+                entry.insert(Conn { wire, role: Role::Plug(at), serial: self.serial });
+            }
+        }
+    }
+
+    fn ail(&mut self, at: BoxNo, ailment: Ailment, works: &mut Works<Alarm>) {
+        if !self.this(at).running {
+            return;
+        }
+        self.heal(at, works);
+        works.note(Sighting::Ailment { at, name: ailment.name(), on: true });
+        let this = self.this(at);
+        this.ailment = Some(ailment);
+        this.life += 1;
+        let life = this.life;
+        match ailment {
+            Ailment::Vanished => {
+                self.plug(at, works);
+                self.set_still(at, true, works);
+            }
+            Ailment::Frozen => self.set_still(at, true, works),
+            Ailment::Slow(times) => {
+                let now = works.now;
+                let this = self.this(at);
+                this.work.delay(now);
+                this.work.slowness = times.max(1.0);
+            }
+            Ailment::Pausing(..) => works.set(works.now, Alarm::Still(at, life, true)),
+            _ => {}
+        }
+    }
+
+    fn heal(&mut self, at: BoxNo, works: &mut Works<Alarm>) {
+        let this = self.this(at);
+        let Some(ailment) = this.ailment.take() else { return };
+        this.life += 1;
+        works.note(Sighting::Ailment { at, name: ailment.name(), on: false });
+        match ailment {
+            // The machine was away, and comes back without what it held.
+            Ailment::Vanished => {
+                self.stop(at, None, works);
+                self.begin(at, works);
+            }
+            Ailment::Frozen | Ailment::Pausing(..) => self.set_still(at, false, works),
+            Ailment::Slow(_) => {
+                let now = works.now;
+                let this = self.this(at);
+                this.work.delay(now);
+                this.work.slowness = 1.0;
+            }
+            _ => {}
+        }
+    }
+
+    fn drain(&mut self, at: BoxNo, over: Span, works: &mut Works<Alarm>) {
+        let this = self.this(at);
+        if !this.running || this.draining {
+            return;
+        }
+        this.draining = true;
+        let life = this.life;
+        works.note(Sighting::BoxDrains { at });
+        self.list(at, Lifecycle::Draining, works);
+        works.set(works.now + over * 0.5, Alarm::SendAway(at, life, over * 0.4));
+        works.set(works.now + over, Alarm::Stop(at, life));
+    }
+
+    /// One is sent away; the next so long after that all have gone by the end.
+    fn send_away(&mut self, at: BoxNo, life: u32, left: Span, works: &mut Works<Alarm>) {
+        let ours = self.of(at);
+        let standing = |id: &usize| matches!(&self.conns[*id].role, Role::Box(speech) if speech.heard == Heard::Standing);
+        let mut standing = ours.into_iter().filter(standing);
+        let Some(id) = standing.next() else { return };
+        let others = standing.count();
+        if let Role::Box(speech) = &self.conns[id].role {
+            works.note(Sighting::BoxEnded { at, session: speech.session });
+        }
+        self.last_word(id, "MOVE\r\n", works);
+        let step = left * (1.0 / (others + 1) as f64);
+        works.set(works.now + step, Alarm::SendAway(at, life, left - step));
+    }
+
+    // ---- discovery ----
+
+    fn list(&mut self, at: BoxNo, lifecycle: Lifecycle, works: &mut Works<Alarm>) {
+        let this = &self.boxes[usize::from(at.0)];
+        let row = row(&this.plan, this.door.at, lifecycle, this.listed_since_ms);
+        let (least, most) = self.notice;
+        for relay in 0..self.agents.len() {
+            let after = least + (most - least) * self.chance.float();
+            works.set(works.now + after, Alarm::Notice(RelayNo(relay as u16), at, row.clone()));
+        }
+    }
+
+    fn noticed(&mut self, relay: RelayNo, at: BoxNo, row: Row, works: &mut Works<Alarm>) {
+        let agent = &mut self.agents[usize::from(relay.0)];
+        if agent.fault.is_some() {
+            agent.missed.push((at, row));
+            return;
+        }
+        agent.list.put(at, row);
+        self.tell(relay, works);
+    }
+
+    /// Each watch of the relay hears what it has not heard yet.
+    fn tell(&mut self, relay: RelayNo, works: &mut Works<Alarm>) {
+        let list = &self.agents[usize::from(relay.0)].list;
+        for (_, conn) in &mut self.conns {
+            let Role::Agent(watching) = &mut conn.role else { continue };
+            if watching.relay != relay || !watching.follows || watching.held == Some(list.generation()) {
+                continue;
+            }
+            let (text, told) = list.text_since(watching.held);
+            watching.held = Some(list.generation());
+            if conn.wire.say(chunk(&text).as_bytes()).is_ok() && conn.wire.is_flushed() {
+                for (at, lifecycle) in told {
+                    works.note(Sighting::Told { relay, at, lifecycle });
+                }
+            }
+            conn.wire.settle(false);
+        }
+    }
+
+    fn agent_event(&mut self, id: usize, works: &mut Works<Alarm>) {
+        let conn = &mut self.conns[id];
+        let Role::Agent(watching) = &mut conn.role else { return };
+        let broke = conn.wire.read().and_then(|_| conn.wire.flush()).is_err();
+        let agent = &self.agents[usize::from(watching.relay.0)];
+        if broke || conn.wire.ended {
+            self.conns.remove(id);
+            return;
+        }
+        if matches!(agent.fault, Some(AgentFault::Down)) {
+            return self.break_off(id, works);
+        }
+        if watching.asked || matches!(agent.fault, Some(AgentFault::Silent)) {
+            return conn.wire.settle(false);
+        }
+        let Some((path, length)) = request(conn.wire.bytes()) else { return conn.wire.settle(false) };
+        conn.wire.drop_bytes(length);
+        let Some(follow) = asked_for(&path) else {
+            let _ = conn.wire.say(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+            return conn.wire.settle(false);
+        };
+        let relay = watching.relay;
+        match follow {
+            Some(since) => {
+                (watching.asked, watching.follows, watching.held) = (true, true, since);
+                let _ = conn.wire.say(HEAD.as_bytes());
+                if since == Some(agent.list.generation()) {
+                    let _ = conn.wire.say(chunk("").as_bytes());
+                    conn.wire.settle(false);
+                } else {
+                    self.tell(relay, works);
+                }
+            }
+            None => {
+                let (text, told) = agent.list.text_since(None);
+                let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: ";
+                let _ = conn.wire.say(format!("{head}{}\r\n\r\n{text}", text.len()).as_bytes());
+                conn.wire.settle(false);
+                told.into_iter()
+                    .for_each(|(at, lifecycle)| works.note(Sighting::Told { relay, at, lifecycle }));
+            }
+        }
+    }
+
+    fn agent_fault(&mut self, relay: RelayNo, fault: AgentFault, on: bool, works: &mut Works<Alarm>) {
+        works.note(Sighting::Agent { relay, fault: fault.name(), on });
+        let agent = &mut self.agents[usize::from(relay.0)];
+        let watches: Vec<usize> = self
+            .conns
+            .iter()
+            .filter(|(_, conn)| matches!(&conn.role, Role::Agent(watching) if watching.relay == relay))
+            .map(|(id, _)| id)
+            .collect();
+        match fault {
+            AgentFault::Silent | AgentFault::Down | AgentFault::Stale => {
+                agent.fault = on.then_some(fault);
+            }
+            AgentFault::Restart => agent.list.forget_versions(),
+            AgentFault::Malformed => {
+                for &id in &watches {
+                    let _ = self.conns[id].wire.say(chunk("{\"generation\": many").as_bytes());
+                }
+            }
+        }
+        if fault == AgentFault::Restart || fault == AgentFault::Down && on {
+            watches.iter().for_each(|&id| self.break_off(id, works));
+        }
+        let agent = &mut self.agents[usize::from(relay.0)];
+        if agent.fault.is_none() && !agent.missed.is_empty() {
+            for (at, row) in std::mem::take(&mut agent.missed) {
+                agent.list.put(at, row);
+            }
+            self.tell(relay, works);
+        }
+        // Requests that came while it was silent are answered now.
+        for id in watches {
+            if self.conns.contains(id) {
+                self.agent_event(id, works);
+            }
+        }
+    }
+
+    fn beat(&mut self, works: &mut Works<Alarm>) {
+        for (_, conn) in &mut self.conns {
+            let Role::Agent(watching) = &conn.role else { continue };
+            let silent = matches!(
+                self.agents[usize::from(watching.relay.0)].fault,
+                Some(AgentFault::Silent | AgentFault::Down)
+            );
+            if watching.follows && !silent {
+                let _ = conn.wire.say(chunk("").as_bytes());
+                conn.wire.settle(false);
+            }
+        }
+        works.set(works.now + AGENT_BEAT, Alarm::Beat);
+    }
+
+    fn report(&mut self, works: &mut Works<Alarm>) {
+        for (number, this) in (0..).zip(&mut self.boxes) {
+            if !this.running || this.still {
+                continue;
+            }
+            let (load, held) = (this.work.load(works.now), this.work.held());
+            this.report = format!("inflight={held},x0={load:.3}");
+            let (share, pushed) = (this.work.share(works.now), this.work.worst_push);
+            works.note(Sighting::BoxLoad { at: BoxNo(number), load, held, share, pushed });
+        }
+        works.set(works.now + self.report_every, Alarm::Report);
+    }
+
+    /// The box that an alarm is about, where that stands still and the alarm has to wait.
+    fn held_up(&self, id: usize, serial: u64) -> Option<Result<(), BoxNo>> {
+        let conn = self.conns.get(id).filter(|conn| conn.serial == serial)?;
+        let Role::Box(speech) = &conn.role else { return None };
+        let still = self.boxes[usize::from(speech.at.0)].still;
+        Some(if still { Err(speech.at) } else { Ok(()) })
+    }
+}
+
+impl Play for Yard {
+    type Alarm = Alarm;
+    type Cue = Cue;
+    type Sums = YardSums;
+
+    fn event(&mut self, key: usize, _writable: bool, works: &mut Works<Alarm>) {
+        if key & (BOX_DOOR | AGENT_DOOR) != 0 {
+            return self.accept(key, works);
+        }
+        match self.conns.get(key).map(|conn| &conn.role) {
+            Some(Role::Box(_)) => self.box_event(key, works),
+            Some(Role::Agent(_)) => self.agent_event(key, works),
+            Some(Role::Plug(_)) | None => {}
+        }
+    }
+
+    fn alarm(&mut self, alarm: Alarm, works: &mut Works<Alarm>) {
+        match alarm {
+            Alarm::Up(id, serial) => match self.held_up(id, serial) {
+                Some(Ok(())) => self.up(id, works),
+                Some(Err(at)) => self.this(at).waiting.push(alarm),
+                None => {}
+            },
+            Alarm::Echo(id, serial) => match self.held_up(id, serial) {
+                Some(Ok(())) => self.echo_due(id, works),
+                Some(Err(at)) => self.this(at).waiting.push(alarm),
+                None => {}
+            },
+            Alarm::Still(at, life, still) => {
+                let this = self.this(at);
+                if let (Some(Ailment::Pausing(every, pause)), true) = (this.ailment, this.life == life) {
+                    self.set_still(at, still, works);
+                    let next = if still { pause } else { every - pause };
+                    works.set(works.now + next, Alarm::Still(at, life, !still));
+                }
+            }
+            Alarm::Back(at, life) => {
+                if self.this(at).life == life {
+                    self.begin(at, works);
+                }
+            }
+            Alarm::SendAway(at, life, left) => {
+                if self.this(at).life == life && !self.this(at).still {
+                    self.send_away(at, life, left, works);
+                }
+            }
+            Alarm::Stop(at, life) => {
+                if self.this(at).life == life {
+                    self.stop(at, None, works);
+                }
+            }
+            Alarm::Notice(relay, at, row) => self.noticed(relay, at, row, works),
+            Alarm::Beat => self.beat(works),
+            Alarm::Report => self.report(works),
+        }
+    }
+
+    fn cue(&mut self, cue: Cue, works: &mut Works<Alarm>) -> bool {
+        works.now = works.clock.now();
+        match cue {
+            Cue::Ail(at, ailment) => self.ail(at, ailment, works),
+            Cue::Heal(at) => self.heal(at, works),
+            Cue::Crash(at, back) => self.stop(at, back, works),
+            Cue::Drain(at, over) => self.drain(at, over, works),
+            Cue::Join(at) => self.begin(at, works),
+            Cue::Agent(relay, fault, on) => self.agent_fault(relay, fault, on, works),
+        }
+        true
+    }
+
+    fn sums(self, works: &Works<Alarm>) -> YardSums {
+        YardSums { worst_turn: works.worst_turn, worked: works.worked }
+    }
+}
+
+fn watch_door(listener: Option<&TcpListener>, key: usize, works: &Works<Alarm>) -> io::Result<()> {
+    let Some(listener) = listener else { return Ok(()) };
+    // SAFETY: deleted from the poller before the listener is closed, or closed with the poller.
+    unsafe { works.poller.add_with_mode(listener, Event::readable(key), PollMode::Level) }
+}
+
+fn row(plan: &BoxPlan, at: SocketAddr, lifecycle: Lifecycle, started_ms: u64) -> Row {
+    Row { at, zone: plan.zone.clone(), cell: plan.cell, lifecycle, started_ms }
+}
+
+/// The session, its load and its group, of a first line that a client might have sent.
+fn dialled(line: &str) -> Option<(Tag, f64, Option<u64>)> {
+    if line.len() > LONGEST_LINE {
+        return None;
+    }
+    let words: Vec<&str> = line.split(' ').collect();
+    let ["OPEN", id, key, items] = words[..] else { return None };
+    let number = |text: &str| (text.len() == 16).then(|| u64::from_str_radix(text, 16).ok()).flatten();
+    number(key)?;
+    let (mut load, mut group, mut waits) = (1.0, None, false);
+    for item in items.split(',') {
+        let (name, value) = item.split_once('=')?;
+        match name {
+            "h" => load = value.parse().ok()?,
+            "g" => group = Some(number(value)?),
+            "d" => waits = value.parse::<u64>().is_ok(),
+            _ => {}
+        }
+    }
+    waits.then_some((Tag(number(id)?), load, group))
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\n\r\n", text.len() + 1)
+}
+
+/// The path of a request that is whole, and its length in bytes.
+fn request(bytes: &[u8]) -> Option<(String, usize)> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut request = httparse::Request::new(&mut headers);
+    match request.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => Some((request.path?.to_string(), length)),
+        _ => None,
+    }
+}
+
+/// None where the path is not the list's; else none for the whole list, or the version that a watch begins with.
+fn asked_for(path: &str) -> Option<Option<Option<u64>>> {
+    let (path, query) = path.split_once('?').unwrap_or((path, ""));
+    if path != "/api/targets" {
+        return None;
+    }
+    let value = |name: &str| query.split('&').find_map(|item| item.strip_prefix(name)?.strip_prefix('='));
+    Some((value("follow") == Some("1")).then(|| value("since").and_then(|since| since.parse().ok())))
+}
--- /dev/null
+++ b/fleet/tests/referee.rs
@@ -0,0 +1,148 @@
+//! The referee is shown a relay that is wrong in one way each, and must name the rule that this breaks; and the same
+//! relay, right, among the same faults, of which it must say nothing.
+mod helper;
+use helper::{ALL, Scene, Wrong};
+use std::thread;
+use thistlecroft::deployment::{Effect, Scope};
+use thistlecroft::units::Span;
+use thistlecroft_fleet::tape::{BoxNo, RelayNo};
+use thistlecroft_fleet::yard::{AgentFault, Ailment, Cue};
+
+/// The rule that has to be found broken, and what its first break is to be called.
+struct Case {
+    scene: Scene,
+    broken: Option<(usize, &'static str)>,
+}
+
+fn breaks(rule: usize, what: &'static str, wrong: Wrong) -> Case {
+    Case { scene: Scene::of(wrong), broken: Some((rule, what)) }
+}
+
+fn once_only(wrong: Wrong) -> Scene {
+    Scene { effect: Effect::OnceOnly, cues: ail(Ailment::Failing(0.5)), ..Scene::of(wrong) }
+}
+
+fn referenced(wrong: Wrong, scope: Scope, window_ms: u64) -> Scene {
+    let effect = Effect::Referenced { scope, window: Span::from_ms(window_ms) };
+    Scene { effect, zones: &["a", "b"], cues: ail(Ailment::Failing(0.5)), ..Scene::of(wrong) }
+}
+
+fn ail(ailment: Ailment) -> Vec<(u64, Cue)> {
+    ALL.iter().map(|&at| (0, Cue::Ail(at, ailment))).collect()
+}
+
+fn drains() -> Vec<(u64, Cue)> {
+    vec![(300, Cue::Drain(BoxNo(1), Span::from_ms(6_000)))]
+}
+
+/// Told to nobody: discovery went silent before.
+fn drains_unheard() -> Vec<(u64, Cue)> {
+    vec![
+        (0, Cue::Agent(RelayNo(0), AgentFault::Silent, true)),
+        (100, Cue::Drain(BoxNo(1), Span::from_ms(60_000))),
+    ]
+}
+
+/// The last one dies and is back, cold.
+fn returns() -> Vec<(u64, Cue)> {
+    vec![(100, Cue::Crash(BoxNo(2), Some(Span::from_ms(200))))]
+}
+
+fn all_sorts() -> Vec<(u64, Cue)> {
+    vec![
+        (0, Cue::Ail(BoxNo(0), Ailment::Failing(0.3))),
+        (0, Cue::Ail(BoxNo(1), Ailment::Pausing(Span::from_ms(600), Span::from_ms(150)))),
+        (400, Cue::Heal(BoxNo(0))),
+        (500, Cue::Ail(BoxNo(0), Ailment::ResetsAfter)),
+        (700, Cue::Ail(BoxNo(0), Ailment::ResetsBefore)),
+        (900, Cue::Ail(BoxNo(0), Ailment::DropsYoung)),
+        (1_100, Cue::Ail(BoxNo(0), Ailment::HalfAnswer)),
+        (1_400, Cue::Ail(BoxNo(0), Ailment::Mute)),
+        (1_700, Cue::Ail(BoxNo(0), Ailment::Slow(3.0))),
+        (1_000, Cue::Crash(BoxNo(2), Some(Span::from_ms(400)))),
+        (1_600, Cue::Drain(BoxNo(1), Span::from_ms(600))),
+    ]
+}
+
+#[test]
+fn each_break_is_caught_and_nothing_else() {
+    let unheard =
+        |wrong| Scene { cues: drains_unheard(), length_ms: 8_500, a_second: 8.0, ..Scene::of(wrong) };
+    let rush = |wrong, relays, a_second| Scene { cues: returns(), relays, a_second, ..Scene::of(wrong) };
+    let cases = vec![
+        breaks(1, "it had no answer within its wait", Wrong::NeverAnswers),
+        breaks(1, "its connection ended without an answer", Wrong::EndsUnanswered),
+        breaks(1, "more was said after the final answer", Wrong::AnswersTwice),
+        breaks(1, "after its wait was over", Wrong::AnswersLate),
+        breaks(1, "kept back", Wrong::KeepsBack),
+        breaks(1, "cut off without MOVE", Wrong::CutsOff),
+        breaks(1, "its box had answered before", Wrong::HoldsLines),
+        breaks(1, "a line came back that was not sent", Wrong::ChangesLines),
+        breaks(1, "no client sent", Wrong::OwnLine),
+        Case {
+            scene: Scene {
+                cues: vec![(1_000, Cue::Crash(BoxNo(2), None))],
+                ..Scene::of(Wrong::LeavesOrphans)
+            },
+            broken: Some((1, "its box had ended it")),
+        },
+        breaks(2, "had a dial of it at once", Wrong::TwoAtOnce),
+        Case { scene: once_only(Wrong::DialsOnceOnlyAgain), broken: Some((2, "was dialled again")) },
+        Case { scene: once_only(Wrong::RefusesOnceOnly), broken: Some((2, "may have run was refused")) },
+        Case {
+            scene: referenced(Wrong::RepeatsElsewhere, Scope::Zone, 60_000),
+            broken: Some((2, "where its mark is not known")),
+        },
+        Case {
+            scene: referenced(Wrong::RepeatsLate, Scope::All, 100),
+            broken: Some((2, "after its mark was forgotten")),
+        },
+        Case {
+            scene: Scene { cues: drains(), ..Scene::of(Wrong::IgnoresDrains) },
+            broken: Some((3, "after its drain was told")),
+        },
+        Case { scene: unheard(Wrong::IgnoresDrains), broken: Some((3, "after its drain was told")) },
+        Case { scene: rush(Wrong::AllToTheNewest, 1, 20.0), broken: Some((4, "was pushed over while cold")) },
+        Case { scene: rush(Wrong::AllToTheNewest, 3, 20.0), broken: Some((4, "was pushed over while cold")) },
+        // The right one, among all that the wrong ones met.
+        Case { scene: Scene::of(Wrong::Nothing), broken: None },
+        Case { scene: once_only(Wrong::Nothing), broken: None },
+        Case { scene: referenced(Wrong::Nothing, Scope::Zone, 100), broken: None },
+        Case { scene: referenced(Wrong::RepeatsElsewhere, Scope::All, 60_000), broken: None },
+        Case { scene: Scene { cues: drains(), ..Scene::of(Wrong::Nothing) }, broken: None },
+        Case { scene: rush(Wrong::Nothing, 2, 10.0), broken: None },
+        Case { scene: Scene { cues: all_sorts(), ..Scene::of(Wrong::Nothing) }, broken: None },
+    ];
+    let runs: Vec<_> = cases
+        .into_iter()
+        .map(|case| {
+            thread::spawn(move || {
+                let (ruling, _) = case.scene.run();
+                let name = format!("{:?} with {:?}: ", case.scene.wrong, case.scene.effect);
+                let story =
+                    |rule: usize| ruling.first[rule].as_ref().map(|first| (&first.what, &first.story));
+                let found: Vec<_> = (0..4).filter_map(story).collect();
+                match case.broken {
+                    None if ruling.kept() && ruling.sessions > 10 => Ok(()),
+                    Some((rule, what))
+                        if ruling
+                            .breaks
+                            .iter()
+                            .enumerate()
+                            .all(|(at, count)| (*count > 0) == (at + 1 == rule))
+                            && story(rule - 1).is_some_and(|(found, story)| {
+                                found.contains(what) && (!story.is_empty() || what.contains("no client"))
+                            }) =>
+                    {
+                        Ok(())
+                    }
+                    expected => {
+                        Err(format!("{name}expected {expected:?}, {} sessions: {found:#?}", ruling.sessions))
+                    }
+                }
+            })
+        })
+        .collect();
+    let faults: Vec<String> = runs.into_iter().filter_map(|run| run.join().unwrap().err()).collect();
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
