--- /dev/null
+++ b/command/src/shipped.rs
@@ -0,0 +1,18 @@
+//! The scenarios that come with the command.
+
+macro_rules! scenarios {
+    ($($name:literal),* $(,)?) => {
+        pub const SCENARIOS: &[(&str, &str)] =
+            &[$(($name, include_str!(concat!("../../scenarios/", $name, ".toml")))),*];
+    };
+}
+
+scenarios! {
+    "box-silent", "boxes-pause", "cold-rush", "descriptors", "discovery-lost", "drain-in-rush", "mixed-effects",
+    "relay-killed", "relay-replaced", "return-wave", "rude-clients", "slow-fleet", "standing-5000", "steady", "demo",
+    "messages",
+}
+
+pub fn text(name: &str) -> Option<&'static str> {
+    SCENARIOS.iter().find(|(known, _)| *known == name).map(|(_, text)| *text)
+}
--- a/fleet/src/post.rs
+++ b/fleet/src/post.rs
@@ -215,6 +215,8 @@
 /// A child that we start is killed with the thread that started it, however that ends.
 fn die_with_us(command: &mut Command) {
     use std::os::unix::process::CommandExt;
+    // An interrupt at the terminal is for us, who then end it.
+    command.process_group(0);
     // SAFETY: the one call between fork and exec is a system call that allocates nothing.
     unsafe {
         command.pre_exec(|| {
--- a/fleet/src/tape.rs
+++ b/fleet/src/tape.rs
@@ -1,5 +1,5 @@
 //! What boxes, discovery, clients and the run itself saw, in the order of its happening as far as threads allow.
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 use thistlecroft::units::{Moment, Span};
@@ -8,6 +8,24 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Tag(pub u64);
 
+impl Serialize for Tag {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.collect_str(&format_args!("{:016x}", self.0))
+    }
+}
+
+fn ms<S: Serializer>(span: &Span, to: S) -> Result<S::Ok, S::Error> {
+    to.serialize_f64(span.us() as f64 / 1e3)
+}
+
+fn maybe_ms<S: Serializer>(span: &Option<Span>, to: S) -> Result<S::Ok, S::Error> {
+    to.serialize_some(&span.map(|span| span.us() as f64 / 1e3))
+}
+
+fn at_ms<S: Serializer>(at: &Moment, to: S) -> Result<S::Ok, S::Error> {
+    to.serialize_f64(at.us() as f64 / 1e3)
+}
+
 /// A box by its place in the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 pub struct BoxNo(pub u16);
@@ -17,15 +35,17 @@
 pub struct RelayNo(pub u16);
 
 /// The final answer of a session, as its client read it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Answer {
     Up,
-    Busy(Option<Span>),
+    Busy(#[serde(serialize_with = "maybe_ms")] Option<Span>),
     Failed,
 }
 
 /// How a box answered a dial.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Reply {
     Up,
     /// Turned away: it never ran.
@@ -35,21 +55,26 @@
 }
 
 /// What the list says of a box.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Lifecycle {
     Ready,
     Draining,
     Gone,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+/// Written out, spans and moments are milliseconds.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(tag = "event", rename_all = "kebab-case")]
 pub enum Sighting {
     /// The last byte of a first line was written; the client waits for so long. A baseline has no relay.
     Asked {
         session: Tag,
         relay: Option<RelayNo>,
         listener: u16,
+        #[serde(serialize_with = "ms")]
         wait: Span,
+        #[serde(serialize_with = "at_ms")]
         due: Moment,
         again: bool,
     },
@@ -90,6 +115,7 @@
     },
     LineLate {
         session: Tag,
+        #[serde(serialize_with = "ms")]
         waited: Span,
     },
     LineWrong {
@@ -99,6 +125,7 @@
     DialCame {
         at: BoxNo,
         session: Tag,
+        #[serde(serialize_with = "at_ms")]
         first: Moment,
     },
     DialReplied {
@@ -120,6 +147,7 @@
     BoxHeld {
         at: BoxNo,
         session: Tag,
+        #[serde(serialize_with = "ms")]
         waited: Span,
     },
     BoxStarted {
@@ -180,11 +208,13 @@
     },
     RelayCost {
         relay: RelayNo,
+        #[serde(serialize_with = "ms")]
         cpu: Span,
         resident: u64,
     },
     /// A thread of the stand-ins was so late: what it saw in that time was seen late.
     ToolLate {
+        #[serde(serialize_with = "ms")]
         by: Span,
     },
     Mark {
@@ -192,9 +222,11 @@
     },
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Entry {
+    #[serde(rename = "ms", serialize_with = "at_ms")]
     pub at: Moment,
+    #[serde(flatten)]
     pub seen: Sighting,
 }
 
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,10 @@
+//! Experiments with relays: a scenario is read (`scenario`), worked out from its seed (`plan`), run among the stand-ins
+//! of `fleet` (`run`), summed up (`summary`), drawn (`report`) and put beside others (`compare`).
+pub mod compare;
+pub mod plan;
+pub mod report;
+pub mod run;
+pub mod saturate;
+pub mod scenario;
+pub mod spans;
+pub mod summary;
--- /dev/null
+++ b/lab/src/plan.rs
@@ -0,0 +1,469 @@
+//! A scenario worked out from its seed: who comes when, and what happens when. The same scenario and seed give the
+//! same plan, whatever is run under it. No I/O.
+use crate::scenario::{Baseline, EffectText, FaultText, Rate, Scenario, ScopeText, Which, Word};
+use thistlecroft::deployment::{Effect, Scope};
+use thistlecroft::units::{Chance, Moment, Span};
+use thistlecroft_fleet::crowd::{Cue as CrowdCue, Dealing, Rude};
+use thistlecroft_fleet::model::{Cold, Make};
+use thistlecroft_fleet::post::{ListenerTerms, Terms};
+use thistlecroft_fleet::referee::Law;
+use thistlecroft_fleet::tape::{BoxNo, RelayNo};
+use thistlecroft_fleet::traffic::{Arrival, Kind, Traffic, arrivals};
+use thistlecroft_fleet::yard::{AgentFault, Ailment, BoxPlan, Cue as YardCue, Ground};
+
+/// Something that the one who directs has done.
+#[derive(Clone, Debug)]
+pub enum Act {
+    Yard(YardCue),
+    Crowd(CrowdCue),
+    /// Killed outright, back after so long.
+    Kill(RelayNo, Option<Span>),
+    /// Told to stop, and the next one started after so long.
+    Stop(RelayNo, Option<Span>),
+    HangUp(RelayNo),
+}
+
+#[derive(Clone, Debug)]
+pub struct Timed {
+    pub at: Moment,
+    pub act: Act,
+}
+
+/// A fault as a report marks it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Marked {
+    pub what: String,
+    pub from: Moment,
+    pub to: Option<Moment>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub traffic: Traffic,
+    pub arrivals: Vec<Arrival>,
+    pub acts: Vec<Timed>,
+    pub marks: Vec<Marked>,
+    pub ground: Ground,
+    pub terms: Terms,
+    pub law: Law,
+    pub until: Moment,
+}
+
+/// Clients come from here on, so that all is set up before.
+pub const BEGIN: Moment = Moment::from_us(500_000);
+
+pub fn dealing(baseline: Option<Baseline>) -> Dealing {
+    match baseline {
+        None | Some(Baseline::Direct) => Dealing::Even,
+        Some(Baseline::Random) => Dealing::Random,
+        Some(Baseline::Least) => Dealing::LeastOwn,
+    }
+}
+
+impl Plan {
+    pub fn of(scenario: &Scenario, seed: u64) -> Plan {
+        let mut chance = Chance::from_seed(seed ^ 0x5ca1_ab1e);
+        let until = BEGIN + scenario.length.0;
+        let (mut acts, mut marks, mut rushes) = (Vec::new(), Vec::new(), Vec::new());
+        for fault in &scenario.faults {
+            let fault = fault.get_ref();
+            let from = BEGIN + fault.at.0;
+            if fault.what == "rush" {
+                let over = fault.over.map_or(Span::from_ms(1_000), |over| over.0);
+                rushes.push((from, fault.clients.unwrap_or_default(), over));
+                marks.push(Marked { what: fault.what.clone(), from, to: Some(from + over) });
+                continue;
+            }
+            let (some, to) = acts_of(fault, scenario, &mut chance);
+            let short = fault.lasts.or(fault.over).or(fault.back);
+            marks.push(Marked {
+                what: fault.what.clone(),
+                from,
+                to: to.or(short.map(|short| from + short.0)),
+            });
+            acts.extend(some);
+        }
+        acts.sort_by_key(|timed: &Timed| timed.at);
+        let traffic = traffic_of(scenario, rushes);
+        let arrivals = arrivals(&traffic, until, seed);
+        let ground = ground_of(scenario, seed);
+        let law = Law {
+            effects: scenario.listeners.iter().map(|row| effect(row.get_ref())).collect(),
+            hedged: Vec::new(),
+            grace: scenario.fleet.grace.0,
+            places: ground.boxes.iter().map(|plan| (plan.zone.clone(), plan.cell)).collect(),
+        };
+        Plan { seed, traffic, arrivals, acts, marks, ground, terms: terms_of(scenario), law, until }
+    }
+}
+
+fn effect(row: &crate::scenario::ListenerText) -> Effect {
+    match row.effect {
+        EffectText::Repeatable => Effect::Repeatable,
+        EffectText::OnceOnly => Effect::OnceOnly,
+        EffectText::Referenced => {
+            let scope = match row.scope {
+                ScopeText::All => Scope::All,
+                ScopeText::Zone => Scope::Zone,
+                ScopeText::Cell => Scope::Cell,
+            };
+            Effect::Referenced { scope, window: row.window.0 }
+        }
+    }
+}
+
+fn traffic_of(scenario: &Scenario, rushes: Vec<(Moment, usize, Span)>) -> Traffic {
+    let text = &scenario.traffic;
+    let kinds = scenario.listeners.iter().map(|row| row.get_ref()).map(|row| Kind {
+        name: row.name.clone(),
+        share: row.share,
+        wait: row.wait.0,
+        handshake_target: row.handshake_target.0,
+        message_target: row.message_target.0,
+        load: (row.load[0], row.load[1]),
+        life: row.life.0,
+        utility: row.utility,
+    });
+    let rate = match &text.rate {
+        Rate::Even(rate) => vec![(BEGIN, *rate)],
+        Rate::Steps(steps) => steps.iter().map(|(at, rate)| (BEGIN + at.0, *rate)).collect(),
+    };
+    Traffic {
+        kinds: kinds.collect(),
+        rate,
+        rushes,
+        keys: text.keys.max(1),
+        groups: text.groups,
+        retries: text.retries,
+        heeds: text.heeds,
+        back_off: text.back_off.0,
+        rejoin: (text.rejoin[0].0, text.rejoin[1].0),
+        impatient: text.impatient,
+        beat: text.beat.0,
+    }
+}
+
+fn ground_of(scenario: &Scenario, seed: u64) -> Ground {
+    let fleet = &scenario.fleet;
+    let cold = Cold {
+        start_share: fleet.cold_share,
+        warm_up: fleet.warm_up.0,
+        factor: fleet.cold_factor,
+        window: fleet.cold_window.0,
+        turnover: fleet.turnover.0,
+    };
+    let make = Make {
+        capacity: fleet.capacity,
+        most: fleet.most,
+        setup: fleet.set_up.0,
+        group_fee: fleet.group_fee,
+        cold,
+    };
+    let boxes = (0..fleet.boxes).map(|number| BoxPlan {
+        make,
+        zone: fleet.zones[number % fleet.zones.len()].clone(),
+        cell: 0,
+        present: number < fleet.boxes - fleet.later,
+    });
+    Ground {
+        boxes: boxes.collect(),
+        relays: scenario.relays.count,
+        notice: (fleet.notice[0].0, fleet.notice[1].0),
+        store: fleet.store_lanes.map(|lanes| (lanes, fleet.store_time.0)),
+        report_every: fleet.report_every.0,
+        seed,
+    }
+}
+
+fn terms_of(scenario: &Scenario) -> Terms {
+    let (fleet, relays) = (&scenario.fleet, &scenario.relays);
+    let listeners = scenario.listeners.iter().map(|row| row.get_ref()).map(|row| ListenerTerms {
+        name: row.name.clone(),
+        wait: row.wait.0,
+        handshake_target: row.handshake_target.0,
+        message_target: row.message_target.0,
+        effect: effect(row),
+        utility: row.utility,
+    });
+    Terms {
+        zones: fleet.zones.clone(),
+        listeners: listeners.collect(),
+        connect_time: relays.connect_time.0,
+        most_dials: relays.most_dials,
+        longest_retry_after: relays.retry_after.map(|longest| longest.0),
+        probes: relays.probes,
+        groups: scenario.traffic.groups.is_some(),
+        cold_start_share: fleet.cold_share,
+        warm_up: fleet.warm_up.0,
+        cold_factor: fleet.cold_factor,
+        cold_window: fleet.cold_window.0,
+        memory_mb: relays.memory_mb,
+        sockets: relays.sockets,
+    }
+}
+
+/// What faults there are and which keys each needs besides `at` and `what`.
+pub const FAULTS: &[(&str, &str)] = &[
+    ("silent", "boxes"),
+    ("freeze", "boxes"),
+    ("mute", "boxes"),
+    ("slow", "boxes, times"),
+    ("pauses", "boxes, every, pause"),
+    ("errors", "boxes, part"),
+    ("reset-before", "boxes"),
+    ("reset-after", "boxes"),
+    ("half-answer", "boxes"),
+    ("never-closes", "boxes"),
+    ("drops-young", "boxes"),
+    ("crash", "boxes"),
+    ("drain", "boxes, over"),
+    ("join", "boxes"),
+    ("discovery-silent", "relays"),
+    ("discovery-down", "relays"),
+    ("discovery-stale", "relays"),
+    ("discovery-restart", "relays"),
+    ("discovery-malformed", "relays"),
+    ("relay-killed", "relays"),
+    ("relay-replaced", "relays"),
+    ("reload", "relays, every, for"),
+    ("rush", "clients, over"),
+    ("clients-drop", "clients, over"),
+    ("clients-silent", "clients"),
+    ("clients-half-a-line", "clients"),
+    ("clients-garbage", "clients"),
+    ("clients-talk", "clients"),
+    ("clients-unreading", "clients"),
+];
+
+/// # Errors
+/// What is wrong with a fault, beginning with the key.
+pub fn check_fault(fault: &FaultText, scenario: &Scenario) -> Result<(), String> {
+    let Some((_, needs)) = FAULTS.iter().find(|(what, _)| *what == fault.what) else {
+        let known: Vec<&str> = FAULTS.iter().map(|(what, _)| *what).collect();
+        return Err(format!("what: there is no \"{}\"; there are {}", fault.what, known.join(", ")));
+    };
+    let has = |key: &str| match key {
+        "boxes" => fault.boxes.is_some(),
+        "relays" => fault.relays.is_some(),
+        "times" => fault.times.is_some(),
+        "part" => fault.part.is_some(),
+        "every" => fault.every.is_some(),
+        "pause" => fault.pause.is_some(),
+        "clients" => fault.clients.is_some(),
+        "over" => fault.over.is_some(),
+        _ => fault.lasts.is_some(),
+    };
+    if let Some(missing) = needs.split(", ").find(|key| !has(key)) {
+        return Err(format!("{missing}: \"{}\" needs it", fault.what));
+    }
+    let within = |which: &Option<Which>, name: &str, most: usize| match which {
+        Some(Which::These(these)) => match these.iter().find(|number| **number >= most) {
+            Some(number) => {
+                Err(format!("{name}: there is no {number}, they are counted from 0 to {}", most - 1))
+            }
+            None => Ok(()),
+        },
+        Some(Which::Count(count)) if *count > most => Err(format!("{name}: there are only {most}")),
+        _ => Ok(()),
+    };
+    within(&fault.boxes, "boxes", scenario.fleet.boxes)?;
+    within(&fault.relays, "relays", scenario.relays.count)?;
+    if fault.at > scenario.length {
+        return Err("at: the run is over by then".into());
+    }
+    if fault.part.is_some_and(|part| !(0.0..=1.0).contains(&part)) {
+        return Err("part: between 0 and 1".into());
+    }
+    if fault.times.is_some_and(|times| times.is_nan() || times < 1.0) {
+        return Err("times: 1 or more".into());
+    }
+    if let (Some(every), Some(pause)) = (fault.every, fault.pause)
+        && every <= pause
+    {
+        return Err("pause: shorter than `every`".into());
+    }
+    if fault.what == "reload" && fault.every.is_some_and(|every| every.0.us() < 1_000) {
+        return Err("every: a millisecond at least".into());
+    }
+    if fault.clients.is_some_and(|clients| clients > 1_000_000) {
+        return Err("clients: a million at most".into());
+    }
+    Ok(())
+}
+
+fn drawn(which: &Option<Which>, of: usize, chance: &mut Chance) -> Vec<usize> {
+    let count = match which {
+        None => return Vec::new(),
+        Some(Which::These(these)) => return these.clone(),
+        Some(Which::Count(count)) => *count,
+        Some(Which::Word(Word::Half)) => of.div_ceil(2),
+        Some(Which::Word(Word::All)) => of,
+    };
+    let mut all: Vec<usize> = (0..of).collect();
+    for place in 0..count {
+        let other = place + chance.below((of - place) as u64) as usize;
+        all.swap(place, other);
+    }
+    all.truncate(count);
+    all.sort_unstable();
+    all
+}
+
+fn acts_of(fault: &FaultText, scenario: &Scenario, chance: &mut Chance) -> (Vec<Timed>, Option<Moment>) {
+    let from = BEGIN + fault.at.0;
+    let to = fault.lasts.map(|lasts| from + lasts.0);
+    let boxes = drawn(&fault.boxes, scenario.fleet.boxes, chance);
+    let boxes: Vec<BoxNo> = boxes.into_iter().map(|number| BoxNo(number as u16)).collect();
+    let relays = drawn(&fault.relays, scenario.relays.count, chance);
+    let relays: Vec<RelayNo> = relays.into_iter().map(|number| RelayNo(number as u16)).collect();
+    let over = fault.over.map_or(Span::ZERO, |over| over.0);
+    let back = fault.back.map(|back| back.0);
+    let span = |time: Option<crate::spans::Time>| time.map_or(Span::ZERO, |time| time.0);
+    let ailment = match fault.what.as_str() {
+        "silent" => Some(Ailment::Vanished),
+        "freeze" => Some(Ailment::Frozen),
+        "mute" => Some(Ailment::Mute),
+        "slow" => Some(Ailment::Slow(fault.times.unwrap_or(1.0))),
+        "pauses" => Some(Ailment::Pausing(span(fault.every), span(fault.pause))),
+        "errors" => Some(Ailment::Failing(fault.part.unwrap_or(1.0))),
+        "reset-before" => Some(Ailment::ResetsBefore),
+        "reset-after" => Some(Ailment::ResetsAfter),
+        "half-answer" => Some(Ailment::HalfAnswer),
+        "never-closes" => Some(Ailment::NeverCloses),
+        "drops-young" => Some(Ailment::DropsYoung),
+        _ => None,
+    };
+    let agent = match fault.what.as_str() {
+        "discovery-silent" => Some(AgentFault::Silent),
+        "discovery-down" => Some(AgentFault::Down),
+        "discovery-stale" => Some(AgentFault::Stale),
+        "discovery-restart" => Some(AgentFault::Restart),
+        "discovery-malformed" => Some(AgentFault::Malformed),
+        _ => None,
+    };
+    let mut acts = Vec::new();
+    let mut add = |at: Moment, act: Act| acts.push(Timed { at, act });
+    for &at in &boxes {
+        match (ailment, fault.what.as_str()) {
+            (Some(ailment), _) => {
+                add(from, Act::Yard(YardCue::Ail(at, ailment)));
+                if let Some(to) = to {
+                    add(to, Act::Yard(YardCue::Heal(at)));
+                }
+            }
+            (None, "crash") => add(from, Act::Yard(YardCue::Crash(at, back))),
+            (None, "drain") => {
+                add(from, Act::Yard(YardCue::Drain(at, over)));
+                if let Some(back) = back {
+                    add(from + over + back, Act::Yard(YardCue::Join(at)));
+                }
+            }
+            _ => add(from, Act::Yard(YardCue::Join(at))),
+        }
+    }
+    for &relay in &relays {
+        match (agent, fault.what.as_str()) {
+            (Some(agent), _) => {
+                add(from, Act::Yard(YardCue::Agent(relay, agent, true)));
+                if let Some(to) = to {
+                    add(to, Act::Yard(YardCue::Agent(relay, agent, false)));
+                }
+            }
+            (None, "relay-killed") => add(from, Act::Kill(relay, back)),
+            (None, "relay-replaced") => add(from, Act::Stop(relay, Some(back.unwrap_or(Span::ZERO)))),
+            _ => {
+                let every = span(fault.every).max(Span::from_ms(1));
+                let mut at = from;
+                while to.is_some_and(|to| at < to) {
+                    add(at, Act::HangUp(relay));
+                    at = at + every;
+                }
+            }
+        }
+    }
+    let clients = fault.clients.unwrap_or_default();
+    if fault.what == "clients-drop" {
+        add(from, Act::Crowd(CrowdCue::Drop(clients, over)));
+    } else if let Some((rude, _)) = Rude::ALL.iter().find(|(_, name)| *name == fault.what) {
+        add(from, Act::Crowd(CrowdCue::Rude(*rude, clients)));
+    }
+    (acts, to)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"
+about = "for the test"
+length = "10s"
+[fleet]
+boxes = 6
+[traffic]
+rate = [["0s", 5.0], ["5s", 50.0]]
+[[listener]]
+name = "view"
+wait = "1s"
+handshake_target = "300ms"
+message_target = "50ms"
+life = "5s"
+[[fault]]
+at = "2s"
+what = "slow"
+boxes = "half"
+times = 4.0
+for = "3s"
+"#;
+
+    #[test]
+    fn the_same_scenario_and_seed_give_the_same_plan() {
+        let scenario = Scenario::parse("good.toml", GOOD).unwrap();
+        assert_eq!(scenario.name, "good");
+        let text = |seed| {
+            let plan = Plan::of(&scenario, seed);
+            format!("{:?} {:?}", plan.arrivals, plan.acts)
+        };
+        assert_eq!(text(1), text(1));
+        assert_ne!(text(1), text(2));
+        let plan = Plan::of(&scenario, 1);
+        assert_eq!(plan.acts.len(), 6, "three boxes slow, and well again");
+        assert!(plan.acts.windows(2).all(|pair| pair[0].at <= pair[1].at));
+    }
+
+    #[test]
+    fn what_is_wrong_is_named_with_its_line_and_key() {
+        // What is replaced by what, the line, the key, and a part of the reason.
+        let cases = [
+            ("length = \"10s\"", "length = \"10\"", 3, "length", "no span of time"),
+            ("length = \"10s\"", "length = 10", 3, "length", "expected a string"),
+            ("length = \"10s\"", "lenght = \"10s\"", 3, "lenght", "unknown field"),
+            ("length = \"10s\"", "length = \"10s", 3, "length", ""),
+            ("length = \"10s\"\n", "", 1, "the whole", "missing field `length`"),
+            ("boxes = 6", "boxes = 0", 5, "fleet.boxes", "between 1 and 5000"),
+            ("boxes = 6", "boxes = -1", 5, "fleet.boxes", "invalid value"),
+            ("boxes = 6", "boxes = 6\nzones = []", 6, "fleet.zones", "at least one"),
+            ("boxes = 6", "boxes = 6\nlater = 6", 6, "fleet.later", "from the start"),
+            ("[\"5s\", 50.0]", "[\"0s\", 50.0]", 7, "traffic.rate", "times must rise"),
+            ("[\"5s\", 50.0]", "[\"5s\", -1.0]", 7, "traffic.rate", "between 0 and"),
+            ("[[\"0s\", 5.0], [\"5s\", 50.0]]", "\"many\"", 7, "traffic.rate", "pairs"),
+            ("name = \"view\"", "name = \"a view\"", 8, "listener", "name: letters"),
+            ("wait = \"1s\"", "wait = \"100ms\"", 8, "listener", "wait: between the handshake target"),
+            ("wait = \"1s\"", "wait = \"1s\"\neffect = \"twice\"", 11, "listener.effect", "unknown variant"),
+            ("what = \"slow\"", "what = \"slwo\"", 14, "fault", "there is no \"slwo\"; there are silent"),
+            ("times = 4.0\n", "", 14, "fault", "times: \"slow\" needs it"),
+            ("times = 4.0", "times = 0.5", 14, "fault", "times: 1 or more"),
+            ("boxes = \"half\"", "boxes = [6]", 14, "fault", "boxes: there is no 6"),
+            ("boxes = \"half\"", "boxes = 7", 14, "fault", "boxes: there are only 6"),
+            ("boxes = \"half\"", "boxes = \"most\"", 17, "fault.boxes", "numbers such as"),
+            ("at = \"2s\"", "at = \"11s\"", 14, "fault", "at: the run is over"),
+        ];
+        for (from, to, line, key, why) in cases {
+            assert!(GOOD.contains(from), "{from}");
+            let fault = Scenario::parse("bad.toml", &GOOD.replacen(from, to, 1)).expect_err(to);
+            assert_eq!((fault.line, fault.key.as_str()), (line, key), "{to}: {fault}");
+            assert!(fault.why.contains(why), "{to}: {fault}");
+            assert_eq!(fault.to_string().lines().count(), 1, "{fault}");
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/run.rs
@@ -0,0 +1,547 @@
+//! A run: stand-ins are set up, relays started, the plan carried out at its times, and what was seen judged.
+use crate::plan::{Act, BEGIN, Plan, dealing};
+use crate::report;
+use crate::scenario::{Baseline, Scenario};
+use crate::summary::{Findings, Summary, sum_up};
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use thistlecroft::units::{Moment, Span};
+use thistlecroft_fleet::clock::{Stopwatch, duration};
+use thistlecroft_fleet::crowd::{Bill, Crowd, Cue as CrowdCue, Doorway, IDLE};
+use thistlecroft_fleet::listing::{Listing, Row};
+use thistlecroft_fleet::post::{Orders, Post, free_address, need_descriptors};
+use thistlecroft_fleet::referee::judge;
+use thistlecroft_fleet::stage::Stage;
+use thistlecroft_fleet::tape::{Answer, BoxNo, Entry, Lifecycle, Reel, RelayNo, Sighting, Tape, tape};
+use thistlecroft_fleet::traffic::scattered;
+use thistlecroft_fleet::yard::{Opened, Yard};
+
+/// How often the plan is looked at, and relays are measured.
+const STEP: Duration = Duration::from_millis(10);
+const MEASURE: Span = Span::from_ms(500);
+const LOOK: Span = Span::from_ms(1_000);
+/// At a planned restart connections go on coming for so long.
+const COME_ON: Span = Span::from_ms(300);
+/// A relay told to stop is killed this long after the longest wait, which counts for at most so much.
+const AFTER_WAIT: Span = Span::from_ms(1_000);
+const LONGEST_WAIT: Span = Span::from_ms(3_000);
+/// Waited for clients to leave at the end, besides the longest wait.
+const LEAVING: Duration = Duration::from_secs(8);
+/// Descriptors of this process besides clients, boxes and their connections.
+const OWN: u64 = 300;
+
+/// What is run under a scenario's traffic and faults.
+#[derive(Clone, Debug)]
+pub struct Way {
+    pub name: String,
+    /// None for relays.
+    pub baseline: Option<Baseline>,
+    /// The program and its arguments.
+    pub relay: Vec<String>,
+}
+
+impl Way {
+    /// The scenario's own and its variants, with this program as the relay where they name none.
+    pub fn all(scenario: &Scenario, relay: &[String]) -> Vec<Way> {
+        let own = Way { name: "relays".into(), baseline: None, relay: relay.to_vec() };
+        let variants = scenario.variants.iter().map(|variant| {
+            let variant = variant.get_ref();
+            let program = variant.relay.as_deref().unwrap_or(relay);
+            let arguments = variant.arguments.iter().flatten();
+            Way {
+                name: variant.name.clone(),
+                baseline: variant.baseline,
+                relay: program.iter().chain(arguments).cloned().collect(),
+            }
+        });
+        std::iter::once(own).chain(variants).collect()
+    }
+}
+
+/// What a run looks like while it goes on.
+#[derive(Clone, Debug, Default)]
+pub struct Look {
+    pub at: Span,
+    pub length: Span,
+    pub up: usize,
+    pub busy: usize,
+    pub failed: usize,
+    pub moved: usize,
+    pub standing: usize,
+    /// Load and state of each box; none for one that does not run.
+    pub boxes: Vec<Option<(f64, &'static str)>>,
+    pub relays: usize,
+    /// What the plan has done since the last look.
+    pub news: Vec<String>,
+}
+
+pub struct Outcome {
+    pub summary: Summary,
+    pub folder: PathBuf,
+}
+
+struct Stand {
+    post: Option<Post>,
+    orders: Orders,
+    /// Until when it may take to stop.
+    stops_by: Option<Moment>,
+    back_after: Option<Span>,
+    starts: u64,
+    program: Vec<String>,
+}
+
+struct Director<'a> {
+    plan: &'a Plan,
+    scenario: &'a Scenario,
+    folder: &'a Path,
+    clock: Stopwatch,
+    tape: Tape,
+    reel: Reel,
+    yard: Opened,
+    crowds: Vec<Stage<Crowd>>,
+    stands: Vec<Stand>,
+    /// What comes of acts later than their own time.
+    later: BTreeMap<(Moment, usize), Later>,
+    serial: usize,
+    crashes: usize,
+    seen: usize,
+    look: Look,
+}
+
+enum Later {
+    Door(usize, bool),
+    Start(usize),
+}
+
+/// Carries a scenario out once; results are in `folder`, which is made. `stop` ends it early, its results kept and marked.
+///
+/// # Errors
+/// One line: what could not be set up.
+pub fn run(
+    scenario: &Scenario,
+    way: &Way,
+    seed: u64,
+    folder: &Path,
+    stop: &AtomicBool,
+    watch: &mut dyn FnMut(&Look),
+) -> Result<Outcome, String> {
+    let plan = Plan::of(scenario, seed);
+    need_descriptors(descriptors(&plan, way))?;
+    std::fs::create_dir_all(folder).map_err(|fault| format!("{}: {fault}", folder.display()))?;
+    let mut director = Director::open(scenario, &plan, way, folder)?;
+    let complete = director.direct(stop, watch);
+    let (entries, crowds, yard, crashes) = director.close();
+    let ruling = judge(&entries, &plan.law);
+    let findings = Findings {
+        scenario: &scenario.name,
+        way: &way.name,
+        seed,
+        complete,
+        length: entries.last().map_or(Span::ZERO, |last| last.at.since(Moment::default())),
+        crashes,
+        entries: &entries,
+        ruling: &ruling,
+        crowds: &crowds,
+        yard,
+    };
+    let summary = sum_up(&findings);
+    let failed = |fault: std::io::Error| format!("{}: {fault}", folder.display());
+    write_events(&entries, &folder.join("events.jsonl")).map_err(failed)?;
+    let text = serde_json::to_string_pretty(&summary).map_err(|fault| fault.to_string())?;
+    std::fs::write(folder.join("summary.json"), text).map_err(failed)?;
+    let page = report::page(&summary, &entries, &plan.marks, &crowds)?;
+    std::fs::write(folder.join("report.html"), page).map_err(failed)?;
+    Ok(Outcome { summary, folder: folder.to_path_buf() })
+}
+
+fn write_events(entries: &[Entry], path: &Path) -> std::io::Result<()> {
+    let mut out = BufWriter::new(File::create(path)?);
+    for entry in entries {
+        serde_json::to_writer(&mut out, entry)?;
+        out.write_all(b"\n")?;
+    }
+    out.flush()
+}
+
+/// What this process and its relays must be able to hold: each client has an end here, and so has its box.
+fn descriptors(plan: &Plan, way: &Way) -> u64 {
+    let mut changes: Vec<(Moment, i64)> = Vec::new();
+    for arrival in &plan.arrivals {
+        let wait = plan.traffic.kinds[usize::from(arrival.kind)].wait;
+        changes.extend([(arrival.due, 1), (arrival.due + arrival.life + wait, -1)]);
+    }
+    changes.sort_unstable();
+    let (mut now, mut most) = (0, 0);
+    for (_, change) in changes {
+        now += change;
+        most = most.max(now);
+    }
+    let rude = plan.acts.iter().map(|timed| match timed.act {
+        Act::Crowd(CrowdCue::Rude(_, count)) => count as u64,
+        _ => 0,
+    });
+    let here = most.unsigned_abs() * 2 + rude.sum::<u64>() + plan.ground.boxes.len() as u64 * 4 + OWN;
+    if way.baseline.is_some() { here } else { here.max(plan.terms.sockets) }
+}
+
+impl<'a> Director<'a> {
+    fn open(
+        scenario: &'a Scenario,
+        plan: &'a Plan,
+        way: &Way,
+        folder: &'a Path,
+    ) -> Result<Director<'a>, String> {
+        let (tape, reel) = tape();
+        // Relays are started on the run's own time, before anybody comes.
+        let clock = Stopwatch::start();
+        let yard = Yard::open(plan.ground.clone(), clock, tape.clone())
+            .map_err(|fault| format!("boxes can't be set up: {fault}"))?;
+        let mut stands = Vec::new();
+        if way.baseline.is_none() {
+            for number in 0..plan.ground.relays {
+                let listen =
+                    free_address(number).map_err(|fault| format!("no address for a relay: {fault}"))?;
+                let known = scenario.relays.know_list.then(|| known_list(plan, &yard));
+                let orders = Orders {
+                    name: format!("relay-{number}"),
+                    number,
+                    relays: plan.ground.relays,
+                    zone: number % scenario.fleet.zones.len(),
+                    listen,
+                    discovery: yard.agents[number],
+                    seed: scattered(plan.seed.wrapping_mul(1_000) + number as u64),
+                    known,
+                };
+                let post = Post::start(&way.relay, &plan.terms, &orders, folder)?;
+                tape.note(clock.now(), Sighting::RelayStarted { relay: RelayNo(number as u16) });
+                let program = way.relay.clone();
+                let (stops_by, back_after) = (None, None);
+                stands.push(Stand { post: Some(post), orders, stops_by, back_after, starts: 1, program });
+            }
+        }
+        let doors: Vec<Doorway> = match way.baseline {
+            None => (0..)
+                .zip(&stands)
+                .map(|(number, stand)| Doorway {
+                    at: stand.orders.listen,
+                    relay: Some(RelayNo(number)),
+                    open: true,
+                })
+                .collect(),
+            Some(_) => yard
+                .boxes
+                .iter()
+                .zip(&plan.ground.boxes)
+                .map(|(at, of)| Doorway { at: *at, relay: None, open: of.present })
+                .collect(),
+        };
+        // Starting relays took its time; who is due then is not late by that.
+        let begun = clock.now();
+        let threads = scenario.traffic.threads;
+        let mut crowds = Vec::new();
+        for thread in 0..threads {
+            let arrivals =
+                plan.arrivals.iter().enumerate().filter(|(number, _)| number % threads == thread).map(
+                    |(number, arrival)| {
+                        let mut arrival = arrival.clone();
+                        arrival.due = begun + (arrival.due.since(Moment::default()));
+                        (number as u64 + 1, arrival)
+                    },
+                );
+            let bill = Bill {
+                traffic: plan.traffic.clone(),
+                arrivals: arrivals.collect(),
+                until: begun + plan.until.since(Moment::default()),
+                doors: doors.clone(),
+                dealing: dealing(way.baseline),
+                seed: plan.seed.wrapping_add(thread as u64),
+            };
+            let crowd = Crowd::open(bill, clock, tape.clone());
+            crowds.push(crowd.map_err(|fault| format!("clients can't be set up: {fault}"))?);
+        }
+        tape.note(begun, Sighting::Mark { text: BEGUN.into() });
+        let look = Look {
+            length: plan.until.since(Moment::default()),
+            boxes: plan.ground.boxes.iter().map(|of| of.present.then_some((0.0, ""))).collect(),
+            ..Look::default()
+        };
+        let later = BTreeMap::new();
+        Ok(Director {
+            plan,
+            scenario,
+            folder,
+            clock,
+            tape,
+            reel,
+            yard,
+            crowds,
+            stands,
+            later,
+            serial: 0,
+            crashes: 0,
+            seen: 0,
+            look,
+        })
+    }
+
+    fn note(&self, seen: Sighting) {
+        self.tape.note(self.clock.now(), seen);
+    }
+
+    fn set(&mut self, after: Span, later: Later) {
+        self.serial += 1;
+        self.later.insert((self.clock.now() + after, self.serial), later);
+    }
+
+    /// Until the plan is over; false where it was stopped before.
+    fn direct(&mut self, stop: &AtomicBool, watch: &mut dyn FnMut(&Look)) -> bool {
+        let begun = self.clock.now();
+        let mut acts = self.plan.acts.iter().peekable();
+        let mut marks = self.plan.marks.iter().peekable();
+        let (mut measured, mut looked) = (begun, begun);
+        let mut complete = true;
+        loop {
+            let now = self.clock.now();
+            let passed = Moment::default() + now.since(begun);
+            if stop.load(Ordering::Relaxed) {
+                complete = false;
+                break;
+            }
+            if passed >= self.plan.until {
+                break;
+            }
+            while let Some(mark) = marks.next_if(|mark| mark.from <= passed) {
+                self.look.news.push(mark.what.clone());
+            }
+            while let Some(timed) = acts.next_if(|timed| timed.at <= passed) {
+                self.act(&timed.act);
+            }
+            self.carry_on(now);
+            if now.since(measured) >= MEASURE {
+                measured = now;
+                self.measure();
+            }
+            if now.since(looked) >= LOOK {
+                looked = now;
+                self.take_look(passed.since(Moment::default()));
+                watch(&self.look);
+                self.look.news.clear();
+            }
+            std::thread::sleep(STEP);
+        }
+        self.measure();
+        complete
+    }
+
+    fn act(&mut self, act: &Act) {
+        match act {
+            Act::Yard(cue) => self.yard.stage.cue(cue.clone()),
+            Act::Crowd(cue) => {
+                let threads = self.crowds.len();
+                for (place, crowd) in self.crowds.iter().enumerate() {
+                    // Each thread has its part of the clients.
+                    let part = |count: usize| count / threads + usize::from(place < count % threads);
+                    crowd.cue(match cue {
+                        CrowdCue::Drop(count, over) => CrowdCue::Drop(part(*count), *over),
+                        CrowdCue::Rude(rude, count) => CrowdCue::Rude(*rude, part(*count)),
+                        other => other.clone(),
+                    });
+                }
+            }
+            Act::Kill(relay, back) => {
+                let number = usize::from(relay.0);
+                let Some(stand) = self.stands.get_mut(number) else { return };
+                let Some(mut post) = stand.post.take() else { return };
+                self.note(Sighting::RelayKilled { relay: *relay });
+                post.kill();
+                let notice = self.scenario.relays.front_notice.0;
+                if back.is_none_or(|back| back > notice) {
+                    self.set(notice, Later::Door(number, false));
+                }
+                if let Some(back) = back {
+                    self.set(*back, Later::Start(number));
+                }
+            }
+            Act::Stop(relay, back) => {
+                let number = usize::from(relay.0);
+                let longest = self.plan.traffic.kinds.iter().map(|kind| kind.wait).max().unwrap_or_default();
+                let by = self.clock.now() + longest.min(LONGEST_WAIT) + AFTER_WAIT;
+                let Some(stand) = self.stands.get_mut(number) else { return };
+                let Some(post) = &stand.post else { return };
+                post.tell_to_stop();
+                (stand.stops_by, stand.back_after) = (Some(by), *back);
+                self.note(Sighting::RelayToldToStop { relay: *relay });
+                self.set(COME_ON, Later::Door(number, false));
+            }
+            Act::HangUp(relay) => {
+                if let Some(post) =
+                    self.stands.get(usize::from(relay.0)).and_then(|stand| stand.post.as_ref())
+                {
+                    post.hang_up();
+                }
+            }
+        }
+    }
+
+    /// What earlier acts lead to, and relays that end.
+    fn carry_on(&mut self, now: Moment) {
+        while let Some(entry) = self.later.first_entry().filter(|entry| entry.key().0 <= now) {
+            match entry.remove() {
+                Later::Door(door, open) => {
+                    self.crowds.iter().for_each(|crowd| crowd.cue(CrowdCue::Door(door, open)))
+                }
+                Later::Start(number) => self.start(number),
+            }
+        }
+        for number in 0..self.stands.len() {
+            let relay = RelayNo(number as u16);
+            let stand = &mut self.stands[number];
+            let Some(post) = &mut stand.post else { continue };
+            match (post.ended(), stand.stops_by) {
+                (None, None) => {}
+                (None, Some(by)) if now < by => {}
+                (None, Some(_)) => {
+                    // What it still holds is lost by its own fault.
+                    post.kill();
+                    (stand.post, stand.stops_by) = (None, None);
+                    self.crashes += 1;
+                    self.note(Sighting::Mark { text: format!("relay {number} did not stop in time") });
+                }
+                (Some(status), told) => {
+                    (stand.post, stand.stops_by) = (None, None);
+                    let back = stand.back_after.take();
+                    if told.is_some() && status.success() {
+                        self.note(Sighting::RelayStopped { relay });
+                        if let Some(back) = back {
+                            self.set(back, Later::Start(number));
+                        }
+                    } else {
+                        self.crashes += 1;
+                        self.note(Sighting::Mark { text: format!("relay {number} crashed: {status}") });
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, number: usize) {
+        let stand = &mut self.stands[number];
+        stand.starts += 1;
+        stand.orders.seed = scattered(stand.orders.seed.wrapping_add(stand.starts));
+        match Post::start(&stand.program, &self.plan.terms, &stand.orders, self.folder) {
+            Ok(post) => {
+                stand.post = Some(post);
+                self.note(Sighting::RelayStarted { relay: RelayNo(number as u16) });
+                self.set(Span::ZERO, Later::Door(number, true));
+            }
+            Err(why) => {
+                self.crashes += 1;
+                self.note(Sighting::Mark { text: why });
+            }
+        }
+    }
+
+    fn measure(&mut self) {
+        for (number, stand) in (0..).zip(&self.stands) {
+            if let Some((cpu, resident)) = stand.post.as_ref().and_then(Post::cost) {
+                self.note(Sighting::RelayCost { relay: RelayNo(number), cpu, resident });
+            }
+        }
+        self.reel.gather();
+    }
+
+    fn take_look(&mut self, passed: Span) {
+        self.look.at = passed;
+        self.reel.gather();
+        for entry in &self.reel.entries[self.seen..] {
+            let look = &mut self.look;
+            let mut state = |at: BoxNo, word: &'static str| {
+                if let Some(of) = look.boxes.get_mut(usize::from(at.0)) {
+                    *of = Some((of.map_or(0.0, |(load, _)| load), word));
+                }
+            };
+            match &entry.seen {
+                Sighting::Answered { answer: Answer::Up, .. } => look.up += 1,
+                Sighting::Answered { answer: Answer::Busy(_), .. } => look.busy += 1,
+                Sighting::Answered { answer: Answer::Failed, .. } => look.failed += 1,
+                Sighting::Moved { .. } => look.moved += 1,
+                Sighting::BoxStopped { at } => look.boxes[usize::from(at.0)] = None,
+                Sighting::BoxStarted { at, cold } => state(*at, if *cold { "cold" } else { "" }),
+                Sighting::BoxDrains { at } => state(*at, "drains"),
+                Sighting::Ailment { at, name, on } => state(*at, if *on { name } else { "" }),
+                Sighting::BoxLoad { at, load, .. } => {
+                    if let Some(Some(of)) = look.boxes.get_mut(usize::from(at.0)) {
+                        of.0 = *load;
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.seen = self.reel.entries.len();
+        let rounds = crate::summary::rounds(&self.reel.entries[self.seen.saturating_sub(20_000)..]);
+        self.look.standing =
+            rounds.values().next_back().map_or(0, |round| round.iter().map(|(.., held)| held).sum());
+        self.look.relays = self.stands.iter().filter(|stand| stand.post.is_some()).count();
+    }
+
+    /// Clients leave, relays are told to stop, and what was seen is handed over.
+    fn close(
+        mut self,
+    ) -> (Vec<Entry>, Vec<thistlecroft_fleet::crowd::CrowdSums>, thistlecroft_fleet::yard::YardSums, usize)
+    {
+        self.crowds.iter().for_each(|crowd| crowd.cue(CrowdCue::Finish));
+        let longest = self.plan.traffic.kinds.iter().map(|kind| kind.wait).max().unwrap_or_default();
+        let all = self.crowds.len();
+        let idle = |entry: &&Entry| matches!(&entry.seen, Sighting::Mark { text } if text == IDLE);
+        let gone = self.reel.wait_until(duration(longest) + LEAVING, |entries| {
+            entries.iter().rev().filter(idle).count() == all
+        });
+        if !gone {
+            self.note(Sighting::Mark { text: "clients stayed to the end".into() });
+        }
+        for stand in &self.stands {
+            stand.post.iter().for_each(Post::tell_to_stop);
+        }
+        for number in 0..self.stands.len() {
+            let Some(post) = &mut self.stands[number].post else { continue };
+            let status = post.wait(longest.min(LONGEST_WAIT) + AFTER_WAIT);
+            if !status.is_some_and(|status| status.success()) {
+                self.crashes += 1;
+                self.note(Sighting::Mark { text: format!("relay {number} did not stop well at the end") });
+            }
+        }
+        let crowds = self.crowds.into_iter().map(Stage::close).collect();
+        let yard = self.yard.stage.close();
+        (self.reel.into_sorted(), crowds, yard, self.crashes)
+    }
+}
+
+/// Noted when all is set up and the plan begins.
+pub const BEGUN: &str = "the plan begins";
+
+fn known_list(plan: &Plan, yard: &Opened) -> serde_json::Value {
+    let mut list = Listing::default();
+    for (number, (of, at)) in (0..).zip(plan.ground.boxes.iter().zip(&yard.boxes)) {
+        if of.present {
+            let row = Row {
+                at: *at,
+                zone: of.zone.clone(),
+                cell: of.cell,
+                lifecycle: Lifecycle::Ready,
+                started_ms: 0,
+            };
+            list.put(BoxNo(number), row);
+        }
+    }
+    serde_json::from_str(&list.text_since(None).0).unwrap_or_default()
+}
+
+/// The moment in a run at which a plan's moment came.
+pub fn begun(entries: &[Entry]) -> Moment {
+    let begins = |entry: &&Entry| matches!(&entry.seen, Sighting::Mark { text } if text == BEGUN);
+    entries.iter().find(begins).map_or(BEGIN, |entry| entry.at)
+}
--- /dev/null
+++ b/lab/src/spans.rs
@@ -0,0 +1,63 @@
+//! Spans as people write them: `250ms`, `1.5s`, `2m`.
+use serde::de::{Deserialize, Deserializer, Error};
+use thistlecroft::units::Span;
+
+/// A span of a scenario.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Time(pub Span);
+
+impl Time {
+    pub const fn ms(ms: u64) -> Time {
+        Time(Span::from_ms(ms))
+    }
+}
+
+/// # Errors
+/// One line that shows how spans are written.
+pub fn span(text: &str) -> Result<Span, String> {
+    let wrong = || format!("\"{text}\" is no span of time, such as \"250ms\", \"1.5s\" or \"2m\"");
+    let digits = text.find(|sign: char| !sign.is_ascii_digit() && sign != '.').ok_or_else(wrong)?;
+    let (figure, unit) = text.split_at(digits);
+    let us = match unit {
+        "us" => 1.0,
+        "ms" => 1e3,
+        "s" => 1e6,
+        "m" => 60e6,
+        "h" => 3_600e6,
+        _ => return Err(wrong()),
+    };
+    let figure: f64 = figure.parse().map_err(|_| wrong())?;
+    Ok(Span::from_us((figure * us).round() as u64))
+}
+
+impl<'de> Deserialize<'de> for Time {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Time, D::Error> {
+        let text = String::deserialize(from)?;
+        span(&text).map(Time).map_err(D::Error::custom)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn spans_are_read_with_their_units() {
+        let cases = [
+            ("250ms", Some(250_000)),
+            ("1.5s", Some(1_500_000)),
+            ("2m", Some(120_000_000)),
+            ("10us", Some(10)),
+            ("1h", Some(3_600_000_000)),
+            ("250", None),
+            ("ms", None),
+            ("", None),
+            ("-1s", None),
+            ("1.2.3s", None),
+            ("3 s", None),
+        ];
+        for (text, us) in cases {
+            assert_eq!(span(text).ok().map(Span::us), us, "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/summary.rs
@@ -0,0 +1,348 @@
+//! What came of a run, in figures.
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use thistlecroft::units::{Moment, Span};
+use thistlecroft_fleet::crowd::{CrowdSums, KindSums};
+use thistlecroft_fleet::referee::Ruling;
+use thistlecroft_fleet::tape::{BoxNo, Entry, RelayNo, Sighting};
+use thistlecroft_fleet::yard::YardSums;
+
+/// Clients that came later than this after they were due, or a thread that worked for more than the other part of its
+/// time: the tool was the bottleneck, and the run's delays say little.
+const LATE: Span = Span::from_ms(20);
+const BUSY: f64 = 0.8;
+
+/// Milliseconds; all zero where nothing was measured.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Delays {
+    pub count: u64,
+    pub p50: f64,
+    pub p90: f64,
+    pub p99: f64,
+    pub p99_9: f64,
+    pub most: f64,
+}
+
+impl Delays {
+    /// Of microseconds.
+    pub fn of(from: &Histogram<u32>) -> Delays {
+        let ms = |us: u64| us as f64 / 1e3;
+        if from.is_empty() {
+            return Delays::default();
+        }
+        Delays {
+            count: from.len(),
+            p50: ms(from.value_at_quantile(0.5)),
+            p90: ms(from.value_at_quantile(0.9)),
+            p99: ms(from.value_at_quantile(0.99)),
+            p99_9: ms(from.value_at_quantile(0.999)),
+            most: ms(from.max()),
+        }
+    }
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ListenerSummary {
+    pub name: String,
+    pub arrivals: u64,
+    pub up: u64,
+    pub busy: u64,
+    pub failed: u64,
+    pub lost: u64,
+    /// Well-served seconds over those asked for.
+    pub served: f64,
+    pub set_up: Delays,
+    pub lines: Delays,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct RelaySummary {
+    pub cpu_s: f64,
+    pub most_resident_mb: f64,
+    pub last_resident_mb: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct BreakText {
+    pub rule: usize,
+    pub at_s: f64,
+    pub what: String,
+    pub story: Vec<String>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Summary {
+    pub scenario: String,
+    pub way: String,
+    pub seed: u64,
+    /// False where the run was interrupted: its figures are of a part.
+    pub complete: bool,
+    pub length_s: f64,
+    /// Breaks found, by rule.
+    pub rules: [usize; 4],
+    pub first_breaks: Vec<BreakText>,
+    pub crashes: usize,
+    pub sessions: usize,
+    pub answered: usize,
+    pub excused: usize,
+    pub up: u64,
+    pub busy: u64,
+    pub failed: u64,
+    pub unanswered: u64,
+    pub moved: u64,
+    pub cut_off: u64,
+    pub lost: u64,
+    pub never_taken: usize,
+    pub wrong_lines: u64,
+    pub rude: u64,
+    pub rude_answered: u64,
+    /// Utility of well-served seconds over that of all seconds asked for.
+    pub served: f64,
+    pub set_up: Delays,
+    pub lines: Delays,
+    pub listeners: Vec<ListenerSummary>,
+    pub dials: usize,
+    pub dials_a_session: f64,
+    pub most_dials: usize,
+    pub most_standing: usize,
+    /// Standard deviation over mean of the boxes' loads, the mean over the run.
+    pub load_spread: f64,
+    pub most_load: f64,
+    /// The greatest part of a cold box's budget that was used; above 1 it falls over.
+    pub cold_push: f64,
+    pub relays: Vec<RelaySummary>,
+    /// CPU time of all relays by lines passed up, in microseconds.
+    pub cpu_us_a_line: f64,
+    /// How late clients came after they were due.
+    pub tool_late: Delays,
+    pub tool_worst_turn_ms: f64,
+    /// The part of its time that the busiest thread worked.
+    pub tool_busy: f64,
+    pub tool_was_late: bool,
+}
+
+/// What a summary is made of.
+pub struct Findings<'a> {
+    pub scenario: &'a str,
+    pub way: &'a str,
+    pub seed: u64,
+    pub complete: bool,
+    pub length: Span,
+    pub crashes: usize,
+    pub entries: &'a [Entry],
+    pub ruling: &'a Ruling,
+    pub crowds: &'a [CrowdSums],
+    pub yard: YardSums,
+}
+
+/// # Panics
+/// Where there is no crowd.
+pub fn sum_up(of: &Findings) -> Summary {
+    let mut crowd = of.crowds[0].clone();
+    of.crowds[1..].iter().for_each(|other| crowd.add(other));
+    let total = |of: fn(&KindSums) -> u64| crowd.kinds.iter().map(of).sum::<u64>();
+    let utility =
+        |of: fn(&KindSums) -> f64| crowd.kinds.iter().map(|kind| kind.utility * of(kind)).sum::<f64>();
+    let all = |of: fn(&KindSums) -> &Histogram<u32>| {
+        let mut sum = of(&crowd.kinds[0]).clone();
+        for kind in &crowd.kinds[1..] {
+            let _ = sum.add(of(kind));
+        }
+        sum
+    };
+    let lines = all(|kind| &kind.lines);
+    let relays = relay_costs(of.entries);
+    let cpu: f64 = relays.iter().map(|relay| relay.cpu_s).sum();
+    let boxes = loads(of.entries);
+    let seconds = of.length.secs().max(1e-9);
+    let threads = of.crowds.iter().map(|crowd| crowd.worked).chain([of.yard.worked]);
+    let tool_busy = threads.map(|worked| worked.secs() / seconds).fold(0.0, f64::max);
+    let worst_turn = crowd.worst_turn.max(of.yard.worst_turn);
+    let tool_late = Delays::of(&crowd.late);
+    Summary {
+        scenario: of.scenario.into(),
+        way: of.way.into(),
+        seed: of.seed,
+        complete: of.complete,
+        length_s: seconds,
+        rules: of.ruling.breaks,
+        first_breaks: of
+            .ruling
+            .first
+            .iter()
+            .flatten()
+            .map(|first| BreakText {
+                rule: first.rule,
+                at_s: first.at.us() as f64 / 1e6,
+                what: first.what.clone(),
+                story: first.story.clone(),
+            })
+            .collect(),
+        crashes: of.crashes,
+        sessions: of.ruling.sessions,
+        answered: of.ruling.answered,
+        excused: of.ruling.excused,
+        up: total(|kind| kind.up),
+        busy: total(|kind| kind.busy),
+        failed: total(|kind| kind.failed),
+        unanswered: total(|kind| kind.unanswered),
+        moved: total(|kind| kind.moved),
+        cut_off: total(|kind| kind.cut_off),
+        lost: total(|kind| kind.lost),
+        never_taken: of
+            .entries
+            .iter()
+            .filter(|entry| matches!(entry.seen, Sighting::NeverTaken { .. }))
+            .count(),
+        wrong_lines: crowd.wrong_lines,
+        rude: crowd.rude,
+        rude_answered: crowd.rude_answered,
+        served: utility(|kind| kind.served_s) / utility(|kind| kind.asked_s).max(1e-9),
+        set_up: Delays::of(&all(|kind| &kind.set_up)),
+        lines: Delays::of(&lines),
+        listeners: crowd.kinds.iter().map(listener).collect(),
+        dials: of.ruling.dials,
+        dials_a_session: of.ruling.dials as f64 / (of.ruling.sessions as f64).max(1.0),
+        most_dials: of.ruling.most_dials,
+        most_standing: boxes.most_standing,
+        load_spread: boxes.spread,
+        most_load: boxes.most,
+        cold_push: of.ruling.worst_push,
+        cpu_us_a_line: cpu * 1e6 / (lines.len() as f64).max(1.0),
+        relays,
+        tool_worst_turn_ms: worst_turn.us() as f64 / 1e3,
+        tool_was_late: tool_late.p99 > LATE.us() as f64 / 1e3 || tool_busy > BUSY,
+        tool_late,
+        tool_busy,
+    }
+}
+
+fn listener(kind: &KindSums) -> ListenerSummary {
+    ListenerSummary {
+        name: kind.name.clone(),
+        arrivals: kind.arrivals,
+        up: kind.up,
+        busy: kind.busy,
+        failed: kind.failed,
+        lost: kind.lost,
+        served: kind.served_s / kind.asked_s.max(1e-9),
+        set_up: Delays::of(&kind.set_up),
+        lines: Delays::of(&kind.lines),
+    }
+}
+
+fn relay_costs(entries: &[Entry]) -> Vec<RelaySummary> {
+    // CPU time begins anew with each process.
+    let mut relays: BTreeMap<RelayNo, (RelaySummary, f64)> = BTreeMap::new();
+    for entry in entries {
+        let Sighting::RelayCost { relay, cpu, resident } = entry.seen else { continue };
+        let (sums, last) = relays.entry(relay).or_default();
+        let (cpu, resident) = (cpu.secs(), resident as f64 / f64::from(1 << 20));
+        sums.cpu_s += if cpu >= *last { cpu - *last } else { cpu };
+        *last = cpu;
+        sums.most_resident_mb = sums.most_resident_mb.max(resident);
+        sums.last_resident_mb = resident;
+    }
+    relays.into_values().map(|(sums, _)| sums).collect()
+}
+
+struct Loads {
+    spread: f64,
+    most: f64,
+    most_standing: usize,
+}
+
+/// A run's reports, those of one round together: all boxes are noted at the same moment.
+pub fn rounds(entries: &[Entry]) -> BTreeMap<Moment, Vec<(BoxNo, f64, usize)>> {
+    let mut rounds: BTreeMap<Moment, Vec<(BoxNo, f64, usize)>> = BTreeMap::new();
+    for entry in entries {
+        if let Sighting::BoxLoad { at, load, held, .. } = entry.seen {
+            rounds.entry(entry.at).or_default().push((at, load, held));
+        }
+    }
+    rounds
+}
+
+fn loads(entries: &[Entry]) -> Loads {
+    let rounds = rounds(entries);
+    let (mut spreads, mut most, mut most_standing) = (Vec::new(), 0.0_f64, 0);
+    for round in rounds.values() {
+        let loads: Vec<f64> = round.iter().map(|(_, load, _)| *load).collect();
+        let mean = loads.iter().sum::<f64>() / loads.len() as f64;
+        if mean > 0.01 {
+            let squares = loads.iter().map(|load| (load - mean).powi(2)).sum::<f64>() / loads.len() as f64;
+            spreads.push(squares.sqrt() / mean);
+        }
+        most = loads.iter().copied().fold(most, f64::max);
+        most_standing = most_standing.max(round.iter().map(|(.., held)| held).sum());
+    }
+    Loads { spread: spreads.iter().sum::<f64>() / spreads.len().max(1) as f64, most, most_standing }
+}
+
+impl Summary {
+    pub fn kept(&self) -> bool {
+        self.rules == [0; 4] && self.crashes == 0
+    }
+
+    /// `answered N of N, rules kept`, or what broke.
+    pub fn line(&self) -> String {
+        let owed = self.sessions - self.excused;
+        let mut rules: Vec<String> = (1..)
+            .zip(self.rules)
+            .filter(|(_, count)| *count > 0)
+            .map(|(rule, count)| format!("rule {rule} broken {count} times"))
+            .collect();
+        if self.crashes > 0 {
+            rules.push(format!("{} relays crashed", self.crashes));
+        }
+        let rules = if rules.is_empty() { "rules kept".into() } else { rules.join(", ") };
+        let part = if self.complete { "" } else { " (interrupted)" };
+        format!("answered {} of {owed}, {rules}{part}", self.answered)
+    }
+
+    /// What a person reads of it.
+    pub fn page(&self) -> String {
+        let delays = |delays: &Delays| {
+            format!(
+                "p50 {:.1}  p90 {:.1}  p99 {:.1}  p99.9 {:.1}  most {:.1} ms",
+                delays.p50, delays.p90, delays.p99, delays.p99_9, delays.most
+            )
+        };
+        let mut lines = vec![
+            format!("{} / {} / seed {}: {}", self.scenario, self.way, self.seed, self.line()),
+            format!(
+                "  answers     up {}  busy {}  failed {}  none {}  moved {}  cut off {}  gave up {}",
+                self.up, self.busy, self.failed, self.unanswered, self.moved, self.cut_off, self.lost
+            ),
+            format!("  served      {:.3} of the utility asked for", self.served),
+            format!("  set-up      {}", delays(&self.set_up)),
+            format!("  lines       {}", delays(&self.lines)),
+            format!(
+                "  dials       {:.3} a session, {} at most; cold budget used {:.2}",
+                self.dials_a_session, self.most_dials, self.cold_push
+            ),
+            format!(
+                "  boxes       {} standing at most, spread of load {:.2}, greatest load {:.2}",
+                self.most_standing, self.load_spread, self.most_load
+            ),
+        ];
+        for (number, relay) in self.relays.iter().enumerate() {
+            lines.push(format!(
+                "  relay {number}     {:.2} s of CPU, {:.1} MB at most, {:.1} MB at the end",
+                relay.cpu_s, relay.most_resident_mb, relay.last_resident_mb
+            ));
+        }
+        lines.push(format!(
+            "  the tool    came late by p99 {:.1} ms, worked {:.0}% of its time{}",
+            self.tool_late.p99,
+            self.tool_busy * 100.0,
+            if self.tool_was_late { ": TOO LATE, delays say little" } else { "" }
+        ));
+        for first in &self.first_breaks {
+            lines.push(format!("  rule {} broke at {:.3} s: {}", first.rule, first.at_s, first.what));
+            lines.extend(first.story.iter().map(|line| format!("    {line}")));
+        }
+        lines.join("\n")
+    }
+}
