--- a/relay/src/clients.rs
+++ b/relay/src/clients.rs
@@ -109,16 +109,22 @@
     /// Ids of sessions that are open: a backend turns a second one of the same id away, and the blame would
     /// fall on it.
     claimed: BTreeSet<u64>,
-    /// Sessions that hold a descriptor for nothing as yet, the longest silent first.
-    idle: BTreeSet<(Moment, u32)>,
+    /// Sessions that hold a descriptor for nothing: first those that have had their last word, then the others, the
+    /// longest silent first.
+    idle: BTreeSet<Idle>,
 }
 
+/// Not parted yet, silent since, and whose.
+type Idle = (bool, Moment, u32);
+
 pub struct Sessions {
     map: BTreeMap<u32, Session>,
     next: u32,
     door: Door,
     /// Since when connections may have waited to be accepted.
     behind_since: Option<Moment>,
+    /// Accepting pauses until a descriptor is free.
+    full: bool,
     terms: Terms,
 }
 
@@ -135,7 +141,7 @@
         let most_sockets = sockets.saturating_sub(RESERVE);
         let (claimed, idle) = (BTreeSet::new(), BTreeSet::new());
         let terms = Terms { names, connect_timeout, most_sockets, claimed, idle };
-        Sessions { map: BTreeMap::new(), next: 0, door, behind_since: None, terms }
+        Sessions { map: BTreeMap::new(), next: 0, door, behind_since: None, full: false, terms }
     }
 
     pub fn is_empty(&self) -> bool {
@@ -152,9 +158,10 @@
         for _ in 0..ACCEPTS {
             let open = works.sockets.open();
             if open >= self.terms.most_sockets
-                && !self.shed(SHED_AFTER, works)
+                && !self.shed(SHED_AFTER, book, works)
                 && open >= self.terms.most_sockets + TELLING
             {
+                self.full = true;
                 return self.pause_accepting(works);
             }
             let id = self.next;
@@ -192,18 +199,41 @@
     }
 
     pub fn resume_accepting(&mut self) {
+        self.full = false;
         self.door.want(true);
     }
 
-    /// Ends the connection that has been silent for longest, if for so long; true where that made room.
-    fn shed(&mut self, silent: Span, works: &mut Works) -> bool {
-        let Some(&(heard, id)) = self.terms.idle.first() else { return false };
-        if works.now.since(heard) < silent {
-            return false;
+    /// Ends the connection that is needed least: one that has had its last word, else the one that has been silent for
+    /// longest, if for so long; true where that made room. What a silent one has said by now is read first: a line that
+    /// came since the turn began is a session taken, and owed its answer.
+    fn shed(&mut self, silent: Span, book: &Book, works: &mut Works) -> bool {
+        while let Some(&first) = self.terms.idle.first() {
+            let (waits, heard, id) = first;
+            if waits && works.now.since(heard) < silent {
+                return false;
+            }
+            self.step(id, works, |session, terms, works| {
+                if session.stage != Stage::Opening {
+                    return Over;
+                }
+                let fate = session.client_event(terms, book, works);
+                match session.stage {
+                    // Half a line, whose rest may be on its way: told so that it can't be missed.
+                    Stage::Opening if session.up.waits() => session.part(&protocol::refusal(None), works),
+                    Stage::Opening => Over,
+                    _ => fate,
+                }
+            });
+            if !self.map.contains_key(&id) {
+                works.counters.shed += u64::from(waits);
+                return true;
+            }
+            // It has spoken and has its place elsewhere; one that has not can't be got rid of.
+            if self.terms.idle.first() == Some(&first) {
+                return false;
+            }
         }
-        works.counters.shed += 1;
-        self.step(id, works, |_, _, _| Over);
-        true
+        false
     }
 
     /// Runs one step of a session, for an event, an alarm or an order; whatever comes of it, what is waited for
@@ -222,11 +252,11 @@
             session.give_up(works)
         });
         let idle = session.idle_since().filter(|_| fate == Goes);
-        if let Some(since) = was_idle {
-            self.terms.idle.remove(&(since, id));
+        if let Some(place) = was_idle {
+            self.terms.idle.remove(&place);
         }
-        if let Some(since) = idle {
-            self.terms.idle.insert((since, id));
+        if let Some(place) = idle {
+            self.terms.idle.insert(place);
         }
         match fate {
             Goes => session.settle(),
@@ -236,6 +266,10 @@
                     session.down.clear(&mut works.pool);
                     session.claimed.map(|id| self.terms.claimed.remove(&id));
                 }
+                // Who waits in the backlog is answered as soon as there is room.
+                if self.full {
+                    self.resume_accepting();
+                }
             }
         }
     }
@@ -302,8 +336,9 @@
         book: &Book,
         works: &mut Works,
     ) {
-        // Connections that only wait never keep a dial from its descriptor.
-        while works.sockets.open() >= self.terms.most_sockets && self.shed(Span::ZERO, works) {}
+        // Connections that only wait keep no dial from its descriptor; one accepted just now may be about to speak, and
+        // a dial that finds no room is the lesser evil, since the decisions hear of it and answer.
+        while works.sockets.open() >= self.terms.most_sockets && self.shed(SHED_AFTER, book, works) {}
         self.step(id.0, works, |session, terms, works| {
             let number = session.dials;
             session.dials += 1;
@@ -392,10 +427,10 @@
         session
     }
 
-    /// Since when the client has been silent, where it holds its descriptor for nothing as yet.
-    fn idle_since(&self) -> Option<Moment> {
+    /// Its place among those that hold a descriptor for nothing.
+    fn idle_since(&self) -> Option<Idle> {
         let idle = matches!(self.stage, Stage::Opening | Stage::Leaving | Stage::Parted) && !self.stood;
-        idle.then_some(self.heard)
+        idle.then_some((self.stage != Stage::Parted, self.heard, self.id))
     }
 
     fn session_id(&self) -> SessionId {
@@ -508,7 +543,7 @@
                     self.claimed = Some(open.id);
                     self.close_by = None;
                     self.began = works.now;
-                    let idle_others = terms.idle.iter().any(|&(_, id)| id != self.id);
+                    let idle_others = terms.idle.iter().any(|&(.., id)| id != self.id);
                     if works.sockets.open() >= terms.most_sockets && !idle_others {
                         // No descriptor for a dial: told before accepting itself would fail.
                         works.counters.turned_away += 1;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -829,10 +829,11 @@
     }
 
     /// New connections a second that would fill a warm backend of middling size: as many as it holds when
-    /// full times the rate at which they leave by themselves. A rush of clients that come back shows in
-    /// neither.
+    /// full times the rate at which they leave by themselves, or that fills it over its warm-up if that is
+    /// less. A rush of clients that come back shows in neither.
     fn warm_rate(&self, pool: Pool) -> f64 {
-        if pool.each <= 0.0 || self.stood <= 0.0 { 0.0 } else { self.left_alone / self.stood / pool.each }
+        let leave = (self.left_alone / self.stood).min(1.0 / self.deployment.cold.warm_up.secs());
+        if pool.each <= 0.0 || self.stood <= 0.0 { 0.0 } else { leave / pool.each }
     }
 }
 
