--- a/fleet/src/post.rs
+++ b/fleet/src/post.rs
@@ -193,16 +193,18 @@
         }
     }
 
-    /// CPU time used so far, and bytes of memory resident; none where the process has ended.
+    /// CPU time of its living threads so far, and bytes of memory resident; none where the process has ended.
     pub fn cost(&self) -> Option<(Span, u64)> {
-        let read = |name: &str| std::fs::read_to_string(format!("/proc/{}/{name}", self.child.id())).ok();
-        let stat = read("stat")?;
-        // The name in brackets may hold anything; the fields behind it don't.
-        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
-        let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
-        let second = rustix::param::clock_ticks_per_second();
-        let pages: u64 = read("statm")?.split_whitespace().nth(1)?.parse().ok()?;
-        Some((Span::from_us(ticks * 1_000_000 / second), pages * rustix::param::page_size() as u64))
+        let folder = PathBuf::from(format!("/proc/{}", self.child.id()));
+        let nanoseconds = |thread: std::fs::DirEntry| -> Option<u64> {
+            std::fs::read_to_string(thread.path().join("schedstat")).ok()?.split(' ').next()?.parse().ok()
+        };
+        let threads = std::fs::read_dir(folder.join("task")).ok()?.filter_map(Result::ok);
+        let cpu: u64 = threads.filter_map(nanoseconds).sum();
+        let pages: u64 =
+            std::fs::read_to_string(folder.join("statm")).ok()?.split(' ').nth(1)?.parse().ok()?;
+        // Of a process that has ended and not been waited for there is neither.
+        (cpu > 0).then(|| (Span::from_us(cpu / 1_000), pages * rustix::param::page_size() as u64))
     }
 }
 
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -139,6 +139,7 @@
     let findings = Findings {
         scenario: &scenario.name,
         way: &way.name,
+        baseline: way.baseline.is_some(),
         seed,
         complete,
         length: entries.last().map_or(Span::ZERO, |last| last.at.since(Moment::default())),
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -52,7 +52,9 @@
     pub warm_up: Time,
     pub cold_factor: f64,
     pub cold_window: Time,
-    pub turnover: Time,
+    /// What a box can do is to take connections that fill it once in such a time; where not stated, a mean life of
+    /// its clients, or its warm-up if that is longer.
+    pub turnover: Option<Time>,
     pub report_every: Time,
     /// How late a change of the list is told, at least and at most.
     pub notice: [Time; 2],
@@ -77,7 +79,7 @@
             warm_up: Time::ms(9_000),
             cold_factor: 3.0,
             cold_window: Time::ms(3_000),
-            turnover: Time::ms(9_000),
+            turnover: None,
             report_every: Time::ms(500),
             notice: [Time::ms(200), Time::ms(1_000)],
             store_lanes: None,
--- /dev/null
+++ b/relay/tests/scenarios.rs
@@ -0,0 +1,186 @@
+//! The program among the stand-ins of `fleet`, with the failures that it is meant for; the referee judges.
+use std::sync::atomic::AtomicBool;
+use std::thread;
+use thistlecroft_lab::run::{Way, run};
+use thistlecroft_lab::scenario::Scenario;
+use thistlecroft_lab::summary::Summary;
+
+const COMMON: &str = r#"
+about = "for the test"
+length = "5s"
+[traffic]
+rate = 30.0
+beat = "300ms"
+[[listener]]
+name = "hold"
+wait = "1200ms"
+handshake_target = "300ms"
+message_target = "50ms"
+life = "3s"
+[[listener]]
+name = "pay"
+wait = "1200ms"
+handshake_target = "300ms"
+message_target = "50ms"
+life = "3s"
+effect = "once-only"
+"#;
+
+struct Case {
+    name: &'static str,
+    text: &'static str,
+    /// What must have happened, so that the run shows something.
+    shows: fn(&Summary) -> bool,
+}
+
+#[test]
+fn the_rules_are_kept_through_failures() {
+    let cases = [
+        Case {
+            // Those who say nothing are sent away for those who speak; nobody who spoke loses his answer by that.
+            name: "descriptors",
+            text: r#"
+[relays]
+sockets = 128
+[[fault]]
+at = "500ms"
+what = "clients-silent"
+clients = 300
+[[fault]]
+at = "1s"
+what = "rush"
+clients = 500
+over = "1s"
+[[fault]]
+at = "3s"
+what = "clients-half-a-line"
+clients = 100
+"#,
+            shows: |summary| summary.busy > 100 && summary.up > 50 && summary.rude_answered > 300,
+        },
+        Case {
+            name: "boxes",
+            text: r#"
+[[fault]]
+at = "500ms"
+what = "mute"
+boxes = 3
+for = "1s"
+[[fault]]
+at = "1s"
+what = "silent"
+boxes = 2
+for = "2s"
+[[fault]]
+at = "1s"
+what = "reset-after"
+boxes = 2
+for = "1s"
+[[fault]]
+at = "2s"
+what = "half-answer"
+boxes = 2
+for = "1s"
+[[fault]]
+at = "2500ms"
+what = "never-closes"
+boxes = 2
+[[fault]]
+at = "3s"
+what = "crash"
+boxes = 2
+back = "500ms"
+"#,
+            shows: |summary| summary.moved + summary.cut_off > 5 && summary.most_dials > 1,
+        },
+        Case {
+            name: "list",
+            text: r#"
+[fleet]
+grace = "500ms"
+[[fault]]
+at = "500ms"
+what = "discovery-malformed"
+relays = "all"
+[[fault]]
+at = "1s"
+what = "drain"
+boxes = 2
+over = "3s"
+[[fault]]
+at = "2s"
+what = "discovery-restart"
+relays = "all"
+[[fault]]
+at = "2500ms"
+what = "drain"
+boxes = 2
+over = "1s"
+"#,
+            shows: |summary| summary.moved > 3,
+        },
+        Case {
+            name: "replaced",
+            text: r#"
+[[fault]]
+at = "1s"
+what = "relay-replaced"
+relays = [0]
+[[fault]]
+at = "1500ms"
+what = "reload"
+relays = [1]
+every = "20ms"
+for = "2s"
+[[fault]]
+at = "3s"
+what = "relay-killed"
+relays = [1]
+back = "200ms"
+"#,
+            shows: |summary| summary.moved > 5 && summary.relays.len() == 2,
+        },
+        Case {
+            name: "cold",
+            text: r#"
+[fleet]
+boxes = 5
+later = 2
+capacity = 20.0
+[[fault]]
+at = "1s"
+what = "rush"
+clients = 150
+over = "1s"
+[[fault]]
+at = "1500ms"
+what = "join"
+boxes = [3, 4]
+"#,
+            shows: |summary| summary.cold_push > 0.0 && summary.busy > 0,
+        },
+    ];
+    let folder = std::env::temp_dir().join(format!("thistlecroft-scenarios-{}", std::process::id()));
+    let way = Way {
+        name: "relays".into(),
+        baseline: None,
+        relay: vec![env!("CARGO_BIN_EXE_thistlecroft-relay").into()],
+    };
+    let runs: Vec<_> = cases
+        .into_iter()
+        .map(|case| {
+            let (way, folder) = (way.clone(), folder.join(case.name));
+            thread::spawn(move || {
+                let (own, common) = (case.text, COMMON);
+                // Tables of the test's own come behind the common keys.
+                let scenario = Scenario::parse(case.name, &format!("{common}{own}")).unwrap();
+                let done = run(&scenario, &way, 1, &folder, &AtomicBool::new(false), &mut |_| {}).unwrap();
+                let shown = (case.shows)(&done.summary);
+                (done.summary.kept() && shown).then_some(()).ok_or_else(|| done.summary.page())
+            })
+        })
+        .collect();
+    let faults: Vec<String> = runs.into_iter().filter_map(|run| run.join().unwrap().err()).collect();
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+    std::fs::remove_dir_all(folder).unwrap();
+}
