--- a/relay/src/clients.rs
+++ b/relay/src/clients.rs
@@ -220,7 +220,15 @@
                 match session.stage {
                     // Half a line, whose rest may be on its way: told so that it can't be missed.
                     Stage::Opening if session.up.waits() => session.part(&protocol::refusal(None), works),
-                    Stage::Opening => Over,
+                    Stage::Opening => {
+                        // Accepted just now it may speak at this very moment: then this is its answer, though the
+                        // break that follows leaves no time for more.
+                        if works.now.since(heard) < SHED_AFTER {
+                            session.words.add(&protocol::refusal(None));
+                            let _ = session.words.give(&mut session.client);
+                        }
+                        Over
+                    }
                     _ => fate,
                 }
             });
@@ -336,9 +344,8 @@
         book: &Book,
         works: &mut Works,
     ) {
-        // Connections that only wait keep no dial from its descriptor; one accepted just now may be about to speak, and
-        // a dial that finds no room is the lesser evil, since the decisions hear of it and answer.
-        while works.sockets.open() >= self.terms.most_sockets && self.shed(SHED_AFTER, book, works) {}
+        // Connections that only wait never keep a dial from its descriptor.
+        while works.sockets.open() >= self.terms.most_sockets && self.shed(Span::ZERO, book, works) {}
         self.step(id.0, works, |session, terms, works| {
             let number = session.dials;
             session.dials += 1;
