--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -5,7 +5,7 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use thistlecroft::balance::Relay;
 use thistlecroft::front::{Arrival, Ending, Front, ListScope, Listing, Report, Standing, Verdict};
-use thistlecroft::ids::{BackendId, CellId, ListenerId, SessionId, ZoneId};
+use thistlecroft::ids::{BackendId, CellId, RouteId, SessionId, ZoneId};
 use thistlecroft::units::{Moment, Span};
 use thistlecroft_facts::{self as facts, ReportPlaces, Site};
 
@@ -73,7 +73,7 @@
                 let text = batch.text(event.u32(12), event.u32(16), "settings")?;
                 let Site { deployment, places, .. } = facts::read(text)?;
                 let mut names = Names::default();
-                let listeners = deployment.listeners.len();
+                let listeners = deployment.routes.len();
                 let mut door = Door { number, names: &mut names, reply };
                 let relay = Relay::new(deployment, event.u64(4), now, &mut door);
                 self.instances.insert(number, Instance { relay, names, places, listeners });
@@ -124,7 +124,7 @@
             }
             1020 => {
                 let arrival = Arrival {
-                    listener: listener(event.u16(12), *listeners)?,
+                    route: listener(event.u16(12), *listeners)?,
                     key: present(event.u64(16)),
                     dial_timeout: Span::from_us(u64::from(event.u32(24))),
                     group: present(event.u64(32)),
@@ -162,7 +162,7 @@
             1080 => {}
             1100 => {
                 let arrival = Arrival {
-                    listener: listener(event.u16(30), *listeners)?,
+                    route: listener(event.u16(30), *listeners)?,
                     key: present(event.u64(38)),
                     dial_timeout: Span::from_us(u64::from(event.u32(34))),
                     group: present(event.u64(18)),
@@ -190,9 +190,9 @@
     }
 }
 
-fn listener(index: u16, listeners: usize) -> Result<ListenerId, String> {
+fn listener(index: u16, listeners: usize) -> Result<RouteId, String> {
     if usize::from(index) < listeners {
-        Ok(ListenerId(index))
+        Ok(RouteId(index))
     } else {
         Err(format!("listener {index} of {listeners}"))
     }
--- /dev/null
+++ b/charter/src/text.rs
@@ -0,0 +1,356 @@
+//! From text to values, each with its place. Nothing here knows a deployment.
+use crate::Charter;
+use crate::keys::{Key, Kind, MATCH, ROUTE, SECOND, Section, TOP, nearest};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::ops::Range;
+use thistlecroft::units::Span;
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+/// What is wrong, and where.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fault {
+    pub file: String,
+    pub line: usize,
+    pub column: usize,
+    pub key: String,
+    pub why: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{}:{}:{}: {}: {}", self.file, self.line, self.column, self.key, self.why)
+    }
+}
+
+/// Where something stands in the file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    pub file: String,
+    pub line: usize,
+    pub column: usize,
+}
+
+/// A value with its place.
+#[derive(Clone, Debug)]
+pub struct Stated<T> {
+    pub value: T,
+    pub place: Place,
+}
+
+impl Place {
+    pub fn fault(&self, key: &str, why: String) -> Fault {
+        Fault { file: self.file.clone(), line: self.line, column: self.column, key: key.into(), why }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Matching {
+    pub listener: Option<Stated<Vec<String>>>,
+    pub zone: Option<Stated<Vec<String>>>,
+    /// The digits, and how many there are.
+    pub key_prefix: Option<Stated<(u64, u32)>>,
+    pub group: Option<Stated<Vec<u64>>>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct SecondText {
+    pub quantile: Option<Stated<f64>>,
+    pub least: Option<Stated<Span>>,
+    pub most: Option<Stated<Span>>,
+    pub share: Option<Stated<f64>>,
+}
+
+/// A route as stated.
+#[derive(Clone, Debug)]
+pub struct RouteText {
+    pub name: String,
+    pub place: Place,
+    pub matching: Matching,
+    pub handshake_target: Option<Stated<Span>>,
+    pub dial_timeout: Option<Stated<Span>>,
+    pub connect_time: Option<Stated<Span>>,
+    pub dials: Option<Stated<u32>>,
+    pub patience: Option<Stated<f64>>,
+    pub base: Option<Stated<Span>>,
+    pub cap: Option<Stated<Span>>,
+    pub cool_down: Option<Stated<Span>>,
+    pub retry_after: Option<Stated<Span>>,
+    pub idle: Option<Stated<Span>>,
+    pub retry_share: Option<Stated<f64>>,
+    pub at_once: Option<Stated<u32>>,
+    pub second_copy: Option<Stated<SecondText>>,
+}
+
+/// A value as its key's kind has it.
+#[derive(Clone, Debug)]
+enum Value {
+    Names(Vec<String>),
+    Span(Span),
+    Count(u32),
+    Number(f64),
+    Hex(u64, u32),
+    HexList(Vec<u64>),
+    Table,
+}
+
+struct Reader<'a> {
+    file: &'a str,
+    text: &'a str,
+    faults: Vec<Fault>,
+}
+
+/// The values of one table, by key.
+struct Read {
+    values: BTreeMap<&'static str, (Value, Place)>,
+    place: Place,
+}
+
+pub fn parse(file: &str, text: &str) -> Result<Charter, Vec<Fault>> {
+    let mut reader = Reader { file, text, faults: Vec::new() };
+    let (table, errors) = DeTable::parse_recoverable(text);
+    for error in &errors {
+        let place = reader.place(error.span().unwrap_or(0..0));
+        reader.faults.push(place.fault("syntax", error.message().replace('\n', " ")));
+    }
+    let mut charter = Charter::default();
+    if errors.is_empty() {
+        let top = table.get_ref();
+        reader.table(top, table.span(), &TOP, "");
+        for (name, value) in top.iter() {
+            if name.get_ref() == "route" {
+                reader.routes(value, &mut charter);
+            }
+        }
+    }
+    let mut faults = reader.faults;
+    faults.sort();
+    faults.dedup();
+    if faults.is_empty() { Ok(charter) } else { Err(faults) }
+}
+
+impl Reader<'_> {
+    fn place(&self, at: Range<usize>) -> Place {
+        let before = &self.text[..at.start.min(self.text.len())];
+        let line = before.matches('\n').count() + 1;
+        let column = before.rsplit('\n').next().unwrap_or_default().chars().count() + 1;
+        Place { file: self.file.into(), line, column }
+    }
+
+    fn fault(&mut self, at: Range<usize>, key: &str, why: String) {
+        let fault = self.place(at).fault(key, why);
+        self.faults.push(fault);
+    }
+
+    fn routes(&mut self, value: &Spanned<DeValue>, charter: &mut Charter) {
+        let DeValue::Array(rows) = value.get_ref() else {
+            // What is no table at all has its fault by then.
+            if let DeValue::Table(_) = value.get_ref() {
+                self.fault(value.span(), "route", "routes are tables headed [[route]]".into());
+            }
+            return;
+        };
+        for row in rows.iter() {
+            let DeValue::Table(table) = row.get_ref() else {
+                self.fault(row.span(), "route", "routes are tables headed [[route]]".into());
+                continue;
+            };
+            let named = charter.routes.len();
+            if let Some(route) = self.route(table, row.span(), named) {
+                if let Some(other) = charter.routes.iter().find(|other| other.name == route.name) {
+                    let why = format!("the route of line {} has the same name", other.place.line);
+                    self.faults.push(route.place.fault(&format!("route {}.name", route.name), why));
+                }
+                charter.routes.push(route);
+            }
+        }
+    }
+
+    fn route(&mut self, table: &DeTable, at: Range<usize>, number: usize) -> Option<RouteText> {
+        let name = table.iter().find(|(key, _)| key.get_ref() == "name").and_then(|(_, value)| {
+            let DeValue::String(name) = value.get_ref() else { return None };
+            Some(name.to_string())
+        });
+        let called = format!("route {}", name.clone().unwrap_or_else(|| (number + 1).to_string()));
+        let mut read = self.table(table, at.clone(), &ROUTE, &called);
+        let Some(name) = name else {
+            self.fault(at, &called, "name: it must be stated".into());
+            return None;
+        };
+        let inner = |key: &str| {
+            let found = table.iter().find(|(name, _)| name.get_ref() == key)?;
+            let DeValue::Table(table) = found.1.get_ref() else { return None };
+            Some((table, found.1.span()))
+        };
+        let mut matching = Matching::default();
+        if let Some((table, at)) = inner("match") {
+            let mut read = self.table(table, at, &MATCH, &format!("{called}.match"));
+            matching = Matching {
+                listener: read.names("listener"),
+                zone: read.names("zone"),
+                key_prefix: read.hex("key_prefix"),
+                group: read.hex_list("group"),
+            };
+        }
+        let second_copy = inner("second_copy").map(|(table, at)| {
+            let mut read = self.table(table, at, &SECOND, &format!("{called}.second_copy"));
+            let value = SecondText {
+                quantile: read.number("quantile"),
+                least: read.span("least"),
+                most: read.span("most"),
+                share: read.number("share"),
+            };
+            Stated { value, place: read.place }
+        });
+        Some(RouteText {
+            name,
+            matching,
+            handshake_target: read.span("handshake_target"),
+            dial_timeout: read.span("dial_timeout"),
+            connect_time: read.span("connect_time"),
+            dials: read.count("dials"),
+            patience: read.number("patience"),
+            base: read.span("base"),
+            cap: read.span("cap"),
+            cool_down: read.span("cool_down"),
+            retry_after: read.span("retry_after"),
+            idle: read.span("idle"),
+            retry_share: read.number("retry_share"),
+            at_once: read.count("at_once"),
+            second_copy,
+            place: read.place,
+        })
+    }
+
+    /// All values of a table that are as their keys have them; what is not is a fault.
+    fn table(&mut self, table: &DeTable, at: Range<usize>, section: &'static Section, called: &str) -> Read {
+        let mut read = Read { values: BTreeMap::new(), place: self.place(at) };
+        for (name, value) in table.iter() {
+            let full = if called.is_empty() {
+                name.get_ref().to_string()
+            } else {
+                format!("{called}.{}", name.get_ref())
+            };
+            let Some(key) = section.keys.iter().find(|key| key.name == name.get_ref()) else {
+                let like = nearest(section.keys.iter().map(|key| key.name), name.get_ref());
+                let why = match like {
+                    Some(like) => format!("there is no such key; is it `{like}`?"),
+                    None => "there is no such key".into(),
+                };
+                self.fault(name.span(), &full, why);
+                continue;
+            };
+            match value_of(key, value.get_ref()) {
+                Some(found) => {
+                    read.values.insert(key.name, (found, self.place(value.span())));
+                }
+                None => self.fault(value.span(), &full, format!("it holds {}", key.kind.says())),
+            }
+        }
+        read
+    }
+}
+
+fn value_of(key: &Key, value: &DeValue) -> Option<Value> {
+    let text = |value: &DeValue| match value {
+        DeValue::String(text) => Some(text.to_string()),
+        _ => None,
+    };
+    let list = |value: &DeValue| match value {
+        DeValue::Array(rows) if !rows.is_empty() => {
+            rows.iter().map(|row| text(row.get_ref())).collect::<Option<Vec<_>>>()
+        }
+        _ => text(value).map(|one| vec![one]),
+    };
+    let number = |value: &DeValue| match value {
+        DeValue::Integer(figure) => figure.as_str().parse::<f64>().ok(),
+        DeValue::Float(figure) => figure.as_str().parse::<f64>().ok(),
+        _ => None,
+    };
+    let named = |name: &String| {
+        !name.is_empty() && name.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-')
+    };
+    let digits = |text: &str| {
+        (!text.is_empty() && text.len() <= 16).then(|| u64::from_str_radix(text, 16).ok()).flatten()
+    };
+    Some(match key.kind {
+        Kind::Name => Value::Names(vec![text(value).filter(|name| named(name))?]),
+        Kind::Names => Value::Names(list(value).filter(|names| names.iter().all(named))?),
+        Kind::Span => Value::Span(span(&text(value)?)?),
+        Kind::Count => match value {
+            DeValue::Integer(figure) => {
+                Value::Count(figure.as_str().parse().ok().filter(|count| *count > 0)?)
+            }
+            _ => return None,
+        },
+        Kind::Part => Value::Number(number(value).filter(|part| (0.0..=1.0).contains(part))?),
+        Kind::Factor => Value::Number(number(value).filter(|factor| *factor > 0.0 && factor.is_finite())?),
+        Kind::Hex => {
+            let text = text(value).filter(|text| text.bytes().all(|byte| byte.is_ascii_hexdigit()))?;
+            Value::Hex(digits(&text)?, text.len() as u32)
+        }
+        Kind::HexList => {
+            let all = list(value)?;
+            let sound =
+                |text: &String| (text.len() == 16 && !text.starts_with('+')).then(|| digits(text)).flatten();
+            Value::HexList(all.iter().map(sound).collect::<Option<Vec<u64>>>()?)
+        }
+        Kind::Table => match value {
+            DeValue::Table(_) | DeValue::Array(_) => Value::Table,
+            _ => return None,
+        },
+    })
+}
+
+/// Longer than any wait that the protocol can state.
+const LONGEST_US: f64 = 86_400e6;
+
+fn span(text: &str) -> Option<Span> {
+    let unit = text.find(|sign: char| !sign.is_ascii_digit() && sign != '.')?;
+    let (figure, unit) = text.split_at(unit);
+    let us = match unit {
+        "us" => 1.0,
+        "ms" => 1e3,
+        "s" => 1e6,
+        "m" => 60e6,
+        "h" => 3_600e6,
+        _ => return None,
+    };
+    let us = figure.parse::<f64>().ok()? * us;
+    (us > 0.0 && us <= LONGEST_US).then(|| Span::from_us(us.round() as u64))
+}
+
+impl Read {
+    fn take<T>(&mut self, name: &str, of: impl Fn(Value) -> Option<T>) -> Option<Stated<T>> {
+        let (value, place) = self.values.remove(name)?;
+        of(value).map(|value| Stated { value, place })
+    }
+
+    fn names(&mut self, name: &str) -> Option<Stated<Vec<String>>> {
+        self.take(name, |value| if let Value::Names(names) = value { Some(names) } else { None })
+    }
+
+    fn span(&mut self, name: &str) -> Option<Stated<Span>> {
+        self.take(name, |value| if let Value::Span(span) = value { Some(span) } else { None })
+    }
+
+    fn count(&mut self, name: &str) -> Option<Stated<u32>> {
+        self.take(name, |value| if let Value::Count(count) = value { Some(count) } else { None })
+    }
+
+    fn number(&mut self, name: &str) -> Option<Stated<f64>> {
+        self.take(name, |value| if let Value::Number(number) = value { Some(number) } else { None })
+    }
+
+    fn hex(&mut self, name: &str) -> Option<Stated<(u64, u32)>> {
+        self.take(
+            name,
+            |value| if let Value::Hex(digits, count) = value { Some((digits, count)) } else { None },
+        )
+    }
+
+    fn hex_list(&mut self, name: &str) -> Option<Stated<Vec<u64>>> {
+        self.take(name, |value| if let Value::HexList(list) = value { Some(list) } else { None })
+    }
+}
--- a/command/src/main.rs
+++ b/command/src/main.rs
@@ -1,5 +1,6 @@
 //! The command `thistlecroft`. Exit codes: 0 all well; 1 a rule was broken, a relay failed, or what was asked for could
 //! not be done; 2 the command line or a file is wrong; 130 interrupted.
+mod checks;
 mod demo;
 mod experiments;
 mod logs;
@@ -28,12 +29,15 @@
         /// The relay's configuration.
         #[arg(long, env = "ROUTER_CONFIG")]
         config: PathBuf,
+        /// An operator's charter.
+        #[arg(long, env = thistlecroft_relay::CHARTER)]
+        charter: Option<PathBuf>,
     },
-    /// Say whether files are sound: a relay's configuration (.json) or a scenario (.toml).
-    Check {
-        #[arg(required = true)]
-        files: Vec<PathBuf>,
-    },
+    /// Say whether files are sound: relays' configurations (.json), scenarios and charters (.toml).
+    Check(checks::Asked),
+    /// About the operator's file.
+    #[command(subcommand)]
+    Charter(checks::CharterVerb),
     /// Show two relays among boxes of which one goes silent and another drains; needs nothing.
     Demo {
         #[arg(long, default_value_t = 1)]
@@ -62,8 +66,13 @@
     let line = Line::parse();
     logs::init(line.log_format, matches!(line.verb, Verb::Serve { .. }));
     let done = match line.verb {
-        Verb::Serve { config } => thistlecroft_relay::serve(&config.to_string_lossy()).map_err(End::Failed),
-        Verb::Check { files } => check(&files),
+        Verb::Serve { config, charter } => {
+            let charter = charter.map(|path| path.to_string_lossy().into_owned());
+            let done = thistlecroft_relay::serve(&config.to_string_lossy(), charter.as_deref());
+            done.map_err(|faults| End::Failed(faults.join("\nthistlecroft: ")))
+        }
+        Verb::Check(asked) => checks::check(&asked),
+        Verb::Charter(verb) => checks::charter(verb),
         Verb::Demo { seed, plain } => demo::run(seed, plain),
         Verb::Lab(verb) => experiments::run(verb),
         Verb::Completions { shell } => {
@@ -80,29 +89,3 @@
     eprintln!("thistlecroft: {why}");
     ExitCode::from(code)
 }
-
-/// Every file is looked at; each fault is a line.
-fn check(files: &[PathBuf]) -> Result<(), End> {
-    let mut faults = Vec::new();
-    for file in files {
-        let name = file.to_string_lossy();
-        let said = match file.extension().and_then(|ending| ending.to_str()) {
-            Some("toml") => thistlecroft_lab::scenario::Scenario::read(&name).map(|scenario| {
-                let (boxes, relays) = (scenario.fleet.boxes, scenario.relays.count);
-                format!("a scenario: {relays} relays, {boxes} boxes, {} faults", scenario.faults.len())
-            }),
-            _ => thistlecroft_relay::read_file(&name).map(|posting| {
-                let listeners = posting.site.listeners.join(", ");
-                format!(
-                    "a relay's configuration: {} at {}, listeners {listeners}",
-                    posting.name, posting.listen
-                )
-            }),
-        };
-        match said {
-            Ok(said) => println!("{name}: {said}"),
-            Err(fault) => faults.push(fault),
-        }
-    }
-    if faults.is_empty() { Ok(()) } else { Err(End::Wrong(faults.join("\nthistlecroft: "))) }
-}
--- a/facts/src/lib.rs
+++ b/facts/src/lib.rs
@@ -1,7 +1,8 @@
 //! The settings text that a simulator or a start configuration holds, read into a deployment. Keys that are
 //! not read are passed over.
 use serde::Deserialize;
-use thistlecroft::deployment::{ColdStart, Deployment, Effect, Listener, Scope};
+use thistlecroft::balance::{BASE, CAP, COOL_DOWN, PATIENCE};
+use thistlecroft::deployment::{ColdStart, Deployment, Effect, Route, Scope};
 use thistlecroft::ids::ZoneId;
 use thistlecroft::units::Span;
 
@@ -30,6 +31,8 @@
     pub places: ReportPlaces,
     pub zones: Vec<String>,
     pub listeners: Vec<String>,
+    /// How long clients of each listener wait.
+    pub waits: Vec<Span>,
     /// Connections without work are closed by backends after this.
     pub idle: Span,
     /// What backends note of a connection is not its load but the milliseconds that its messages take.
@@ -124,6 +127,8 @@
     max_dials: u32,
     max_retry_after_us: u64,
     may_cancel: bool,
+    #[serde(default)]
+    parallel_tries: bool,
     probes: bool,
     retry_after: bool,
 }
@@ -170,10 +175,18 @@
     let targets = facts.extra.message_aim_us.iter().take(facts.listeners.len());
     let shortest = targets.map(|&us| us as u64).min().unwrap_or_default();
     let longest = facts.listeners.iter().map(|row| row.deadline_us).max().unwrap_or_default();
-    let listeners = facts.listeners.iter().map(|row| Listener {
+    let routes = facts.listeners.iter().map(|row| Route {
         handshake_target: Span::from_us(row.handshake_target_us),
         effect: effect_of(row),
         utility: row.utility,
+        connect_timeout: Span::from_us(facts.permissions.dial_timeout_us),
+        max_dials: facts.permissions.max_dials,
+        longest_retry_after: Span::from_us(facts.permissions.max_retry_after_us),
+        patience: PATIENCE,
+        base: BASE,
+        cap: CAP,
+        cool_down: COOL_DOWN,
+        ..Route::default()
     });
     let rules = &facts.invariants;
     let deployment = Deployment {
@@ -181,7 +194,7 @@
         relays: facts.balancers,
         zone: ZoneId(facts.az),
         tick: Span::from_us(facts.tick_us),
-        listeners: listeners.collect(),
+        routes: routes.collect(),
         shortest_target: Span::from_us(shortest),
         cold: ColdStart {
             start_share: rules.start_capacity,
@@ -191,21 +204,21 @@
         },
         ask_within: (facts.discovery == Discovery::Subscribe).then_some(Span::from_us(rules.ask_within_us)),
         connect_timeout: Span::from_us(facts.permissions.dial_timeout_us),
-        max_dials: facts.permissions.max_dials,
         may_withdraw: facts.permissions.may_cancel,
+        two_dials: facts.permissions.parallel_tries,
         may_probe: facts.permissions.probes,
         tells_retry_after: facts.permissions.retry_after,
-        longest_retry_after: Span::from_us(facts.permissions.max_retry_after_us),
         crossing_price: facts.prices.cross_zone,
         move_price: facts.prices.moves,
         probe_price: facts.prices.probe,
         groups: facts.extra.groups,
         stop_within: Span::from_us(longest).min(LONGEST_WAIT_AT_STOP) + AFTER_WAIT_AT_STOP,
     };
+    let waits = facts.listeners.iter().map(|row| Span::from_us(row.deadline_us)).collect();
     let listeners = facts.listeners.into_iter().map(|row| row.name).collect();
     let idle = Span::from_us(facts.permissions.conn_idle_us);
     let notes_tell_delay = facts.extra.tells_delay && !facts.extra.tells_load;
-    Ok(Site { deployment, places, zones: facts.zones, listeners, idle, notes_tell_delay })
+    Ok(Site { deployment, places, zones: facts.zones, listeners, waits, idle, notes_tell_delay })
 }
 
 fn effect_of(row: &ListenerFacts) -> Effect {
--- a/fleet/src/crowd.rs
+++ b/fleet/src/crowd.rs
@@ -210,6 +210,8 @@
     serial: u64,
     finishing: bool,
     idle_noted: bool,
+    /// This side could not begin a connection once.
+    exhausted: bool,
     sums: CrowdSums,
 }
 
@@ -272,6 +274,7 @@
                 serial: 0,
                 finishing: false,
                 idle_noted: false,
+                exhausted: false,
                 sums,
             })
         })
@@ -400,7 +403,10 @@
                 works.set(works.now + wait, Alarm::Late(id, serial));
             }
             Err(fault) => {
-                log::debug!("a client can't connect: {fault}");
+                if !std::mem::replace(&mut self.exhausted, true) {
+                    log::warn!("a client can't connect: {fault}");
+                    works.note(Sighting::ToolExhausted);
+                }
                 self.never_taken(id, works);
             }
         }
@@ -600,11 +606,13 @@
         client.out.pop_front();
         let (session, waited) = (client.tag, works.now.since(at));
         let target = self.traffic.kinds[usize::from(self.arrival(id).kind)].message_target;
-        let beat = self.traffic.beat.secs();
+        // A line speaks for the beat that it begins, or for what is left of the client's life.
+        let left = self.clients[id].life_ends.map_or(Span::ZERO, |ends| ends.since(at));
+        let spoken_for = self.traffic.beat.min(left).secs();
         let sums = self.kind(id);
         let _ = sums.lines.record(waited.us().clamp(1, LONGEST));
         if waited <= target {
-            sums.served_s += beat;
+            sums.served_s += spoken_for;
         }
         if waited > Span::from_ms(1_000) {
             works.note(Sighting::LineLate { session, waited });
--- a/fleet/src/referee.rs
+++ b/fleet/src/referee.rs
@@ -630,6 +630,7 @@
         Sighting::RelayKilled { relay } => format!("relay {} is killed", relay.0),
         Sighting::RelayStopped { relay } => format!("relay {} has stopped", relay.0),
         Sighting::ToolLate { by } => format!("the stand-ins are {} ms late", ms(by)),
+        Sighting::ToolExhausted => "the stand-ins are out of descriptors".into(),
         Sighting::Mark { text } => text.clone(),
         Sighting::BoxLoad { at, load, .. } => format!("box {} has a load of {load:.2}", at.0),
         Sighting::RelayCost { relay, .. } => format!("relay {} is measured", relay.0),
--- a/fleet/src/tape.rs
+++ b/fleet/src/tape.rs
@@ -217,6 +217,8 @@
         #[serde(serialize_with = "ms")]
         by: Span,
     },
+    /// The stand-ins ran out of descriptors: what came of that is not the relays'.
+    ToolExhausted,
     Mark {
         text: String,
     },
--- a/fleet/src/yard.rs
+++ b/fleet/src/yard.rs
@@ -17,6 +17,7 @@
 
 const BACKLOG: i32 = 4096;
 const ACCEPTS: usize = 256;
+const ACCEPT_PAUSE: Span = Span::from_ms(20);
 /// An idle watch hears an empty line.
 const AGENT_BEAT: Span = Span::from_ms(2_000);
 /// A line that the box itself keeps for longer is noted, so that no relay is blamed for it.
@@ -216,6 +217,7 @@
     Notice(RelayNo, BoxNo, Row),
     Beat,
     Report,
+    Accept(usize),
 }
 
 pub struct Yard {
@@ -227,6 +229,8 @@
     chance: Chance,
     notice: (Span, Span),
     report_every: Span,
+    /// Descriptors have run out once.
+    exhausted: bool,
 }
 
 /// What a yard says at its end.
@@ -328,6 +332,7 @@
             chance: Chance::from_seed(ground.seed),
             notice: ground.notice,
             report_every: ground.report_every,
+            exhausted: false,
         })
     }
 
@@ -349,6 +354,18 @@
         }
     }
 
+    fn listen_again(&mut self, key: usize, on: bool, works: &mut Works<Alarm>) {
+        let number = key & 0xffff;
+        let (door, still) = match key & BOX_DOOR != 0 {
+            true => (&self.boxes[number].door, self.boxes[number].still),
+            false => (&self.agents[number].door, false),
+        };
+        let Some(listener) = &door.listener else { return };
+        // SAFETY: the listener lives; it is deleted from the poller before it is closed.
+        let fd = unsafe { BorrowedFd::borrow_raw(listener.as_raw_fd()) };
+        let _ = works.poller.modify_with_mode(fd, Event::new(key, on && !still, false), PollMode::Level);
+    }
+
     fn accept(&mut self, key: usize, works: &mut Works<Alarm>) {
         for _ in 0..ACCEPTS {
             let number = key & 0xffff;
@@ -357,11 +374,16 @@
             let Some(listener) = &door.listener else { return };
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
+                Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => return,
+                Err(fault) if fault.kind() == io::ErrorKind::ConnectionAborted => continue,
                 Err(fault) => {
-                    if fault.kind() != io::ErrorKind::WouldBlock {
-                        log::warn!("yard: accept: {fault}");
+                    // Out of descriptors: the run says so once, and nothing spins on the backlog.
+                    if !std::mem::replace(&mut self.exhausted, true) {
+                        log::warn!("the stand-ins can't accept: {fault}");
+                        works.note(Sighting::ToolExhausted);
                     }
-                    return;
+                    self.listen_again(key, false, works);
+                    return works.set(works.now + ACCEPT_PAUSE, Alarm::Accept(key));
                 }
             };
             if !to_box {
@@ -1000,6 +1022,7 @@
             Alarm::Notice(relay, at, row) => self.noticed(relay, at, row, works),
             Alarm::Beat => self.beat(works),
             Alarm::Report => self.report(works),
+            Alarm::Accept(key) => self.listen_again(key, true, works),
         }
     }
 
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -172,8 +172,9 @@
 fn descriptors(plan: &Plan, way: &Way) -> u64 {
     let mut changes: Vec<(Moment, i64)> = Vec::new();
     for arrival in &plan.arrivals {
-        let wait = plan.traffic.kinds[usize::from(arrival.kind)].wait;
-        changes.extend([(arrival.due, 1), (arrival.due + arrival.life + wait, -1)]);
+        // Set-ups that take much longer than this are few, or the run shows little anyway.
+        let set_up = plan.traffic.kinds[usize::from(arrival.kind)].handshake_target;
+        changes.extend([(arrival.due, 1), (arrival.due + arrival.life + set_up, -1)]);
     }
     changes.sort_unstable();
     let (mut now, mut most) = (0, 0);
--- a/lab/src/summary.rs
+++ b/lab/src/summary.rs
@@ -163,6 +163,7 @@
     let tool_busy = threads.map(|worked| worked.secs() / seconds).fold(0.0, f64::max);
     let worst_turn = crowd.worst_turn.max(of.yard.worst_turn);
     let tool_late = Delays::of(&crowd.late);
+    let exhausted = of.entries.iter().any(|entry| entry.seen == Sighting::ToolExhausted);
     Summary {
         scenario: of.scenario.into(),
         way: of.way.into(),
@@ -216,7 +217,7 @@
         cpu_us_a_line: cpu * 1e6 / (lines.len() as f64).max(1.0),
         relays,
         tool_worst_turn_ms: worst_turn.us() as f64 / 1e3,
-        tool_was_late: tool_late.p99 > LATE.us() as f64 / 1e3 || tool_busy > BUSY,
+        tool_was_late: exhausted || tool_late.p99 > LATE.us() as f64 / 1e3 || tool_busy > BUSY,
         tool_late,
         tool_busy,
     }
--- a/relay/src/clients.rs
+++ b/relay/src/clients.rs
@@ -1,5 +1,6 @@
 //! Sessions: each owns its client's socket and the dial that is out for it, and is in one named stage.
 use crate::backends::{Dial, Plan, Stage as DialStage};
+use crate::buffers::Pool;
 use crate::counters::Counters;
 use crate::discovery::Book;
 use crate::front::News;
@@ -12,15 +13,16 @@
 use std::io::{ErrorKind, Read};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use thistlecroft::front::{Ending, Report, Verdict};
-use thistlecroft::ids::{BackendId, SessionId};
+use thistlecroft::ids::{BackendId, RouteId, SessionId};
 use thistlecroft::units::{Moment, Span};
+use thistlecroft_charter::{FrontRow, Routing};
 
 /// Accepts in one turn, so that a rush of clients can't keep the standing ones waiting.
 const ACCEPTS: usize = 64;
 /// After an accept that failed for want of anything; trying at once would only spin.
 const ACCEPT_PAUSE: Span = Span::from_ms(20);
 /// Descriptors that sessions never take: discovery, probes, signals, the door, the poller, the log.
-const RESERVE: usize = 40;
+pub const RESERVE: usize = 40;
 /// And these few more serve to tell clients that there is no room.
 const TELLING: usize = 8;
 /// From its connecting, for all that a client says before its `OPEN` is read whole: an answer or an end is
@@ -66,12 +68,23 @@
     Parted,
 }
 
+/// A second dial, and what its backend has said.
+struct Other {
+    dial: Dial,
+    down: Flow,
+}
+
 struct Session {
     id: u32,
     stage: Stage,
     client: Sock,
     open: Option<Box<Open>>,
+    /// What its route says, and by which reading of the file.
+    front: Option<FrontRow>,
+    generation: Option<u32>,
     dial: Option<Dial>,
+    /// Out beside the first, until one of them is up.
+    other: Option<Box<Other>>,
     dials: u32,
     serial: u32,
     /// From the client to its backend, and back.
@@ -103,7 +116,10 @@
 /// What a session needs to know of the whole.
 struct Terms {
     names: Names,
-    connect_timeout: Span,
+    routing: Routing,
+    /// How often routes have been read, and sessions by the reading that they go by.
+    generation: u32,
+    generations: BTreeMap<u32, usize>,
     /// Descriptors that sessions may take together.
     most_sockets: usize,
     /// Ids of sessions that are open: a backend turns a second one of the same id away, and the blame would
@@ -136,11 +152,12 @@
 use Fate::{Goes, Over};
 
 impl Sessions {
-    pub fn new(mut door: Door, names: Names, connect_timeout: Span, sockets: usize) -> Sessions {
+    pub fn new(mut door: Door, names: Names, routing: Routing, sockets: usize) -> Sessions {
         door.want(true);
         let most_sockets = sockets.saturating_sub(RESERVE);
         let (claimed, idle) = (BTreeSet::new(), BTreeSet::new());
-        let terms = Terms { names, connect_timeout, most_sockets, claimed, idle };
+        let (generation, generations) = (1, BTreeMap::new());
+        let terms = Terms { names, routing, generation, generations, most_sockets, claimed, idle };
         Sessions { map: BTreeMap::new(), next: 0, door, behind_since: None, full: false, terms }
     }
 
@@ -152,6 +169,28 @@
         self.map.len()
     }
 
+    /// Other routes, for the sessions that come from now on; what changes, a line for each.
+    pub fn reroute(&mut self, routing: Routing, works: &mut Works) -> Vec<String> {
+        let changes = self.terms.routing.changes(&routing);
+        if !changes.is_empty() {
+            works.news.push_back(News::Rerouted(routing.rows().to_vec()));
+            self.terms.routing = routing;
+            self.terms.generation += 1;
+        }
+        changes
+    }
+
+    pub fn generation(&self) -> u32 {
+        self.terms.generation
+    }
+
+    /// How many sessions go by which reading of the file, for people.
+    pub fn generations(&self) -> String {
+        let each =
+            self.terms.generations.iter().map(|(number, count)| format!("{count} by generation {number}"));
+        each.collect::<Vec<_>>().join(", ")
+    }
+
     /// Takes connections in, each with what it has said already, so that one that means to be served is never
     /// among those that make room.
     pub fn accept(&mut self, book: &Book, works: &mut Works) {
@@ -272,7 +311,11 @@
                 if let Some(mut session) = self.map.remove(&id) {
                     session.up.clear(&mut works.pool);
                     session.down.clear(&mut works.pool);
+                    session.drop_other(&mut works.pool);
                     session.claimed.map(|id| self.terms.claimed.remove(&id));
+                    if let Some(generation) = session.generation {
+                        self.terms.forget(generation);
+                    }
                 }
                 // Who waits in the backlog is answered as soon as there is room.
                 if self.full {
@@ -290,15 +333,14 @@
 
     pub fn dial_event(&mut self, id: u32, key: usize, works: &mut Works) {
         self.step(id, works, |session, terms, works| {
-            let ours = session.dial.as_ref().is_some_and(|dial| dial.sock.is(key));
-            if ours { session.dial_event(terms, works) } else { Goes }
+            if session.lead(|dial| dial.sock.is(key)) { session.dial_event(terms, works) } else { Goes }
         });
     }
 
     pub fn dial_alarm(&mut self, id: u32, serial: u32, works: &mut Works) {
         self.step(id, works, |session, _, works| {
-            let late = session.dial.as_ref().filter(|dial| dial.serial == serial && dial.overdue(works.now));
-            match late.map(|dial| dial.failed(Cause::TimedOut)) {
+            let late = session.lead(|dial| dial.serial == serial && dial.overdue(works.now));
+            match session.dial.as_ref().filter(|_| late).map(|dial| dial.failed(Cause::TimedOut)) {
                 Some(fault) => session.dial_ended(fault, works),
                 None => Goes,
             }
@@ -316,6 +358,10 @@
         });
     }
 
+    pub fn idle_alarm(&mut self, id: u32, works: &mut Works) {
+        self.step(id, works, |session, _, works| session.idle_alarm(works));
+    }
+
     pub fn again_alarm(&mut self, id: u32, book: &Book, works: &mut Works) {
         self.step(id, works, |session, terms, works| session.inherit(terms, book, works));
     }
@@ -355,6 +401,11 @@
 
     pub fn withdraw(&mut self, id: SessionId, number: u32, works: &mut Works) {
         self.step(id.0, works, |session, _, works| {
+            if let Some(mut loser) = session.other.take_if(|other| other.dial.number == number) {
+                loser.down.clear(&mut works.pool);
+                session.tell_dial_end(number, loser.dial.failed(Cause::Withdrawn), works);
+                return Goes;
+            }
             let dial = session.dial.as_ref().filter(|dial| dial.number == number);
             match dial.filter(|dial| dial.stage != DialStage::Standing) {
                 Some(dial) => {
@@ -401,6 +452,24 @@
     }
 }
 
+impl Terms {
+    fn enter(&mut self) -> u32 {
+        *self.generations.entry(self.generation).or_default() += 1;
+        self.generation
+    }
+
+    fn forget(&mut self, generation: u32) {
+        let Some(count) = self.generations.get_mut(&generation) else { return };
+        *count -= 1;
+        if *count == 0 {
+            self.generations.remove(&generation);
+            if generation != self.generation {
+                log::debug!(generation; "the last session by generation {generation} of the charter has ended");
+            }
+        }
+    }
+}
+
 impl Session {
     fn new(id: u32, client: Sock, since: Moment, works: &mut Works) -> Session {
         let mut session = Session {
@@ -408,7 +477,10 @@
             stage: Stage::Opening,
             client,
             open: None,
+            front: None,
+            generation: None,
             dial: None,
+            other: None,
             dials: 0,
             serial: 0,
             up: Flow::default(),
@@ -462,6 +534,43 @@
             };
             dial.sock.want(self.down.has_room() && !self.starved, to_backend);
         }
+        if let Some(other) = &mut self.other {
+            let sending = matches!(other.dial.stage, DialStage::Connecting | DialStage::Sending);
+            // Once the first is up, the other only waits to be given up.
+            let reading = self.stage == Stage::Placing && other.down.has_room() && !self.starved;
+            other.dial.sock.want(reading, sending && self.stage == Stage::Placing);
+        }
+    }
+
+    /// If such a dial is out; while two are, it becomes the first of them.
+    fn lead(&mut self, such: impl Fn(&Dial) -> bool) -> bool {
+        if self.dial.as_ref().is_some_and(&such) {
+            return true;
+        }
+        let Some(other) = self.other.as_mut().filter(|other| such(&other.dial)) else { return false };
+        let Some(dial) = self.dial.as_mut().filter(|_| self.stage == Stage::Placing) else { return false };
+        std::mem::swap(dial, &mut other.dial);
+        std::mem::swap(&mut self.down, &mut other.down);
+        true
+    }
+
+    fn drop_other(&mut self, pool: &mut Pool) {
+        if let Some(mut other) = self.other.take() {
+            other.down.clear(pool);
+        }
+    }
+
+    fn idle_alarm(&mut self, works: &mut Works) -> Fate {
+        let Some(idle) = self.front.and_then(|front| front.idle) else { return Goes };
+        if self.stage != Stage::Standing {
+            return Goes;
+        }
+        if works.now.since(self.heard) >= idle {
+            works.counters.idle += 1;
+            return self.send_away(works);
+        }
+        works.alarms.set(self.heard + idle, Alarm::Idle(self.id));
+        Goes
     }
 
     fn starve(&mut self, works: &mut Works) {
@@ -539,7 +648,7 @@
                     self.up.consume(&mut works.pool);
                     self.words.add(protocol::ALIVE);
                 }
-                Ok(First::Open(open)) => {
+                Ok(First::Open(mut open)) => {
                     self.up.consume(&mut works.pool);
                     if self.up.has_bytes() {
                         return self.bad_line("more than one line", works);
@@ -557,6 +666,17 @@
                         return self.part(&protocol::refusal(None), works);
                     }
                     let inherited = open.at.is_some();
+                    let arrival = &mut open.arrival;
+                    let row = terms.routing.find(
+                        usize::from(arrival.route.0),
+                        arrival.key.unwrap_or_default(),
+                        open.group,
+                    );
+                    let front = terms.routing.front(row);
+                    arrival.route = RouteId(row as u16);
+                    let within = front.dial_timeout.unwrap_or(arrival.dial_timeout);
+                    arrival.dial_timeout = arrival.dial_timeout.min(within);
+                    (self.front, self.generation) = (Some(front), Some(terms.enter()));
                     let arrival = open.arrival;
                     self.open = Some(open);
                     if inherited {
@@ -643,6 +763,10 @@
         if told {
             works.news.push_back(News::Left(self.session_id()));
         }
+        if let Some(mut other) = self.other.take() {
+            other.down.clear(&mut works.pool);
+            self.tell_dial_end(other.dial.number, other.dial.failed(Cause::Withdrawn), works);
+        }
         if let Some(dial) = self.dial.take() {
             self.down.clear(&mut works.pool);
             if told {
@@ -745,6 +869,7 @@
     fn part(&mut self, word: &str, works: &mut Works) -> Fate {
         self.stage = Stage::Leaving;
         self.dial = None;
+        self.drop_other(&mut works.pool);
         self.down.cut(&mut works.pool);
         self.up.clear(&mut works.pool);
         if !word.is_empty() {
@@ -796,7 +921,7 @@
         book: &Book,
         works: &mut Works,
     ) -> Fate {
-        let Some(open) = self.open.as_ref().filter(|_| self.dial.is_none()) else { return Goes };
+        let Some(open) = self.open.as_ref().filter(|_| self.other.is_none()) else { return Goes };
         self.serial += 1;
         let plan = Plan {
             number,
@@ -804,7 +929,7 @@
             backend,
             address: book.address(backend),
             line: open.line(give_up_after),
-            connect_within: terms.connect_timeout,
+            connect_within: self.front.map_or(Span::ZERO, |front| front.connect_time),
             give_up_after,
         };
         works.counters.dials += 1;
@@ -813,6 +938,11 @@
             return self.dial_failed(number, Fault { reach: Reach::Nothing, cause: Cause::Ours }, works);
         }
         match Dial::begin(self.id, plan, works) {
+            Ok(dial) if self.dial.is_some() => {
+                works.counters.second_dials += 1;
+                self.other = Some(Box::new(Other { dial, down: Flow::default() }));
+                Goes
+            }
             Ok(dial) => {
                 self.dial = Some(dial);
                 Goes
@@ -825,6 +955,9 @@
         let Some(dial) = self.dial.take() else { return Goes };
         self.down.clear(&mut works.pool);
         self.down = Flow::default();
+        if let Some(other) = self.other.take() {
+            (self.dial, self.down) = (Some(other.dial), other.down);
+        }
         self.dial_failed(dial.number, fault, works)
     }
 
@@ -894,6 +1027,7 @@
                 Err(TooLong) => None,
             };
             if self.stage == Stage::Standing {
+                self.heard = works.now;
                 match said {
                     None => return self.send_away(works),
                     Some(Said::Load(ms)) if terms.names.notes_tell_delay => {
@@ -935,6 +1069,9 @@
                 works.counters.accepted += 1;
                 self.stage = Stage::Standing;
                 (self.open, self.stood) = (None, true);
+                if let Some(idle) = self.front.and_then(|front| front.idle) {
+                    works.alarms.set(works.now + idle, Alarm::Idle(self.id));
+                }
                 return false;
             }
             Some(Said::Load(_)) => {
--- a/relay/src/front.rs
+++ b/relay/src/front.rs
@@ -3,6 +3,7 @@
 use crate::timers::{Alarm, Alarms};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use thistlecroft::balance::Relay;
+use thistlecroft::deployment::Route;
 use thistlecroft::front::{Arrival, Ending, Front, ListScope, Listing, Report, Verdict};
 use thistlecroft::ids::{BackendId, SessionId};
 use thistlecroft::units::{Moment, Span};
@@ -21,6 +22,7 @@
     Load(SessionId, f64),
     Delay(SessionId, Span),
     Overdue(SessionId, Span),
+    Rerouted(Vec<Route>),
     Woken,
     Stopping,
 }
@@ -91,6 +93,7 @@
         News::Load(id, load) => relay.load_noted(id, load),
         News::Delay(id, delay) => relay.delay_noted(now, id, delay, desk),
         News::Overdue(id, waited) => relay.overdue(now, id, waited, desk),
+        News::Rerouted(rows) => relay.reroute(&rows),
         News::Woken => relay.woken(now, desk),
         News::Stopping => relay.stopping(now, desk),
     }));
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -14,16 +14,22 @@
 mod works;
 
 pub use service::Service;
-pub use start::{Posting, read, read_file};
+pub use start::{Posting, circumstances, read, read_file};
 
-/// Serves by a file until told to stop: what a main program does.
+/// Serves by a configuration, and a charter if there is one, until told to stop: what a main program does.
 ///
 /// # Errors
-/// One line: the file can't be read or is malformed, the address is taken, or the poller failed.
-pub fn serve(path: &str) -> Result<(), String> {
-    let posting = read_file(path)?;
-    Service::start(posting).and_then(Service::run).map_err(|fault| fault.to_string())
+/// A line for each fault of a file, or one: the address is taken, or the poller failed.
+pub fn serve(path: &str, charter: Option<&str>) -> Result<(), Vec<String>> {
+    let mut posting = read_file(path).map_err(|fault| vec![fault])?;
+    if let Some(charter) = charter {
+        posting = posting.chartered(charter)?;
+    }
+    Service::start(posting).and_then(Service::run).map_err(|fault| vec![fault.to_string()])
 }
 
+/// The variable that names a charter.
+pub const CHARTER: &str = "THISTLECROFT_CHARTER";
+
 #[cfg(test)]
 mod tests;
--- a/relay/src/protocol.rs
+++ b/relay/src/protocol.rs
@@ -1,6 +1,6 @@
 //! The line protocol: what a line of text means, and what our own lines look like. Knows no sockets.
 use thistlecroft::front::{Arrival, Report, Verdict};
-use thistlecroft::ids::ListenerId;
+use thistlecroft::ids::RouteId;
 use thistlecroft::units::Span;
 use thistlecroft_facts::{CONNECTIONS, LOAD};
 
@@ -27,6 +27,8 @@
     before: String,
     behind: String,
     pub arrival: Arrival,
+    /// As told, whatever it names here.
+    pub group: Option<u64>,
     /// The backend that held the connection before this process started.
     pub at: Option<String>,
 }
@@ -90,7 +92,7 @@
     let listener = listener.ok_or("no listener that is known")?;
     let (wait, from, to) = wait.ok_or("no d")?;
     let arrival = Arrival {
-        listener: ListenerId(listener as u16),
+        route: RouteId(listener as u16),
         key: Some(key),
         group: group.filter(|_| names.groups),
         dial_timeout: wait - MARGIN,
@@ -100,6 +102,7 @@
         before: line[..from].into(),
         behind: line[to..].into(),
         arrival,
+        group,
         at,
     })))
 }
--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -8,7 +8,7 @@
 use crate::front::{Desk, News, Order, hand_in};
 use crate::protocol::Names;
 use crate::sockets::{Owner, Sockets, key_of, owner_of};
-use crate::start::{Origin, Posting, read_file};
+use crate::start::{Bound, Origin, Posting, read_file};
 use crate::timers::{Alarm, Alarms, Clock};
 use crate::works::Works;
 use polling::{Event, Events, PollMode, Poller};
@@ -21,6 +21,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thistlecroft::balance::Relay;
+use thistlecroft::deployment::Deployment;
 use thistlecroft::ids::BackendId;
 use thistlecroft::units::{Moment, Span};
 
@@ -49,6 +50,7 @@
     signals: [UnixStream; 3],
     /// For what a later text would change.
     origin: Origin,
+    bound: Bound,
 }
 
 const STOP_BYTE: usize = 0;
@@ -71,6 +73,8 @@
             notes_tell_delay: site.notes_tell_delay,
         };
         let (connect_timeout, stop_within) = (deployment.connect_timeout, deployment.stop_within);
+        let routing = posting.charter.routing;
+        let deployment = Deployment { routes: routing.rows().to_vec(), ..deployment };
         let door = sockets.listen(posting.listen)?;
         let pool = Pool::new((posting.memory_mb << 20) / BUFFER_PART / SIZE);
         let (alarms, news, counters) = (Alarms::default(), VecDeque::new(), Counters::default());
@@ -98,7 +102,7 @@
             clock,
             poller,
             works,
-            sessions: Sessions::new(door, names, connect_timeout, posting.sockets),
+            sessions: Sessions::new(door, names, routing, posting.sockets),
             probes: Probes::new(connect_timeout, site.idle),
             watch,
             relay,
@@ -107,6 +111,7 @@
             stopping: None,
             signals,
             origin: posting.origin,
+            bound: posting.charter.bound,
         })
     }
 
@@ -172,6 +177,7 @@
             Alarm::Dial(id, serial) => self.sessions.dial_alarm(id, serial, works),
             Alarm::Probe(id, serial) => self.probes.alarm(id, serial, works),
             Alarm::Overdue(id) => self.sessions.overdue_alarm(id, works),
+            Alarm::Idle(id) => self.sessions.idle_alarm(id, works),
             Alarm::Again(id) => self.sessions.again_alarm(id, &self.watch.book, works),
             Alarm::Stop => {}
         }
@@ -180,7 +186,8 @@
     fn signalled(&mut self) {
         let mut bytes = [0; 64];
         if matches!(self.signals[COUNT_BYTE].read(&mut bytes), Ok(1..)) {
-            log::info!("{} sessions; {}", self.sessions.len(), self.works.counters);
+            let (sessions, generations) = (self.sessions.len(), self.sessions.generations());
+            log::info!("{sessions} sessions ({generations}); {}", self.works.counters);
         }
         if matches!(self.signals[STOP_BYTE].read(&mut bytes), Ok(1..)) && self.stopping.is_none() {
             log::info!("told to stop, {} sessions", self.sessions.len());
@@ -194,7 +201,8 @@
         }
     }
 
-    /// Only discovery's address can change while the process runs; a bad file changes nothing.
+    /// Discovery's address can change while the process runs, and all that the charter says; a bad file changes
+    /// nothing of what it is about.
     fn reread(&mut self) {
         let path = self.origin.path.as_deref().ok_or_else(|| "the configuration is in no file".to_string());
         match path.and_then(read_file) {
@@ -207,6 +215,17 @@
             }
             Err(fault) => log::warn!("{fault}; what was read before stays"),
         }
+        match self.bound.reread() {
+            Ok(None) => {}
+            Ok(Some(routing)) => {
+                let changes = self.sessions.reroute(routing, &mut self.works);
+                let generation = self.sessions.generation();
+                if !changes.is_empty() {
+                    log::info!(generation; "charter, generation {generation}: {}", changes.join("; "));
+                }
+            }
+            Err(faults) => log::warn!("{}; the charter read before stays", faults.join("; ")),
+        }
     }
 
     fn is_over(&self) -> bool {
--- a/relay/src/start.rs
+++ b/relay/src/start.rs
@@ -1,7 +1,9 @@
 //! What a relay is told at its start, and faults in it as one plain line.
+use crate::clients::RESERVE;
 use crate::discovery::ListText;
 use serde::Deserialize;
 use std::net::SocketAddr;
+use thistlecroft_charter::{Charter, Circumstances, Lanes, ListenerFacts, Routing};
 use thistlecroft_facts::{self as facts, Site};
 
 /// Everything a relay is told at its start.
@@ -15,6 +17,64 @@
     pub known: Option<ListText>,
     pub site: Site,
     pub origin: Origin,
+    pub charter: Chartered,
+}
+
+/// The routes that a charter gives, or those that there are without one.
+pub struct Chartered {
+    pub routing: Routing,
+    pub bound: Bound,
+}
+
+/// What a charter is held against, and where it is, to be read again.
+pub struct Bound {
+    path: Option<String>,
+    of: Circumstances,
+    lanes: Lanes,
+}
+
+impl Bound {
+    /// None where there is no charter.
+    ///
+    /// # Errors
+    /// A line for each thing that is wrong with the file.
+    pub fn reread(&mut self) -> Result<Option<Routing>, Vec<String>> {
+        let Some(path) = &self.path else { return Ok(None) };
+        let text = std::fs::read_to_string(path).map_err(|fault| vec![format!("{path}: {fault}")])?;
+        let lines =
+            |faults: Vec<thistlecroft_charter::Fault>| faults.iter().map(ToString::to_string).collect();
+        let charter = Charter::parse(path, &text).map_err(lines)?;
+        charter.against(&self.of, &mut self.lanes).map(Some).map_err(lines)
+    }
+}
+
+impl Posting {
+    /// The same with a charter.
+    ///
+    /// # Errors
+    /// A line for each thing that is wrong with the file.
+    pub fn chartered(mut self, path: &str) -> Result<Posting, Vec<String>> {
+        self.charter.bound.path = Some(path.to_string());
+        if let Some(routing) = self.charter.bound.reread()? {
+            self.charter.routing = routing;
+        }
+        Ok(self)
+    }
+}
+
+/// What a charter is held against under such a configuration.
+pub fn circumstances(site: &Site, sockets: usize) -> Circumstances {
+    let rows = site.deployment.routes.iter().zip(&site.waits);
+    let listeners = site.listeners.iter().zip(rows);
+    Circumstances {
+        listeners: listeners
+            .map(|(name, (row, wait))| ListenerFacts { name: name.clone(), wait: *wait, row: *row })
+            .collect(),
+        zones: site.zones.clone(),
+        zone: usize::from(site.deployment.zone.0),
+        two_dials: site.deployment.two_dials,
+        descriptors: sockets.saturating_sub(RESERVE),
+    }
 }
 
 /// Where it came from, kept to be read again.
@@ -76,6 +136,10 @@
     if text.limits.memory_mb.is_nan() || text.limits.memory_mb < 8.0 {
         return Err(format!("limits: {} MB of memory are too little, 8 needed", text.limits.memory_mb));
     }
+    let site = facts::read(text.settings.to_string().as_bytes())?;
+    let of = circumstances(&site, text.limits.sockets);
+    let routing = Routing::plain(&of);
+    let bound = Bound { path: None, of, lanes: Lanes::default() };
     Ok(Posting {
         listen: address("listen", &text.listen)?,
         discovery: address("discovery", &text.discovery)?,
@@ -84,8 +148,9 @@
         memory_mb: text.limits.memory_mb as usize,
         sockets: text.limits.sockets,
         known: text.known,
-        site: facts::read(text.settings.to_string().as_bytes())?,
+        site,
         origin: Origin { path: None, keys },
+        charter: Chartered { routing, bound },
     })
 }
 
--- a/relay/src/tests.rs
+++ b/relay/src/tests.rs
@@ -12,8 +12,9 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use thistlecroft::front::{Report, Verdict};
-use thistlecroft::ids::ListenerId;
+use thistlecroft::ids::RouteId;
 use thistlecroft::units::Span;
+use thistlecroft_charter::{Circumstances, ListenerFacts, Routing};
 
 fn names(groups: bool) -> Names {
     Names { listeners: vec!["chat".into(), "feed".into()], groups, notes_tell_delay: false }
@@ -31,7 +32,7 @@
         for groups in [true, false] {
             let line = format!("{START}{items}");
             let Ok(First::Open(open)) = first_line(line.as_bytes(), &names(groups)) else { panic!("{line}") };
-            assert_eq!(open.arrival.listener, ListenerId(listener), "{line}");
+            assert_eq!(open.arrival.route, RouteId(listener), "{line}");
             assert_eq!(open.arrival.dial_timeout, Span::from_ms(left), "{line}");
             assert_eq!(open.arrival.group, group.filter(|_| groups), "{line}");
             assert_eq!((open.id, open.arrival.key), (0xa, Some(0xb)), "{line}");
@@ -211,7 +212,20 @@
     let at = std::net::SocketAddr::from(([127, 60, 0, 1], 20_000 + (std::process::id() % 40_000) as u16));
     let door = works.sockets.listen(at).unwrap();
     let book = Book::new(Vec::new(), Default::default());
-    let mut sessions = Sessions::new(door, names(false), Span::from_ms(50), 1_000);
+    let listeners = names(false).listeners.into_iter().map(|name| ListenerFacts {
+        name,
+        wait: Span::from_ms(1_000),
+        row: thistlecroft::deployment::Route::default(),
+    });
+    let of = Circumstances {
+        listeners: listeners.collect(),
+        zones: Vec::new(),
+        zone: 0,
+        two_dials: false,
+        descriptors: 100,
+    };
+    let routing = Routing::plain(&of);
+    let mut sessions = Sessions::new(door, names(false), routing, 1_000);
     let mut clients: Vec<TcpStream> = (0..2).map(|_| TcpStream::connect(at).unwrap()).collect();
     while sessions.len() < 2 {
         sessions.accept(&book, &mut works);
--- a/relay/src/timers.rs
+++ b/relay/src/timers.rs
@@ -35,6 +35,8 @@
     Probe(BackendId, u32),
     /// A client's line has had no line back.
     Overdue(u32),
+    /// No line has passed for as long as the route allows.
+    Idle(u32),
     /// An inherited connection is tried again.
     Again(u32),
     Stop,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -3,23 +3,27 @@
 //! may be late or repeated; a session or backend unknown by then is passed over. `docs/design.md` says which
 //! part follows the design and under what condition each departure acts. Order of reading: open settings,
 //! state by lifetime, events, dialling, picking.
-use crate::deployment::{Deployment, Effect, Listener, Scope};
+use crate::deployment::{Deployment, Effect, Route, Scope};
 use crate::front::{Arrival, Ending, Front, ListScope, Listing, Report, Standing, Verdict};
-use crate::ids::{BackendId, ListenerId, SessionId};
+use crate::ids::{BackendId, SessionId};
+use crate::keys::{Client, Keys};
+use crate::lanes::Lanes;
 use crate::units::{Chance, Moment, Span};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 // The design's open settings; the runs behind them are in docs/results.md.
-const BASE: Span = Span::from_ms(1_000); // first delay after a failure, before jitter
-const CAP: Span = Span::from_ms(30_000); // no client is told to stay away longer
-const COOL_DOWN: Span = Span::from_ms(5_000); // a connection that drops sooner was never of use
+// Those of a row whose route states none.
+pub const BASE: Span = Span::from_ms(1_000); // first delay after a failure, before jitter
+pub const CAP: Span = Span::from_ms(30_000); // no client is told to stay away longer
+pub const COOL_DOWN: Span = Span::from_ms(5_000); // a connection that drops sooner was never of use
+pub const PATIENCE: f64 = 4.0; // times the set-up time of late: a dial as slow as that is lost
+// Of all.
 const HEAR_EVERY: Span = Span::from_ms(2_000); // each backend, at most: reports are renewed about as often
 const PROBE_AT_LEAST: Span = Span::from_ms(5_000); // the design's slowest
 const PROBES_WORTH: f64 = 0.005; // the part of the result that probes may cost
 const HASTE: f64 = 0.25; // of the time to the next probe, where a session is refused for want of room
 const SPENT_OVER: Span = Span::from_ms(10_000); // what sessions pay for probes, so that a rush is no burst
-const KEYS_HELD: usize = 20_000; // against floods of new keys
-const KEY_AGE: Span = Span::from_ms(120_000); // several times the cap: an older count has no more to say
 const POOL_AGE: Span = Span::from_ms(30_000); // an older report counts as none
 const POOL_AGE_LISTED: Span = Span::from_ms(10_000); // the same where the list's weights tell of loads
 // Ours.
@@ -39,7 +43,6 @@
 const MOST_OUT: usize = 2; // one backend in so many may be ejected at a time
 const EJECT: Span = Span::from_ms(4_000); // the first time, doubling: longer than a short pause
 const NOTE_AGE: Span = Span::from_ms(2_000); // notes on late messages come once a second
-const PATIENCE: f64 = 4.0; // times the set-up time of late: a dial as slow as that is lost
 const SILENT: Span = Span::from_ms(1_000); // no line back for so long: a pause is over by then
 const KEPT: f64 = 0.99; // of what is counted of late, each housekeeping
 const HOUSEKEEPING: Span = Span::from_ms(500); // often enough to act on a report while it is fresh
@@ -65,9 +68,9 @@
 }
 
 /// One session, from its arrival to the last word about it.
-#[derive(Default)]
 struct Session {
     arrival: Arrival,
+    row: Arc<Route>,
     due: Moment,
     state: State,
     dials: u32,
@@ -75,18 +78,12 @@
     /// The first dial that may have run, where and when.
     ran: Option<(BackendId, Moment)>,
     last_tried: Option<BackendId>,
+    /// A second dial that is out beside the one of its state.
+    second: Option<Dial>,
     /// What its connection asks for, as far as the front tells.
     load: Option<f64>,
 }
 
-/// One client key, until it is old.
-#[derive(Clone, Copy)]
-struct Client {
-    failures: u32,
-    ready_at: Option<Moment>,
-    touched: Moment,
-}
-
 /// One backend, as long as the instance lives.
 #[derive(Default)]
 struct Backend {
@@ -134,6 +131,8 @@
     Housekeeping,
     Subscribe,
     Redial(SessionId),
+    /// The dial of that number may have taken long enough for a second one.
+    Second(SessionId, u32),
     /// So many steps are left to send away all that stands.
     Leave(usize),
 }
@@ -143,10 +142,12 @@
 pub struct Relay {
     deployment: Deployment,
     chance: Chance,
+    routes: Vec<Arc<Route>>,
+    lanes: Lanes,
     sessions: BTreeMap<SessionId, Session>,
     /// No session waits for longer, once the process is to stop.
     until: Option<Moment>,
-    clients: BTreeMap<u64, Client>,
+    clients: Keys,
     backends: BTreeMap<BackendId, Backend>,
     errands: BTreeSet<(Moment, Errand)>,
     /// Probes that the sessions so far pay for and that are not yet sent.
@@ -167,6 +168,8 @@
 impl Relay {
     pub fn new(deployment: Deployment, seed: u64, now: Moment, front: &mut dyn Front) -> Relay {
         let mut relay = Relay { chance: Chance::from_seed(seed), deployment, ..Relay::default() };
+        let rows = std::mem::take(&mut relay.deployment.routes);
+        relay.reroute(&rows);
         if relay.deployment.ask_within.is_some() {
             front.subscribe();
         }
@@ -177,6 +180,11 @@
         relay
     }
 
+    /// Another table of routes, for the sessions that come from now on.
+    pub fn reroute(&mut self, rows: &[Route]) {
+        self.routes = rows.iter().copied().map(Arc::new).collect();
+    }
+
     // ---- the list ----
 
     pub fn listed(&mut self, scope: ListScope, rows: &[Listing]) {
@@ -206,7 +214,7 @@
     /// would be deemed to know what it never heard.
     pub fn list_failed(&mut self, now: Moment, front: &mut dyn Front) {
         let Some(within) = self.deployment.ask_within else { return };
-        let wait = self.jitter(self.failed_calls).min(within * 0.5);
+        let wait = self.jitter(self.failed_calls, BASE, CAP).min(within * 0.5);
         self.failed_calls += 1;
         self.plan(now + wait, Errand::Subscribe, front);
     }
@@ -214,23 +222,30 @@
     // ---- sessions ----
 
     pub fn arrived(&mut self, now: Moment, id: SessionId, arrival: Arrival, front: &mut dyn Front) {
-        self.meet(arrival.group);
-        self.sessions.insert(id, Session::new(arrival, now));
-        self.dial(now, id, front);
+        if self.enter(now, id, arrival) { self.dial(now, id, front) } else { self.refuse(now, id, front) }
     }
 
     /// A connection that already runs through this relay as it starts.
     pub fn inherit(&mut self, now: Moment, id: SessionId, at: BackendId, of: Arrival, front: &mut dyn Front) {
-        self.meet(of.group);
-        self.sessions.insert(id, Session { dials: 1, ..Session::new(of, now) });
+        self.enter(now, id, of);
         // It has stood for longer than this instance; a fresh cool-down would shield an overload at start
         // from relief.
-        let long_ago = now - COOL_DOWN;
+        let long_ago = now - self.sessions[&id].row.cool_down;
+        self.sessions.entry(id).and_modify(|session| session.dials = 1);
         let dial = Dial { number: 0, backend: at, sent: long_ago };
         self.save_for_probes(now, front);
         self.turn(id, State::Ready(dial, long_ago), front);
     }
 
+    /// True where its route has room for one more.
+    fn enter(&mut self, now: Moment, id: SessionId, arrival: Arrival) -> bool {
+        self.meet(arrival.group);
+        let row = self.routes[usize::from(arrival.route.0)].clone();
+        let room = self.lanes.enter(&row);
+        self.sessions.insert(id, Session::new(arrival, row, now));
+        room
+    }
+
     fn meet(&mut self, group: Option<u64>) {
         if let Some(group) = group {
             *self.met.entry(group).or_default() += 1.0;
@@ -239,22 +254,36 @@
     }
 
     pub fn ready(&mut self, now: Moment, id: SessionId, number: u32, front: &mut dyn Front) {
-        let Some(&Session { state: State::Dialling(dial), arrival, .. }) = self.sessions.get(&id) else {
-            return;
-        };
+        self.lead(id, number);
+        let Some(session) = self.sessions.get(&id) else { return };
+        let State::Dialling(dial) = session.state else { return };
         if dial.number != number {
             return;
         }
-        if let Some(key) = arrival.key {
-            self.client(key, now).ready_at = Some(now);
+        let (row, key) = (session.row.clone(), session.arrival.key);
+        self.drop_second(id, front);
+        if let Some(key) = key {
+            self.client(key, now).clears_at = Some(now + row.cool_down);
         }
         self.backends.entry(dial.backend).and_modify(|at| (at.strikes, at.ejections) = (0, 0));
         self.learn_set_up(now.since(dial.sent));
+        self.lanes.took(&row, now.since(dial.sent));
         self.save_for_probes(now, front);
         self.turn(id, State::Ready(dial, now), front);
     }
 
+    /// Of two dials that are out the one of that number becomes the one of the session's state.
+    fn lead(&mut self, id: SessionId, number: u32) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        if let (State::Dialling(dial), Some(second)) = (session.state, session.second)
+            && second.number == number
+        {
+            (session.state, session.second) = (State::Dialling(second), Some(dial));
+        }
+    }
+
     pub fn ended(&mut self, now: Moment, id: SessionId, ending: Ending, front: &mut dyn Front) {
+        self.lead(id, ending.dial);
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let Ending { dial: number, verdict, over, report } = ending;
         let answered = over || verdict == Verdict::Ok;
@@ -272,16 +301,17 @@
                 if !answered {
                     return self.further(now, id, front);
                 }
+                self.drop_second(id, front);
             }
             State::Ready(dial, since) if dial.number == number => {
-                let key = session.arrival.key;
+                let (key, cool_down) = (session.arrival.key, session.row.cool_down);
                 self.heard(now, dial.backend, report);
                 self.left_alone += f64::from(u8::from(verdict == Verdict::Ok));
-                if verdict == Verdict::Reset && now.since(since) < COOL_DOWN {
+                if verdict == Verdict::Reset && now.since(since) < cool_down {
                     self.count_failure(now, id);
                 } else if let Some(key) = key {
                     // Looked up first: that clears the count if the connection has stood long enough.
-                    self.client(key, now).ready_at = None;
+                    self.client(key, now).clears_at = None;
                 }
                 if !answered {
                     return self.finish(id, None, front);
@@ -299,6 +329,7 @@
         if let (State::Dialling(dial), true) = (state, self.deployment.may_withdraw) {
             front.withdraw(id, dial.number);
         }
+        self.drop_second(id, front);
         match state {
             State::Dialling(_) | State::Ready(..) => self.turn(id, State::Settled, front),
             State::Settled => {}
@@ -306,6 +337,15 @@
         }
     }
 
+    fn drop_second(&mut self, id: SessionId, front: &mut dyn Front) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let group = session.arrival.group;
+        if let Some(second) = session.second.take() {
+            front.withdraw(id, second.number);
+            self.hold(second.backend, group, false);
+        }
+    }
+
     fn due(&self, session: &Session) -> Moment {
         self.until.map_or(session.due, |until| until.min(session.due))
     }
@@ -331,7 +371,10 @@
                     self.send_away(id, front);
                 }
                 State::Held => self.refuse(now, id, front),
-                State::Dialling(dial) if self.until <= Some(now) => front.withdraw(id, dial.number),
+                State::Dialling(dial) if self.until <= Some(now) => {
+                    front.withdraw(id, dial.number);
+                    self.drop_second(id, front);
+                }
                 _ => {}
             }
         }
@@ -397,12 +440,13 @@
                     self.met.retain(|_, met| *met > 0.1);
                     self.relieve(now, front);
                     self.bring_home(now, front);
-                    self.clients.retain(|_, client| now.since(client.touched) < KEY_AGE);
+                    self.clients.forget_old(now);
                     self.plan(now + HOUSEKEEPING, Errand::Housekeeping, front);
                 }
                 Errand::Leave(steps) => self.leave(now, steps, front),
                 Errand::Subscribe => front.subscribe(),
                 Errand::Redial(id) => self.dial(now, id, front),
+                Errand::Second(id, number) => self.second(now, id, number, front),
             }
         }
     }
@@ -423,56 +467,99 @@
             _ => None,
         };
         for (held, more) in [(on(was), false), (on(next), true)] {
-            let Some(backend) = held.and_then(|at| self.backends.get_mut(&at)) else { continue };
-            backend.open = if more { backend.open + 1 } else { backend.open.saturating_sub(1) };
-            if let Some(group) = group {
-                let members = backend.groups.entry(group).or_default();
-                *members = if more { *members + 1 } else { members.saturating_sub(1) };
-                if *members == 0 {
-                    backend.groups.remove(&group);
-                }
-            }
+            held.into_iter().for_each(|at| self.hold(at, group, more));
         }
-        if matches!(next, State::Over) {
-            self.sessions.remove(&id);
+        if matches!(next, State::Over)
+            && let Some(session) = self.sessions.remove(&id)
+        {
+            self.lanes.leave(&session.row);
             front.release(id);
         }
     }
 
+    /// One more connection of a group at a backend, or one less.
+    fn hold(&mut self, at: BackendId, group: Option<u64>, more: bool) {
+        let Some(backend) = self.backends.get_mut(&at) else { return };
+        backend.open = if more { backend.open + 1 } else { backend.open.saturating_sub(1) };
+        if let Some(group) = group {
+            let members = backend.groups.entry(group).or_default();
+            *members = if more { *members + 1 } else { members.saturating_sub(1) };
+            if *members == 0 {
+                backend.groups.remove(&group);
+            }
+        }
+    }
+
     fn dial(&mut self, now: Moment, id: SessionId, front: &mut dyn Front) {
         let Some(Session { state: State::New | State::Held, .. }) = self.sessions.get(&id) else { return };
         let Some(backend) = self.pick(now, id) else {
             self.plan_probe(now, HASTE, front);
             return self.refuse(now, id, front);
         };
+        let Some(dial) = self.send(now, id, backend, front) else { return self.finish(id, None, front) };
+        self.turn(id, State::Dialling(dial), front);
+        let row = self.sessions[&id].row.clone();
+        let allowed = self.deployment.two_dials && row.effect == Effect::Repeatable;
+        if let Some(long) = self.lanes.long(&row).filter(|_| allowed && dial.number + 1 < row.max_dials) {
+            self.plan(now + long, Errand::Second(id, dial.number), front);
+        }
+    }
+
+    /// A dial goes out; None where no time is left for it.
+    fn send(&mut self, now: Moment, id: SessionId, at: BackendId, front: &mut dyn Front) -> Option<Dial> {
         let session = &self.sessions[&id];
         let left = self.due(session).since(now + self.deployment.tick + self.deployment.tick);
-        let last = session.dials + 1 >= self.deployment.max_dials;
-        let target = self.row(session.arrival.listener).handshake_target;
-        let patience = target.max(self.set_up * PATIENCE);
+        let last = session.dials + 1 >= session.row.max_dials;
+        let patience = session.row.handshake_target.max(self.set_up * session.row.patience);
         let give_up = if last { left } else { left.min(patience) };
         if give_up == Span::ZERO {
-            return self.finish(id, None, front);
+            return None;
         }
         let number = session.dials;
         self.sessions.entry(id).and_modify(|session| session.dials += 1);
-        let turn = self.cold_turn(now, backend);
-        if let Some(at) = self.backends.get_mut(&backend) {
-            at.placed.push_back(now);
-            at.cold_turn = turn.map(|(turn, used)| (turn, used + 1));
+        let turn = self.cold_turn(now, at);
+        if let Some(backend) = self.backends.get_mut(&at) {
+            backend.placed.push_back(now);
+            backend.cold_turn = turn.map(|(turn, used)| (turn, used + 1));
+        }
+        front.dial(id, at, give_up);
+        Some(Dial { number, backend: at, sent: now })
+    }
+
+    /// The first dial is slower than most: a second one, to another backend that is warm, as far as the
+    /// route's share of them goes. The first to be ready wins.
+    fn second(&mut self, now: Moment, id: SessionId, number: u32, front: &mut dyn Front) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let (State::Dialling(dial), None) = (session.state, session.second) else { return };
+        let (row, group) = (session.row.clone(), session.arrival.group);
+        if dial.number != number || !self.lanes.pay_second(&row) {
+            return;
         }
-        self.turn(id, State::Dialling(Dial { number, backend, sent: now }), front);
-        front.dial(id, backend, give_up);
+        session.last_tried = Some(dial.backend);
+        let other = self.pick(now, id).filter(|&at| at != dial.backend && self.cold_turn(now, at).is_none());
+        let second = other.and_then(|at| self.send(now, id, at, front));
+        match second {
+            Some(second) => self.hold(second.backend, group, true),
+            None => self.lanes.give_back_second(&row),
+        }
+        self.sessions.entry(id).and_modify(|session| session.second = second);
     }
 
-    /// A set-up has failed: another dial after the design's delay, or an answer at once.
+    /// A set-up has failed: the other dial goes on where one is out; else another after the design's delay,
+    /// or an answer at once.
     fn further(&mut self, now: Moment, id: SessionId, front: &mut dyn Front) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let group = session.arrival.group;
+        if let Some(other) = session.second.take() {
+            self.hold(other.backend, group, false);
+            return self.turn(id, State::Dialling(other), front);
+        }
         let wait = self.count_failure(now, id);
-        let session = &self.sessions[&id];
-        let room = self.deployment.connect_timeout + self.deployment.tick * 2.0;
-        let in_time = now + wait + room < self.due(session) && session.dials < self.deployment.max_dials;
+        let (session, row) = (&self.sessions[&id], self.sessions[&id].row.clone());
+        let room = row.connect_timeout + self.deployment.tick * 2.0;
+        let in_time = now + wait + room < self.due(session) && session.dials < row.max_dials;
         let repeat_known = self.allowed(session, |_, window, at| now + wait < at + window);
-        if in_time && repeat_known {
+        if in_time && repeat_known && self.lanes.pay_further(&row) {
             self.turn(id, State::Held, front);
             self.plan(now + wait, Errand::Redial(id), front);
         } else {
@@ -483,7 +570,7 @@
     /// If a session may be repeated, by us or by its client: once it may have run, a once-only one never,
     /// and a referenced one as its group, its window and the first dial that may have run have it.
     fn allowed(&self, session: &Session, referenced: impl Fn(Scope, Span, Moment) -> bool) -> bool {
-        match (self.row(session.arrival.listener).effect, session.ran) {
+        match (session.row.effect, session.ran) {
             (Effect::Repeatable, _) | (_, None) => true,
             (Effect::Referenced { scope, window }, Some((_, at))) => referenced(scope, window, at),
             (Effect::OnceOnly, Some(_)) => false,
@@ -497,11 +584,12 @@
 
     /// The final answer: a refusal where trying again is known to be harmless, a teardown otherwise.
     fn finish(&mut self, id: SessionId, wait: Option<Span>, front: &mut dyn Front) {
-        let harmless = self.allowed(&self.sessions[&id], |scope, _, _| scope == Scope::All);
+        let session = &self.sessions[&id];
+        let harmless = self.allowed(session, |scope, _, _| scope == Scope::All);
         match wait {
             Some(wait) if harmless => {
                 let told = self.deployment.tells_retry_after.then_some(wait);
-                front.refuse(id, told.map(|wait| wait.min(self.deployment.longest_retry_after)));
+                front.refuse(id, told.map(|wait| wait.min(session.row.longest_retry_after)));
             }
             _ => front.tear_down(id),
         }
@@ -514,47 +602,37 @@
         self.set_up = self.set_up * 0.5 + took * 0.5;
     }
 
-    fn jitter(&mut self, count: u32) -> Span {
-        CAP.min(BASE * f64::from(1u32 << count.min(16))) * self.chance.float()
+    fn jitter(&mut self, count: u32, base: Span, cap: Span) -> Span {
+        cap.min(base * f64::from(1u32 << count.min(16))) * self.chance.float()
     }
 
     /// Counts a failure of the session's client; the answer is the design's delay before a further try.
     fn count_failure(&mut self, now: Moment, id: SessionId) -> Span {
         let Some(session) = self.sessions.get_mut(&id) else { return Span::ZERO };
+        let row = session.row.clone();
         let failures = match session.arrival.key {
             Some(key) => {
                 let client = self.client(key, now);
-                client.ready_at = None;
+                client.clears_at = None;
                 &mut client.failures
             }
             None => &mut session.own_failures,
         };
         let before = *failures;
         *failures = before.saturating_add(1);
-        self.jitter(before)
+        self.jitter(before, row.base, row.cap)
     }
 
     fn client(&mut self, key: u64, now: Moment) -> &mut Client {
-        if self.clients.len() >= KEYS_HELD && !self.clients.contains_key(&key) {
-            // A flood of new keys must not grow the table: the stalest row makes room.
-            let stalest = self.clients.iter().min_by_key(|(_, client)| client.touched).map(|(&key, _)| key);
-            stalest.map(|key| self.clients.remove(&key));
-        }
-        let fresh = Client { failures: 0, ready_at: None, touched: now };
-        let client = self.clients.entry(key).or_insert(fresh);
-        client.touched = now;
-        if client.ready_at.is_some_and(|at| now.since(at) >= COOL_DOWN) {
-            *client = Client { failures: 0, ..fresh };
+        let client = self.clients.touch(key, now);
+        if client.clears_at.is_some_and(|at| at <= now) {
+            *client = Client::default();
         }
         client
     }
 
     // ---- health ----
 
-    fn row(&self, listener: ListenerId) -> &Listener {
-        &self.deployment.listeners[usize::from(listener.0)]
-    }
-
     fn heard(&mut self, now: Moment, id: BackendId, report: Report) {
         let told = report.connections.or(report.load).is_some();
         let Some(backend) = self.backends.get_mut(&id).filter(|_| told) else { return };
@@ -633,7 +711,7 @@
             let load = session.load.unwrap_or(1.0).max(f64::MIN_POSITIVE);
             *excess.entry(dial.backend).or_default() += part * load;
             if now.since(since) >= SETTLED {
-                movable.push((self.row(session.arrival.listener).utility / load, id, dial.backend, load));
+                movable.push((session.row.utility / load, id, dial.backend, load));
             }
         }
         movable.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -660,7 +738,7 @@
         for (&id, session) in &self.sessions {
             let State::Ready(dial, since) = session.state else { continue };
             let at = self.backends.get(&dial.backend);
-            if now.since(since) >= COOL_DOWN && at.is_some_and(|at| at.listing.zone != home) {
+            if now.since(since) >= session.row.cool_down && at.is_some_and(|at| at.listing.zone != home) {
                 crossing.push(id);
             }
         }
@@ -691,9 +769,8 @@
     /// Where a session goes: the less loaded of two entries of the pool.
     fn pick(&mut self, now: Moment, id: SessionId) -> Option<BackendId> {
         let session = &self.sessions[&id];
-        let (group, last, listener, ran) =
-            (session.arrival.group, session.last_tried, session.arrival.listener, session.ran);
-        let (effect, pool) = (self.row(listener).effect, self.pool(now));
+        let (group, last, ran) = (session.arrival.group, session.last_tried, session.ran);
+        let (effect, pool) = (session.row.effect, self.pool(now));
         let first = ran.map(|(first, _)| self.backends[&first].listing);
         let mut able: Vec<BackendId> = Vec::new();
         for (at, Backend { listing, .. }) in self.ready_ones() {
@@ -838,8 +915,10 @@
 }
 
 impl Session {
-    fn new(arrival: Arrival, now: Moment) -> Session {
-        Session { due: now + arrival.dial_timeout, arrival, ..Session::default() }
+    fn new(arrival: Arrival, row: Arc<Route>, now: Moment) -> Session {
+        let (state, due) = (State::New, now + arrival.dial_timeout);
+        let (ran, last_tried, second, load) = (None, None, None, None);
+        Session { arrival, row, due, state, dials: 0, own_failures: 0, ran, last_tried, second, load }
     }
 }
 
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -1,4 +1,4 @@
-//! What a relay reads at start and never changes: the deployment it serves and its table of listeners.
+//! What a relay reads at start: the deployment it serves, and the table of routes that its sessions go by.
 use crate::ids::ZoneId;
 use crate::units::Span;
 
@@ -9,8 +9,9 @@
     Cell,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
+    #[default]
     Repeatable,
     /// A repeat is dropped by the backends of `scope` for `window` after the first dial that may have run.
     Referenced {
@@ -20,12 +21,44 @@
     OnceOnly,
 }
 
-/// A row of the table of listeners.
-#[derive(Clone, Copy, Debug)]
-pub struct Listener {
+/// A row of the table of routes: one for each listener, and more of them where an operator's file has them. A session
+/// keeps the row it began with.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Route {
+    /// Rows of one number share what is counted and learnt; 0 where nothing is.
+    pub lane: u32,
     pub handshake_target: Span,
     pub effect: Effect,
     pub utility: f64,
+    /// A connection that is not up by then has failed.
+    pub connect_timeout: Span,
+    pub max_dials: u32,
+    /// A dial is given up after so many times the set-up time of late.
+    pub patience: f64,
+    /// The first delay after a failure, before jitter.
+    pub base: Span,
+    /// No delay is longer, before jitter.
+    pub cap: Span,
+    /// A connection that drops sooner was never of use.
+    pub cool_down: Span,
+    pub longest_retry_after: Span,
+    /// Further dials at most, as a part of the sessions.
+    pub further_share: Option<f64>,
+    /// Sessions at once; more are refused.
+    pub most: Option<u32>,
+    pub second: Option<SecondCopy>,
+}
+
+/// When a second dial goes out while the first is still out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SecondCopy {
+    /// After this part of the recent set-ups were done...
+    pub quantile: f64,
+    /// ...between these.
+    pub least: Span,
+    pub most: Span,
+    /// Second dials at most, as a part of the sessions.
+    pub share: f64,
 }
 
 /// How a cold backend may be loaded by all relays together.
@@ -43,18 +76,19 @@
     pub relays: u32,
     pub zone: ZoneId,
     pub tick: Span,
-    pub listeners: Vec<Listener>,
+    pub routes: Vec<Route>,
     /// How long a message may take on a connection that stands, of all listeners; zero where none is told.
     pub shortest_target: Span,
     pub cold: ColdStart,
     /// The list comes only when asked for, and must be asked for within this span.
     pub ask_within: Option<Span>,
+    /// Of probes; sessions go by their rows.
     pub connect_timeout: Span,
-    pub max_dials: u32,
     pub may_withdraw: bool,
+    /// A session may have two dials out at once.
+    pub two_dials: bool,
     pub may_probe: bool,
     pub tells_retry_after: bool,
-    pub longest_retry_after: Span,
     pub crossing_price: f64,
     pub move_price: f64,
     pub probe_price: f64,
--- a/src/front.rs
+++ b/src/front.rs
@@ -1,5 +1,5 @@
 //! The seam between the decisions and a protocol: what a front hands in, and what it carries out.
-use crate::ids::{BackendId, CellId, ListenerId, SessionId, ZoneId};
+use crate::ids::{BackendId, CellId, RouteId, SessionId, ZoneId};
 use crate::units::{Moment, Span};
 
 /// What the decisions ask of the protocol in front of them. Each call takes effect at once.
@@ -20,7 +20,7 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Arrival {
-    pub listener: ListenerId,
+    pub route: RouteId,
     pub key: Option<u64>,
     pub group: Option<u64>,
     pub dial_timeout: Span,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -6,8 +6,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BackendId(pub u32);
 
+/// A row of the table of routes, as it stood when the session came.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ListenerId(pub u16);
+pub struct RouteId(pub u16);
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneId(pub u16);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1,7 +1,7 @@
 //! What the decisions owe their callers, as tables of cases, with no simulator.
 mod helper;
 
-use helper::{Asked, Bench, arrival, deployment, ms, row, rows};
+use helper::{Asked, Bench, arrival, deployment, ms, row, rows, with_row};
 use std::collections::BTreeSet;
 use thistlecroft::deployment::{Deployment, Effect, Scope};
 use thistlecroft::front::{ListScope, Listing, Standing, Verdict};
@@ -35,7 +35,7 @@
         (ONCE, Verdict::NeverSent, refused),
     ];
     for (effect, verdict, may_refuse) in cases {
-        let mut bench = Bench::new(Deployment { max_dials: 1, ..deployment(effect) }, &rows(4));
+        let mut bench = Bench::new(with_row(|row| row.max_dials = 1, deployment(effect)), &rows(4));
         bench.arrive(1, arrival(5, 0, ms(4_000)));
         bench.pass(ms(300));
         bench.end(1, 0, verdict, false);
@@ -180,7 +180,7 @@
     for (stands, reset, most) in cases {
         let mut longest = Span::ZERO;
         for key in 1..200 {
-            let mut bench = Bench::new(Deployment { max_dials: 1, ..deployment(REPEATABLE) }, &rows(1));
+            let mut bench = Bench::new(with_row(|row| row.max_dials = 1, deployment(REPEATABLE)), &rows(1));
             for id in 1..=3 {
                 bench.arrive(id, arrival(key, 0, ms(4_800)));
                 bench.end(id, 0, Verdict::Full, false);
@@ -265,7 +265,7 @@
 fn a_failing_backend_is_ejected_unless_half_the_fleet_fails() {
     // How many of six fail every dial, and whether they are still dialled afterwards.
     for (failing, still_dialled) in [(1, false), (2, false), (6, true)] {
-        let mut bench = Bench::new(Deployment { max_dials: 1, ..deployment(REPEATABLE) }, &rows(6));
+        let mut bench = Bench::new(with_row(|row| row.max_dials = 1, deployment(REPEATABLE)), &rows(6));
         for id in 1..80 {
             let (backend, _) = bench.arrive(id, arrival(0, 0, ms(4_800))).unwrap();
             if backend < failing {
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -1,8 +1,8 @@
 //! A front that writes down what it is asked, and a small deployment to ask about.
-use thistlecroft::balance::Relay;
-use thistlecroft::deployment::{ColdStart, Deployment, Effect, Listener};
+use thistlecroft::balance::{BASE, CAP, COOL_DOWN, PATIENCE, Relay};
+use thistlecroft::deployment::{ColdStart, Deployment, Effect, Route};
 use thistlecroft::front::{Arrival, Ending, Front, ListScope, Listing, Report, Standing, Verdict};
-use thistlecroft::ids::{BackendId, CellId, ListenerId, SessionId, ZoneId};
+use thistlecroft::ids::{BackendId, CellId, RouteId, SessionId, ZoneId};
 use thistlecroft::units::{Moment, Span};
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -58,22 +58,33 @@
 }
 
 pub fn deployment(effect: Effect) -> Deployment {
-    let row = Listener { handshake_target: ms(300), effect, utility: 1.0 };
+    let row = Route {
+        handshake_target: ms(300),
+        effect,
+        connect_timeout: ms(50),
+        max_dials: 3,
+        longest_retry_after: ms(600_000),
+        utility: 1.0,
+        patience: PATIENCE,
+        base: BASE,
+        cap: CAP,
+        cool_down: COOL_DOWN,
+        ..Route::default()
+    };
     Deployment {
         me: 0,
         relays: 1,
         zone: ZoneId(0),
         tick: ms(2),
-        listeners: vec![row],
+        routes: vec![row],
         shortest_target: ms(50),
         cold: ColdStart { start_share: 0.25, warm_up: ms(10_000), factor: 4.0, window: ms(2_000) },
         ask_within: None,
         connect_timeout: ms(50),
-        max_dials: 3,
         may_withdraw: true,
+        two_dials: false,
         may_probe: true,
         tells_retry_after: true,
-        longest_retry_after: ms(600_000),
         crossing_price: 0.0,
         move_price: 0.0,
         probe_price: 0.0,
@@ -82,9 +93,15 @@
     }
 }
 
+/// The same with another figure in its row.
+pub fn with_row(change: impl Fn(&mut Route), mut deployment: Deployment) -> Deployment {
+    deployment.routes.iter_mut().for_each(change);
+    deployment
+}
+
 pub fn arrival(key: u64, group: u64, dial_timeout: Span) -> Arrival {
     let some = |value: u64| (value > 0).then_some(value);
-    Arrival { listener: ListenerId(0), key: some(key), group: some(group), dial_timeout }
+    Arrival { route: RouteId(0), key: some(key), group: some(group), dial_timeout }
 }
 
 pub fn row(backend: u32, standing: Standing, up_since: Option<Moment>) -> Listing {
