--- a/command/src/demo.rs
+++ b/command/src/demo.rs
@@ -13,7 +13,7 @@
 pub fn run(seed: u64, plain: bool) -> Result<(), End> {
     let text = shipped::text("demo").expect("shipped with the command");
     let scenario = Scenario::parse("demo", text).map_err(|fault| End::Failed(fault.to_string()))?;
-    let way = Way { name: "relays".into(), baseline: None, relay: own_relay()? };
+    let way = Way { name: "relays".into(), baseline: None, relay: own_relay()?, chartered: true };
     let stop = interrupted();
     let folder = std::env::temp_dir().join(format!("thistlecroft-demo-{}", std::process::id()));
     let draws = std::io::stdout().is_terminal() && !plain;
--- a/command/src/experiments.rs
+++ b/command/src/experiments.rs
@@ -132,7 +132,12 @@
                     BaselineName::Random => ("random", Baseline::Random),
                     BaselineName::Least => ("least", Baseline::Least),
                 };
-                all = vec![Way { name: name.into(), baseline: Some(baseline), relay: Vec::new() }];
+                all = vec![Way {
+                    name: name.into(),
+                    baseline: Some(baseline),
+                    relay: Vec::new(),
+                    chartered: false,
+                }];
             }
             let first = seed.unwrap_or(scenario.seed);
             let runs = all.iter().flat_map(|way| (first..first + seeds).map(move |seed| (way, seed)));
--- a/command/tests/command.rs
+++ b/command/tests/command.rs
@@ -5,7 +5,7 @@
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
-const LONG: Duration = Duration::from_secs(30);
+const LONG: Duration = Duration::from_secs(20);
 
 fn command() -> Command {
     Command::new(env!("CARGO_BIN_EXE_thistlecroft"))
@@ -263,6 +263,12 @@
     // Its own group, as at a terminal.
     let mut child = command().args(arguments).stderr(Stdio::piped()).process_group(0).spawn().unwrap();
     let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    // A wait for a line that never comes ends with the child.
+    let pid = rustix::process::Pid::from_raw(child.id() as i32).unwrap();
+    std::thread::spawn(move || {
+        std::thread::sleep(LONG);
+        let _ = rustix::process::kill_process(pid, rustix::process::Signal::KILL);
+    });
     (child, lines)
 }
 
@@ -330,6 +336,88 @@
     std::fs::remove_dir_all(folder).unwrap();
 }
 
+#[test]
+fn a_charter_is_checked_shown_compared_and_taken_up() {
+    let folder = folder("charter");
+    let config = folder.join("config.json").to_string_lossy().into_owned();
+    let at = thistlecroft_fleet::post::free_address(900).unwrap();
+    std::fs::write(&config, thistlecroft_fleet_text(&at.to_string())).unwrap();
+    let file = |name: &str, text: &str| {
+        let path = folder.join(name);
+        std::fs::write(&path, text).unwrap();
+        path.to_string_lossy().into_owned()
+    };
+    let route =
+        |lines: &str| format!("[[route]]\nname = \"v\"\n{lines}\n[route.match]\nlistener = \"view\"\n");
+    let (old, new) =
+        (file("old.toml", &route("dials = 2")), file("new.toml", &route("dials = 3\nidle = \"1m\"")));
+    let bad = file("bad.toml", &route("dials = 0\nbse = \"1s\"\ndial_timeout = \"9s\""));
+    let late = file("late.toml", &route("dial_timeout = \"9s\"\nsecond_copy = {}"));
+    let asked = |arguments: &[&str]| {
+        let done = run(&[&["check"], arguments].concat());
+        (done.status.code(), text(&done.stdout), text(&done.stderr))
+    };
+    let (code, said, _) = asked(&[&old, "--config", &config, "--effective"]);
+    assert_eq!(code, Some(0));
+    for expected in [
+        "v, listener view",
+        "dials              2",
+        "line 3",
+        "cool_down          5s",
+        "built in",
+        "settings",
+    ] {
+        assert!(said.contains(expected), "{expected}: {said}");
+    }
+    let (code, said, _) = asked(&["--against", &old, &new, "--config", &config]);
+    assert_eq!(code, Some(0));
+    assert!(
+        said.contains("v.dials for view: 2 -> 3") && said.contains("v.idle for view: none -> 60s"),
+        "{said}"
+    );
+    let (code, _, said) = asked(&[&bad]);
+    assert_eq!((code, said.lines().count()), (Some(2), 2), "{said}");
+    assert!(said.contains("bad.toml:3:9: route v.dials") && said.contains("is it `base`?"), "{said}");
+    let (code, _, said) = asked(&[&late, "--config", &config]);
+    assert_eq!((code, said.lines().count()), (Some(2), 2), "{said}");
+    assert!(
+        said.contains("longer than clients of view wait") && said.contains("one dial at a time"),
+        "{said}"
+    );
+    let (code, _, said) = asked(&["--against", &config, &config]);
+    assert_eq!(code, Some(0), "{said}");
+    let refused = run(&["serve", "--config", &config, "--charter", &late]);
+    assert_eq!(refused.status.code(), Some(1));
+    assert_eq!(text(&refused.stderr).lines().count(), 2, "{}", text(&refused.stderr));
+
+    // Taken up while it runs; a bad one changes nothing, and what both say alike is not logged.
+    let (mut child, mut lines) = started(&["serve", "--config", &config, "--charter", &old]);
+    let pid = rustix::process::Pid::from_raw(child.id() as i32).unwrap();
+    let mut logged = |part: &str| {
+        let mut heard = Vec::new();
+        let mut lines = lines.by_ref().map_while(Result::ok).inspect(|line| heard.push(line.clone()));
+        let found = lines.find(|line| line.contains(part));
+        found.unwrap_or_else(|| panic!("no {part}: {heard:?}"))
+    };
+    logged("serves at");
+    for (text, expected) in [
+        (&new, "charter, generation 2: v.dials for view: 2 -> 3; v.idle for view: none -> 60s"),
+        (&late, "the charter read before stays"),
+        (&old, "charter, generation 3"),
+    ] {
+        std::fs::copy(text, folder.join("fresh")).unwrap();
+        std::fs::rename(folder.join("fresh"), &old).unwrap();
+        if expected.contains("generation 3") {
+            std::fs::write(&old, route("dials = 1")).unwrap();
+        }
+        rustix::process::kill_process(pid, rustix::process::Signal::HUP).unwrap();
+        logged(expected);
+    }
+    rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+    assert!(child.wait().unwrap().success());
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
 /// A relay's configuration, as the stand-ins write it.
 fn thistlecroft_fleet_text(listen: &str) -> String {
     use thistlecroft::deployment::Effect;
@@ -356,6 +444,7 @@
         cold_window: Span::from_ms(3_000),
         memory_mb: 64,
         sockets: 256,
+        two_dials: false,
     };
     let orders = Orders {
         name: "r0".into(),
@@ -366,6 +455,7 @@
         discovery: "127.0.0.1:9".parse().unwrap(),
         seed: 7,
         known: None,
+        charter: None,
     };
     configuration(&terms, &orders)
 }
--- a/fleet/src/post.rs
+++ b/fleet/src/post.rs
@@ -41,6 +41,8 @@
     pub cold_window: Span,
     pub memory_mb: u64,
     pub sockets: u64,
+    /// A session may have two dials out at once.
+    pub two_dials: bool,
 }
 
 /// What one relay is told beside the terms.
@@ -55,6 +57,8 @@
     pub seed: u64,
     /// The list as it last had it, in discovery's form.
     pub known: Option<serde_json::Value>,
+    /// The text of its charter, where it has one.
+    pub charter: Option<String>,
 }
 
 /// The text that `ROUTER_CONFIG` names.
@@ -94,7 +98,7 @@
             "permissions": {"connIdleUs": 9_000_000, "dialTimeoutUs": terms.connect_time.us(),
                 "maxDials": terms.most_dials,
                 "maxRetryAfterUs": terms.longest_retry_after.unwrap_or(Span::ZERO).us(),
-                "mayCancel": true, "probes": terms.probes, "retryAfter": terms.longest_retry_after.is_some()},
+                "mayCancel": true, "parallelTries": terms.two_dials, "probes": terms.probes, "retryAfter": terms.longest_retry_after.is_some()},
             "report": {"fields": ["inflight", "x0"], "how": "pull"},
         },
     })
@@ -106,6 +110,7 @@
     child: Child,
     pub at: SocketAddr,
     config: PathBuf,
+    charter: PathBuf,
     log: PathBuf,
 }
 
@@ -118,6 +123,7 @@
     pub fn start(program: &[String], terms: &Terms, orders: &Orders, folder: &Path) -> Result<Post, String> {
         let config = folder.join(format!("{}.json", orders.name));
         let log = folder.join(format!("{}.log", orders.name));
+        let charter = folder.join(format!("{}.charter.toml", orders.name));
         let failed = |fault: std::io::Error| format!("{}: {fault}", folder.display());
         std::fs::write(&config, configuration(terms, orders)).map_err(failed)?;
         let out = std::fs::File::options().create(true).append(true).open(&log).map_err(failed)?;
@@ -129,9 +135,13 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::from(out));
+        if let Some(text) = &orders.charter {
+            replace(&charter, text).map_err(failed)?;
+            command.env("THISTLECROFT_CHARTER", &charter);
+        }
         die_with_us(&mut command);
         let child = command.spawn().map_err(|fault| format!("{name} can't be started: {fault}"))?;
-        let mut post = Post { child, at: orders.listen, config, log };
+        let mut post = Post { child, at: orders.listen, config, charter, log };
         post.wait_ready().map_err(|why| format!("{} at {}: {why}", orders.name, orders.listen))?;
         Ok(post)
     }
@@ -163,6 +173,16 @@
         }
     }
 
+    /// Another charter in the place of its own, and word of it.
+    ///
+    /// # Errors
+    /// Where the file can't be written.
+    pub fn recharter(&self, text: &str) -> std::io::Result<()> {
+        replace(&self.charter, text)?;
+        self.hang_up();
+        Ok(())
+    }
+
     pub fn hang_up(&self) {
         self.signal(Signal::HUP);
     }
@@ -214,6 +234,13 @@
     }
 }
 
+/// As a whole, so that nobody reads half of it.
+fn replace(path: &Path, text: &str) -> std::io::Result<()> {
+    let fresh = path.with_extension("fresh");
+    std::fs::write(&fresh, text)?;
+    std::fs::rename(&fresh, path)
+}
+
 /// A child that we start is killed with the thread that started it, however that ends.
 fn die_with_us(command: &mut Command) {
     use std::os::unix::process::CommandExt;
--- a/fleet/src/referee.rs
+++ b/fleet/src/referee.rs
@@ -59,6 +59,21 @@
     pub most_dials: usize,
     /// The greatest part of a cold box's budget that was used.
     pub worst_push: f64,
+    /// By listener.
+    pub listeners: Vec<Dialled>,
+}
+
+/// What dials the sessions of a listener had.
+#[derive(Clone, Debug, Default)]
+pub struct Dialled {
+    pub sessions: usize,
+    pub most: usize,
+    /// After the one before had ended.
+    pub further: usize,
+    /// While another was out.
+    pub second: usize,
+    /// The longest time to an answer.
+    pub longest: Span,
 }
 
 impl Ruling {
@@ -430,6 +445,7 @@
             } else if story.excused {
                 self.ruling.excused += 1;
             }
+            self.count_dials(&story);
             if story.relay.is_none() {
                 continue;
             }
@@ -448,6 +464,24 @@
         }
     }
 
+    fn count_dials(&mut self, story: &SessionStory) {
+        let all = &mut self.ruling.listeners;
+        if all.len() <= story.listener {
+            all.resize(story.listener + 1, Dialled::default());
+        }
+        let count = &mut all[story.listener];
+        count.sessions += 1;
+        count.most = count.most.max(story.dials.len());
+        for pair in story.dials.windows(2) {
+            let over = pair[0].over.filter(|(_, reply)| *reply != Some(Reply::Up)).map(|(over, _)| over);
+            let at_once = over.is_none_or(|over| over > pair[1].came);
+            *(if at_once { &mut count.second } else { &mut count.further }) += 1;
+        }
+        if let Some((at, _)) = story.answer {
+            count.longest = count.longest.max(at.since(story.asked));
+        }
+    }
+
     fn kept_back(&mut self, tag: Tag, story: &SessionStory) {
         let Some((at, Answer::Busy(_) | Answer::Failed)) = story.answer else { return };
         let nothing_out = story.dials.iter().map(|dial| dial.over.map_or(at, |(over, _)| over)).max();
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -21,6 +21,8 @@
     /// Told to stop, and the next one started after so long.
     Stop(RelayNo, Option<Span>),
     HangUp(RelayNo),
+    /// The next of the scenario's charters.
+    Recharter(RelayNo),
 }
 
 #[derive(Clone, Debug)]
@@ -90,7 +92,7 @@
         let ground = ground_of(scenario, seed);
         let law = Law {
             effects: scenario.listeners.iter().map(|row| effect(row.get_ref())).collect(),
-            hedged: Vec::new(),
+            hedged: vec![scenario.relays.two_dials; scenario.listeners.len()],
             grace: scenario.fleet.grace.0,
             places: ground.boxes.iter().map(|plan| (plan.zone.clone(), plan.cell)).collect(),
         };
@@ -207,6 +209,7 @@
         cold_window: fleet.cold_window.0,
         memory_mb: relays.memory_mb,
         sockets: relays.sockets,
+        two_dials: relays.two_dials,
     }
 }
 
@@ -234,6 +237,7 @@
     ("relay-killed", "relays"),
     ("relay-replaced", "relays"),
     ("reload", "relays, every, for"),
+    ("charter-swap", "relays, every, for"),
     ("rush", "clients, over"),
     ("clients-drop", "clients, over"),
     ("clients-silent", "clients"),
@@ -290,7 +294,12 @@
     {
         return Err("pause: shorter than `every`".into());
     }
-    if fault.what == "reload" && fault.every.is_some_and(|every| every.0.us() < 1_000) {
+    if fault.what == "charter-swap" && scenario.relays.charters.is_empty() {
+        return Err("what: the relays have no charters to swap".into());
+    }
+    if matches!(fault.what.as_str(), "reload" | "charter-swap")
+        && fault.every.is_some_and(|every| every.0.us() < 1_000)
+    {
         return Err("every: a millisecond at least".into());
     }
     if fault.clients.is_some_and(|clients| clients > 1_000_000) {
@@ -383,7 +392,7 @@
                 let every = span(fault.every).max(Span::from_ms(1));
                 let mut at = from;
                 while to.is_some_and(|to| at < to) {
-                    add(at, Act::HangUp(relay));
+                    add(at, if fault.what == "reload" { Act::HangUp(relay) } else { Act::Recharter(relay) });
                     at = at + every;
                 }
             }
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -42,12 +42,14 @@
     pub baseline: Option<Baseline>,
     /// The program and its arguments.
     pub relay: Vec<String>,
+    /// With the scenario's charters, where it has any.
+    pub chartered: bool,
 }
 
 impl Way {
     /// The scenario's own and its variants, with this program as the relay where they name none.
     pub fn all(scenario: &Scenario, relay: &[String]) -> Vec<Way> {
-        let own = Way { name: "relays".into(), baseline: None, relay: relay.to_vec() };
+        let own = Way { name: "relays".into(), baseline: None, relay: relay.to_vec(), chartered: true };
         let variants = scenario.variants.iter().map(|variant| {
             let variant = variant.get_ref();
             let program = variant.relay.as_deref().unwrap_or(relay);
@@ -56,6 +58,7 @@
                 name: variant.name.clone(),
                 baseline: variant.baseline,
                 relay: program.iter().chain(arguments).cloned().collect(),
+                chartered: !variant.unchartered,
             }
         });
         std::iter::once(own).chain(variants).collect()
@@ -91,6 +94,8 @@
     stops_by: Option<Moment>,
     back_after: Option<Span>,
     starts: u64,
+    /// Which of the charters it has.
+    charter: usize,
     program: Vec<String>,
 }
 
@@ -214,6 +219,7 @@
                     relays: plan.ground.relays,
                     zone: number % scenario.fleet.zones.len(),
                     listen,
+                    charter: scenario.relays.charters.first().filter(|_| way.chartered).cloned(),
                     discovery: yard.agents[number],
                     seed: scattered(plan.seed.wrapping_mul(1_000) + number as u64),
                     known,
@@ -222,7 +228,8 @@
                 tape.note(clock.now(), Sighting::RelayStarted { relay: RelayNo(number as u16) });
                 let program = way.relay.clone();
                 let (stops_by, back_after) = (None, None);
-                stands.push(Stand { post: Some(post), orders, stops_by, back_after, starts: 1, program });
+                let (starts, charter, post) = (1, 0, Some(post));
+                stands.push(Stand { post, orders, stops_by, back_after, starts, charter, program });
             }
         }
         let doors: Vec<Doorway> = match way.baseline {
@@ -379,6 +386,19 @@
                 self.note(Sighting::RelayToldToStop { relay: *relay });
                 self.set(COME_ON, Later::Door(number, false));
             }
+            Act::Recharter(relay) => {
+                let charters = &self.scenario.relays.charters;
+                let Some(stand) = self.stands.get_mut(usize::from(relay.0)) else { return };
+                if stand.orders.charter.is_none() {
+                    return;
+                }
+                stand.charter = (stand.charter + 1) % charters.len();
+                let text = &charters[stand.charter];
+                stand.orders.charter = Some(text.clone());
+                if let Some(Err(fault)) = stand.post.as_ref().map(|post| post.recharter(text)) {
+                    self.note(Sighting::Mark { text: format!("a charter can't be written: {fault}") });
+                }
+            }
             Act::HangUp(relay) => {
                 if let Some(post) =
                     self.stands.get(usize::from(relay.0)).and_then(|stand| stand.post.as_ref())
@@ -433,6 +453,10 @@
     fn start(&mut self, number: usize) {
         let stand = &mut self.stands[number];
         stand.starts += 1;
+        // A bad charter ends a start; one that runs goes on by the one before.
+        if stand.orders.charter.is_some() {
+            (stand.charter, stand.orders.charter) = (0, self.scenario.relays.charters.first().cloned());
+        }
         stand.orders.seed = scattered(stand.orders.seed.wrapping_add(stand.starts));
         match Post::start(&stand.program, &self.plan.terms, &stand.orders, self.folder) {
             Ok(post) => {
--- a/lab/src/saturate.rs
+++ b/lab/src/saturate.rs
@@ -40,7 +40,8 @@
     told: &mut dyn FnMut(f64, &Summary),
 ) -> Result<Vec<(f64, Summary)>, String> {
     let mut scenario = Scenario::parse("saturate", TEXT).map_err(|fault| fault.to_string())?;
-    let way = Way { name: "direct".into(), baseline: Some(Baseline::Direct), relay: Vec::new() };
+    let way =
+        Way { name: "direct".into(), baseline: Some(Baseline::Direct), relay: Vec::new(), chartered: false };
     let mut rows = Vec::new();
     let mut rate = FIRST;
     for step in 0..STEPS {
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -104,6 +104,10 @@
     pub know_list: bool,
     /// The front goes on for so long with a relay that has died.
     pub front_notice: Time,
+    /// The settings allow two dials of a session at once.
+    pub two_dials: bool,
+    /// Texts of charters: relays start with the first, a fault `charter-swap` goes on to the next, round and round.
+    pub charters: Vec<String>,
 }
 
 impl Default for Relays {
@@ -118,6 +122,8 @@
             retry_after: Some(Time::ms(2_000)),
             know_list: true,
             front_notice: Time::ms(1_000),
+            two_dials: false,
+            charters: Vec::new(),
         }
     }
 }
@@ -276,8 +282,11 @@
     pub baseline: Option<Baseline>,
     /// Another build: the program and its arguments.
     pub relay: Option<Vec<String>>,
-    /// Further arguments of the relay, such as an operator's file.
+    /// Further arguments of the relay.
     pub arguments: Option<Vec<String>>,
+    /// Without any of the scenario's charters.
+    #[serde(default)]
+    pub unchartered: bool,
 }
 
 /// What stands in for the relays' decisions; none of them knows of drains, loads or failures.
--- a/lab/src/summary.rs
+++ b/lab/src/summary.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use thistlecroft::units::{Moment, Span};
 use thistlecroft_fleet::crowd::{CrowdSums, KindSums};
-use thistlecroft_fleet::referee::Ruling;
+use thistlecroft_fleet::referee::{Dialled, Ruling};
 use thistlecroft_fleet::tape::{BoxNo, Entry, RelayNo, Sighting};
 use thistlecroft_fleet::yard::YardSums;
 
@@ -54,6 +54,15 @@
     pub served: f64,
     pub set_up: Delays,
     pub lines: Delays,
+    /// Dials of a session at most; further and second ones as parts of the sessions.
+    #[serde(default)]
+    pub most_dials: usize,
+    #[serde(default)]
+    pub further: f64,
+    #[serde(default)]
+    pub second: f64,
+    #[serde(default)]
+    pub longest_answer_ms: f64,
 }
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -206,7 +215,12 @@
         served: utility(|kind| kind.served_s) / utility(|kind| kind.asked_s).max(1e-9),
         set_up: Delays::of(&all(|kind| &kind.set_up)),
         lines: Delays::of(&lines),
-        listeners: crowd.kinds.iter().map(listener).collect(),
+        listeners: crowd
+            .kinds
+            .iter()
+            .enumerate()
+            .map(|(place, kind)| listener(kind, &of.ruling.listeners.get(place).cloned().unwrap_or_default()))
+            .collect(),
         dials: of.ruling.dials,
         dials_a_session: of.ruling.dials as f64 / (of.ruling.sessions as f64).max(1.0),
         most_dials: of.ruling.most_dials,
@@ -223,8 +237,13 @@
     }
 }
 
-fn listener(kind: &KindSums) -> ListenerSummary {
+fn listener(kind: &KindSums, dialled: &Dialled) -> ListenerSummary {
+    let part = |count: usize| count as f64 / (dialled.sessions as f64).max(1.0);
     ListenerSummary {
+        most_dials: dialled.most,
+        further: part(dialled.further),
+        second: part(dialled.second),
+        longest_answer_ms: dialled.longest.us() as f64 / 1e3,
         name: kind.name.clone(),
         arrivals: kind.arrivals,
         up: kind.up,
@@ -332,6 +351,12 @@
                 self.most_standing, self.load_spread, self.most_load
             ),
         ];
+        for row in &self.listeners {
+            lines.push(format!(
+                "  {:<11} up {}  busy {}  failed {}  served {:.3}  dials {} at most, further {:.3}, second {:.3}; longest {:.0} ms",
+                row.name, row.up, row.busy, row.failed, row.served, row.most_dials, row.further, row.second, row.longest_answer_ms
+            ));
+        }
         for (number, relay) in self.relays.iter().enumerate() {
             lines.push(format!(
                 "  relay {number}     {:.2} s of CPU, {:.1} MB at most, {:.1} MB at the end",
--- a/relay/tests/scenarios.rs
+++ b/relay/tests/scenarios.rs
@@ -140,6 +140,49 @@
 "#,
             shows: |summary| summary.moved > 5 && summary.relays.len() == 2,
         },
+        Case {
+            // Three routes, swapped under traffic, one of the files bad; and limits that bind.
+            name: "charters",
+            text: r#"
+[relays]
+two_dials = true
+charters = [
+"""
+[[route]]
+name = "hold"
+dials = 2
+second_copy = { least = "20ms", most = "60ms", share = 0.2 }
+[route.match]
+listener = "hold"
+""",
+"no charter",
+"""
+[[route]]
+name = "hold"
+at_once = 5
+[route.match]
+listener = "hold"
+[[route]]
+name = "others"
+dial_timeout = "500ms"
+retry_share = 0.1
+idle = "6s"
+""",
+]
+[[fault]]
+at = "200ms"
+what = "charter-swap"
+relays = "all"
+every = "100ms"
+for = "4s"
+[[fault]]
+at = "500ms"
+what = "mute"
+boxes = 4
+for = "3s"
+"#,
+            shows: |summary| summary.listeners[0].second > 0.0 && summary.listeners[1].second == 0.0,
+        },
         Case {
             name: "cold",
             text: r#"
@@ -161,11 +204,8 @@
         },
     ];
     let folder = std::env::temp_dir().join(format!("thistlecroft-scenarios-{}", std::process::id()));
-    let way = Way {
-        name: "relays".into(),
-        baseline: None,
-        relay: vec![env!("CARGO_BIN_EXE_thistlecroft-relay").into()],
-    };
+    let relay = vec![env!("CARGO_BIN_EXE_thistlecroft-relay").into()];
+    let way = Way { name: "relays".into(), baseline: None, relay, chartered: true };
     let runs: Vec<_> = cases
         .into_iter()
         .map(|case| {
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -1,4 +1,5 @@
 //! A front that writes down what it is asked, and a small deployment to ask about.
+#![allow(dead_code, reason = "each file of tests uses a part of it")]
 use thistlecroft::balance::{BASE, CAP, COOL_DOWN, PATIENCE, Relay};
 use thistlecroft::deployment::{ColdStart, Deployment, Effect, Route};
 use thistlecroft::front::{Arrival, Ending, Front, ListScope, Listing, Report, Standing, Verdict};
--- /dev/null
+++ b/tests/routes.rs
@@ -0,0 +1,227 @@
+//! What rows of routes make of the decisions, as tables of cases, with no simulator.
+mod helper;
+
+use helper::{Asked, Bench, arrival, deployment, ms, row, rows, with_row};
+use thistlecroft::deployment::{Deployment, Effect, Route, Scope, SecondCopy};
+use thistlecroft::front::{Arrival, ListScope, Listing, Standing, Verdict};
+use thistlecroft::ids::{RouteId, SessionId};
+use thistlecroft::units::{Moment, Span};
+
+const COPY: SecondCopy =
+    SecondCopy { quantile: 0.9, least: Span::from_ms(20), most: Span::from_ms(100), share: 1.0 };
+
+fn doubled(effect: Effect) -> Deployment {
+    let deployment = Deployment { two_dials: true, groups: false, ..deployment(effect) };
+    with_row(|row| row.second = Some(COPY), deployment)
+}
+
+/// Final answers that a session was given.
+fn answers(bench: &Bench, id: u32) -> Vec<Asked> {
+    let of = |asked: &&Asked| matches!(asked, Asked::Refuse(at, _) | Asked::TearDown(at) if *at == id);
+    bench.book.asked.iter().filter(of).copied().collect()
+}
+
+fn asked(bench: &Bench, what: Asked) -> usize {
+    bench.book.asked.iter().filter(|asked| **asked == what).count()
+}
+
+#[test]
+fn a_slow_dial_has_a_second_copy_and_one_answer_comes_of_both() {
+    use Verdict::{Error, Full, Reset, Timeout, Withdrawn};
+    #[derive(Clone, Copy, Debug)]
+    enum Then {
+        Up(u32),
+        Ends(u32, Verdict),
+        Leaves,
+        Stops,
+    }
+    use Then::{Ends, Leaves, Stops, Up};
+    // What happens while two are out, which dials have to be withdrawn, and how many answers and releases there are by
+    // the end.
+    let cases: &[(&[Then], &[u32], usize, usize)] = &[
+        (&[Up(0), Ends(1, Withdrawn), Ends(0, Verdict::Ok)], &[1], 0, 1),
+        (&[Up(1), Ends(0, Withdrawn), Ends(1, Verdict::Ok)], &[0], 0, 1),
+        (&[Up(1), Up(0), Ends(0, Withdrawn), Ends(1, Verdict::Ok)], &[0], 0, 1),
+        (&[Ends(0, Error), Up(1), Ends(1, Verdict::Ok)], &[], 0, 1),
+        (&[Ends(1, Full), Up(0), Ends(0, Verdict::Ok)], &[], 0, 1),
+        (&[Ends(1, Reset), Ends(0, Timeout)], &[], 1, 1),
+        (&[Ends(0, Reset), Ends(1, Timeout)], &[], 1, 1),
+        (&[Ends(0, Reset), Ends(0, Reset), Ends(1, Timeout), Ends(1, Timeout)], &[], 1, 1),
+        (&[Leaves, Ends(0, Withdrawn), Ends(1, Withdrawn)], &[0, 1], 0, 1),
+        (&[Leaves, Ends(1, Withdrawn), Ends(0, Withdrawn)], &[0, 1], 0, 1),
+        (&[Stops, Ends(0, Withdrawn), Ends(1, Withdrawn)], &[0, 1], 1, 1),
+    ];
+    for (course, withdrawn, answered, released) in cases {
+        // Two dials are all that there are, so that a failure of both is the end.
+        let deployment = with_row(|row| row.max_dials = 2, doubled(Effect::Repeatable));
+        let mut bench = Bench::new(deployment, &rows(4));
+        let (first, _) = bench.arrive(1, arrival(5, 0, ms(4_000))).unwrap();
+        bench.pass(ms(99));
+        assert_eq!(bench.dials(1).len(), 1);
+        bench.pass(ms(2));
+        let dials = bench.dials(1);
+        assert!(dials.len() == 2 && dials[1].0 != first, "{dials:?}");
+        for then in *course {
+            match *then {
+                Up(dial) => bench.stand(1, dial),
+                Ends(dial, verdict) => bench.end(1, dial, verdict, false),
+                Leaves => bench.relay.left(SessionId(1), &mut bench.book),
+                Stops => {
+                    bench.relay.stopping(bench.now, &mut bench.book);
+                    bench.pass(ms(3_500));
+                }
+            }
+        }
+        for dial in 0..2 {
+            let expected = usize::from(withdrawn.contains(&dial));
+            assert_eq!(asked(&bench, Asked::Withdraw(1, dial)).min(1), expected, "{course:?}: dial {dial}");
+        }
+        assert_eq!(answers(&bench, 1).len(), *answered, "{course:?}");
+        assert_eq!(asked(&bench, Asked::Release(1)), *released, "{course:?}");
+        assert_eq!(bench.dials(1).len(), 2, "{course:?}");
+    }
+}
+
+#[test]
+fn no_second_copy_goes_out_where_one_might_do_harm() {
+    let cold = Some(Moment::from_us(99_000_000));
+    let referenced = Effect::Referenced { scope: Scope::All, window: ms(5_000) };
+    let one_dial = Deployment { two_dials: false, ..doubled(Effect::Repeatable) };
+    let last = with_row(|row| row.max_dials = 1, doubled(Effect::Repeatable));
+    let few =
+        with_row(|row| row.second = Some(SecondCopy { share: 0.0, ..COPY }), doubled(Effect::Repeatable));
+    let plain = with_row(|row| row.second = None, doubled(Effect::Repeatable));
+    let able = || doubled(Effect::Repeatable);
+    let two = |other: Listing| vec![row(0, Standing::Ready, None), other];
+    let cases = [
+        ("none of the below", able(), rows(4), 2),
+        ("one dial at a time", one_dial, rows(4), 1),
+        ("once-only", doubled(Effect::OnceOnly), rows(4), 1),
+        ("referenced", doubled(referenced), rows(4), 1),
+        ("the last dial", last, rows(4), 1),
+        ("no share of them left", few, rows(4), 1),
+        ("a route without them", plain, rows(4), 1),
+        ("one backend", able(), rows(1), 1),
+        ("the other is cold", able(), two(row(2, Standing::Ready, cold)), 1),
+        ("the other drains", able(), two(row(2, Standing::Draining, None)), 1),
+    ];
+    for (name, deployment, list, expected) in cases {
+        let mut bench = Bench::new(deployment, &list);
+        let cold_first =
+            |dials: &[(u32, _)]| name.contains("cold") && dials.first().is_some_and(|dial| dial.0 == 2);
+        bench.arrive(1, arrival(5, 0, ms(4_000)));
+        if cold_first(&bench.dials(1)) {
+            // The cold one had its turn for the first dial; the second may then go to the warm one.
+            continue;
+        }
+        bench.pass(ms(250));
+        assert_eq!(bench.dials(1).len(), expected, "{name}");
+    }
+    // Ended before: what comes of it is a further dial, not a second one.
+    let mut bench = Bench::new(able(), &rows(4));
+    bench.arrive(1, arrival(5, 0, ms(4_000)));
+    bench.stand(1, 0);
+    bench.pass(ms(1_000));
+    assert_eq!(bench.dials(1).len(), 1);
+}
+
+#[test]
+fn a_routes_share_of_further_dials_holds_while_everything_fails() {
+    for (share, most) in [(None, 2_000), (Some(0.5), 100), (Some(0.1), 20), (Some(0.0), 0)] {
+        let deployment = with_row(|row| row.further_share = share, deployment(Effect::Repeatable));
+        let mut bench = Bench::new(deployment, &rows(30));
+        let (mut further, mut unanswered) = (0, 0);
+        for id in 0..200 {
+            bench.arrive(id, arrival(u64::from(id) + 1, 0, ms(8_000)));
+            let mut dial = 0;
+            while bench.dials(id).len() > dial as usize && dial < 3 {
+                bench.end(id, dial, Verdict::Full, false);
+                bench.pass(ms(2_500));
+                dial += 1;
+            }
+            further += bench.dials(id).len().saturating_sub(1);
+            unanswered += usize::from(answers(&bench, id).len() != 1);
+        }
+        assert!(further <= most, "{share:?}: {further}");
+        assert!(share != Some(0.5) || further > 50, "{share:?}: {further}");
+        assert_eq!(unanswered, 0, "{share:?}: given up is answered at once");
+    }
+}
+
+#[test]
+fn a_route_holds_so_many_at_once_and_a_session_keeps_the_row_it_began_with() {
+    let deployment = with_row(|row| (row.lane, row.most) = (1, Some(2)), deployment(Effect::Repeatable));
+    let wide = deployment.routes[0];
+    let mut bench = Bench::new(deployment, &rows(4));
+    for id in 0..4 {
+        bench.arrive(id, arrival(u64::from(id) + 1, 0, ms(4_000)));
+        assert_eq!(answers(&bench, id).len(), usize::from(id >= 2), "{id}");
+    }
+    // The new table has fewer at once, one dial, and another listener's row before it.
+    let narrow = Route { most: Some(1), max_dials: 1, ..wide };
+    bench.relay.reroute(&[Route { lane: 0, most: None, ..wide }, narrow]);
+    let with = |id: u32, route| Arrival { route: RouteId(route), ..arrival(u64::from(id) + 1, 0, ms(8_000)) };
+    bench.arrive(10, with(10, 1));
+    assert_eq!(answers(&bench, 10).len(), 1, "two of the old are still there");
+    bench.arrive(11, with(11, 0));
+    assert_eq!(answers(&bench, 11).len(), 0);
+    // One that came before may still be dialled three times.
+    for dial in 0..2 {
+        bench.end(0, dial, Verdict::Full, false);
+        bench.pass(ms(1_900));
+    }
+    assert!(bench.dials(0).len() > 1 || answers(&bench, 0).len() == 1);
+    for id in [0, 1] {
+        bench.relay.left(SessionId(id), &mut bench.book);
+        (0..3).for_each(|dial| bench.end(id, dial, Verdict::Withdrawn, false));
+    }
+    bench.arrive(12, with(12, 1));
+    assert_eq!((answers(&bench, 12).len(), bench.dials(12).len()), (0, 1), "room again");
+    bench.end(12, 0, Verdict::Full, false);
+    bench.pass(ms(3_000));
+    assert_eq!(
+        (answers(&bench, 12).len(), bench.dials(12).len()),
+        (1, 1),
+        "one dial is all that the new row has"
+    );
+}
+
+#[test]
+fn delays_and_cool_downs_are_the_rows_own() {
+    // Base, cap, and the longest delay that a second failure may have.
+    for (base, cap, longest) in [(1_000, 30_000, 2_000), (100, 30_000, 200), (1_000, 500, 500)] {
+        let change = |row: &mut Route| (row.base, row.cap, row.max_dials) = (ms(base), ms(cap), 1);
+        let mut bench = Bench::new(with_row(change, deployment(Effect::Repeatable)), &rows(40));
+        let mut most = ms(0);
+        for id in 0..300 {
+            for turn in 0..2 {
+                let id = id * 2 + turn;
+                bench.arrive(id, arrival(u64::from(id / 2) + 1, 0, ms(4_000)));
+                bench.end(id, 0, Verdict::Full, false);
+            }
+            let Some(Asked::Refuse(_, Some(wait))) = answers(&bench, id * 2 + 1).last().copied() else {
+                panic!()
+            };
+            most = most.max(wait);
+        }
+        assert!(most <= ms(longest) && most > ms(longest / 2), "{base} {cap}: {most:?}");
+    }
+    // A drop counts while it comes within the row's cool-down.
+    for (cool_down, stood, counts) in [(5_000, 4_000, true), (5_000, 6_000, false), (1_000, 4_000, false)] {
+        let change =
+            |row: &mut Route| (row.cool_down, row.cap, row.max_dials) = (ms(cool_down), ms(600_000), 1);
+        let mut most = ms(0);
+        for seed in 0..60 {
+            let mut bench = Bench::seeded(with_row(change, deployment(Effect::Repeatable)), seed, &rows(4));
+            bench.arrive(1, arrival(7, 0, ms(4_000)));
+            bench.stand(1, 0);
+            bench.pass(ms(stood));
+            bench.end(1, 0, Verdict::Reset, true);
+            bench.relay.listed(ListScope::Whole, &[]);
+            bench.arrive(2, arrival(7, 0, ms(4_000)));
+            let Some(Asked::Refuse(_, Some(wait))) = answers(&bench, 2).last().copied() else { panic!() };
+            most = most.max(wait);
+        }
+        assert_eq!(most > ms(1_000), counts, "{cool_down} {stood}: {most:?}");
+    }
+}
