Stand-in boxes tell loads that change; seconds served count from the first, lateness without rude clients

Change: an option tells_load; the first line speaks for the time before it; rude clients are not in the lateness.

--- a/command/tests/command.rs
+++ b/command/tests/command.rs
@@ -438,6 +438,7 @@
         longest_retry_after: None,
         probes: true,
         groups: false,
+        tells_load: false,
         cold_start_share: 0.3,
         warm_up: Span::from_ms(9_000),
         cold_factor: 3.0,
--- a/fleet/src/crowd.rs
+++ b/fleet/src/crowd.rs
@@ -112,6 +112,8 @@
     retries: bool,
     has_stood: bool,
     next_line: u64,
+    /// Stood before its first line, which speaks for that too.
+    before: Span,
     out: VecDeque<(u64, Moment)>,
     chance: Chance,
     rude: Option<Rude>,
@@ -311,6 +313,7 @@
                 retries: false,
                 has_stood: false,
                 next_line: 0,
+                before: Span::ZERO,
                 out: VecDeque::new(),
                 chance: Chance::from_seed(seed),
                 rude: None,
@@ -385,7 +388,10 @@
 
     fn connect(&mut self, id: usize, works: &mut Works<Alarm>) {
         let client = &mut self.clients[id];
-        let _ = self.sums.late.record(works.clock.now().since(client.due).us().clamp(1, LONGEST));
+        if client.rude.is_none() {
+            // Rude ones come all at once, which is nobody's lateness.
+            let _ = self.sums.late.record(works.clock.now().since(client.due).us().clamp(1, LONGEST));
+        }
         client.connections += 1;
         client.tag = Tag(scattered(client.connections));
         let Some(door) = self.deal(id) else { return self.never_taken(id, works) };
@@ -526,6 +532,7 @@
                 client.out.clear();
                 // Beats of many clients must not fall together.
                 let first = beat * client.chance.float();
+                client.before = first;
                 let serial = self.turn(id, Part::Standing);
                 works.set(works.now + first, Alarm::Beat(id, serial));
             }
@@ -608,7 +615,8 @@
         let target = self.traffic.kinds[usize::from(self.arrival(id).kind)].message_target;
         // A line speaks for the beat that it begins, or for what is left of the client's life.
         let left = self.clients[id].life_ends.map_or(Span::ZERO, |ends| ends.since(at));
-        let spoken_for = self.traffic.beat.min(left).secs();
+        let before = std::mem::take(&mut self.clients[id].before);
+        let spoken_for = (before + self.traffic.beat.min(left)).secs();
         let sums = self.kind(id);
         let _ = sums.lines.record(waited.us().clamp(1, LONGEST));
         if waited <= target {
@@ -715,6 +723,7 @@
                 retries: false,
                 has_stood: false,
                 next_line: 0,
+                before: Span::ZERO,
                 out: VecDeque::new(),
                 chance: Chance::from_seed(self.chance.below(u64::MAX)),
                 rude: Some(rude),
--- a/fleet/src/post.rs
+++ b/fleet/src/post.rs
@@ -35,6 +35,7 @@
     pub longest_retry_after: Option<Span>,
     pub probes: bool,
     pub groups: bool,
+    pub tells_load: bool,
     pub cold_start_share: f64,
     pub warm_up: Span,
     pub cold_factor: f64,
@@ -92,7 +93,7 @@
         "settings": {
             "az": orders.zone, "zones": terms.zones, "balancers": orders.relays, "me": orders.number,
             "tickUs": 2_000, "discovery": "automatic", "listeners": listeners,
-            "extra": {"groups": terms.groups, "tellsDelay": false, "tellsLoad": false, "messageAimUs": targets},
+            "extra": {"groups": terms.groups, "tellsDelay": false, "tellsLoad": terms.tells_load, "messageAimUs": targets},
             "invariants": {"askWithinUs": 1, "coldUs": terms.warm_up.us(), "fallUs": terms.cold_window.us(),
                 "overloadFactor": terms.cold_factor, "startCapacity": terms.cold_start_share},
             "permissions": {"connIdleUs": 9_000_000, "dialTimeoutUs": terms.connect_time.us(),
--- a/fleet/src/yard.rs
+++ b/fleet/src/yard.rs
@@ -118,6 +118,8 @@
     pub store: Option<(usize, Span)>,
     /// How often reports are refreshed and loads noted.
     pub report_every: Span,
+    /// Boxes tell each connection's load, at first and when it changes: with each report one of a box's does.
+    pub tells_load: bool,
     pub seed: u64,
 }
 
@@ -229,6 +231,7 @@
     chance: Chance,
     notice: (Span, Span),
     report_every: Span,
+    tells_load: bool,
     /// Descriptors have run out once.
     exhausted: bool,
 }
@@ -332,6 +335,7 @@
             chance: Chance::from_seed(ground.seed),
             notice: ground.notice,
             report_every: ground.report_every,
+            tells_load: ground.tells_load,
             exhausted: false,
         })
     }
@@ -572,7 +576,8 @@
         speech.heard = Heard::Standing;
         let (at, session, load, group) = (speech.at, speech.session, speech.load, speech.group);
         works.note(Sighting::DialReplied { at, session, reply: Reply::Up });
-        let broke = conn.wire.say(format!("UP r{:x}\r\n", session.0).as_bytes()).is_err();
+        let note = if self.tells_load { format!("LOAD {load:.3}\r\n") } else { String::new() };
+        let broke = conn.wire.say(format!("UP r{:x}\r\n{note}", session.0).as_bytes()).is_err();
         conn.wire.settle(false);
         self.this(at).work.take(works.now, load, group);
         let drops = self.this(at).ailment == Some(Ailment::DropsYoung);
@@ -956,9 +961,40 @@
             let (share, pushed) = (this.work.share(works.now), this.work.worst_push);
             works.note(Sighting::BoxLoad { at: BoxNo(number), load, held, share, pushed });
         }
+        if self.tells_load {
+            self.change_loads(works);
+        }
         works.set(works.now + self.report_every, Alarm::Report);
     }
 
+    /// The load of one standing connection of each box changes, which the box tells among its lines.
+    fn change_loads(&mut self, works: &mut Works<Alarm>) {
+        let mut last = vec![None; self.boxes.len()];
+        let mut seen = vec![0_u64; self.boxes.len()];
+        for (id, conn) in &self.conns {
+            let Role::Box(speech) = &conn.role else { continue };
+            let at = usize::from(speech.at.0);
+            if speech.heard == Heard::Standing && !self.boxes[at].still {
+                seen[at] += 1;
+                // Each of them with the same chance.
+                if self.chance.below(seen[at]) == 0 {
+                    last[at] = Some(id);
+                }
+            }
+        }
+        for id in last.into_iter().flatten() {
+            let factor = 0.7 + 0.6 * self.chance.float();
+            let conn = &mut self.conns[id];
+            let Role::Box(speech) = &mut conn.role else { continue };
+            let work = &mut self.boxes[usize::from(speech.at.0)].work;
+            work.leave(works.now, speech.load, speech.group);
+            speech.load = (speech.load * factor).clamp(0.01, 100.0);
+            work.take(works.now, speech.load, speech.group);
+            let _ = conn.wire.say(format!("LOAD {:.3}\r\n", speech.load).as_bytes());
+            conn.wire.settle(false);
+        }
+    }
+
     /// The box that an alarm is about, where that stands still and the alarm has to wait.
     fn held_up(&self, id: usize, serial: u64) -> Option<Result<(), BoxNo>> {
         let conn = self.conns.get(id).filter(|conn| conn.serial == serial)?;
--- a/fleet/tests/helper/mod.rs
+++ b/fleet/tests/helper/mod.rs
@@ -265,6 +265,7 @@
             notice: (Span::ZERO, Span::from_ms(10)),
             store: None,
             report_every: Span::from_ms(200),
+            tells_load: true,
             seed: 1,
         };
         let yard = Yard::open(ground, clock, tape.clone()).unwrap();
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -174,6 +174,7 @@
         notice: (fleet.notice[0].0, fleet.notice[1].0),
         store: fleet.store_lanes.map(|lanes| (lanes, fleet.store_time.0)),
         report_every: fleet.report_every.0,
+        tells_load: fleet.tells_load,
         seed,
     }
 }
@@ -203,6 +204,7 @@
         longest_retry_after: relays.retry_after.map(|longest| longest.0),
         probes: relays.probes,
         groups: scenario.traffic.groups.is_some(),
+        tells_load: fleet.tells_load,
         cold_start_share: fleet.cold_share,
         warm_up: fleet.warm_up.0,
         cold_factor: fleet.cold_factor,
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -63,6 +63,8 @@
     pub store_time: Time,
     /// Nothing new goes to a box so long after it was told as draining.
     pub grace: Time,
+    /// Boxes tell connections' loads, which change.
+    pub tells_load: bool,
 }
 
 impl Default for Fleet {
@@ -85,6 +87,7 @@
             store_lanes: None,
             store_time: Time::ms(5),
             grace: Time::ms(2_000),
+            tells_load: false,
         }
     }
 }
