Re-read: spans read in one place, clients made in one, tests that could not fail made sharper

Cause, found on reading the change again: two readers of written spans, two makings of a client, two legends; a bound of 2000 that 400 dials could not pass, a case that might be skipped, an assertion with two ways out; rude clients on two threads had the same ids, so that some were failed for that and not for their rudeness; a test's watchdog ended a process by its number, which could be another's by then.

Change: Span::written serves scenarios and charters; Client::new, one legend; the tests' bounds are exact and their cases are met; ids differ by thread; the watchdog holds a handle.

--- a/charter/src/text.rs
+++ b/charter/src/text.rs
@@ -277,7 +277,10 @@
     Some(match key.kind {
         Kind::Name => Value::Names(vec![text(value).filter(|name| named(name))?]),
         Kind::Names => Value::Names(list(value).filter(|names| names.iter().all(named))?),
-        Kind::Span => Value::Span(span(&text(value)?)?),
+        Kind::Span => {
+            let span = Span::written(&text(value)?)?;
+            Value::Span(Some(span).filter(|span| *span > Span::ZERO && *span <= LONGEST)?)
+        }
         Kind::Count => match value {
             DeValue::Integer(figure) => {
                 Value::Count(figure.as_str().parse().ok().filter(|count| *count > 0)?)
@@ -304,22 +307,7 @@
 }
 
 /// Longer than any wait that the protocol can state.
-const LONGEST_US: f64 = 86_400e6;
-
-fn span(text: &str) -> Option<Span> {
-    let unit = text.find(|sign: char| !sign.is_ascii_digit() && sign != '.')?;
-    let (figure, unit) = text.split_at(unit);
-    let us = match unit {
-        "us" => 1.0,
-        "ms" => 1e3,
-        "s" => 1e6,
-        "m" => 60e6,
-        "h" => 3_600e6,
-        _ => return None,
-    };
-    let us = figure.parse::<f64>().ok()? * us;
-    (us > 0.0 && us <= LONGEST_US).then(|| Span::from_us(us.round() as u64))
-}
+const LONGEST: Span = Span::from_ms(86_400_000);
 
 impl Read {
     fn take<T>(&mut self, name: &str, of: impl Fn(Value) -> Option<T>) -> Option<Stated<T>> {
--- a/charter/tests/charter.rs
+++ b/charter/tests/charter.rs
@@ -263,22 +263,9 @@
     }
     let routing = read(&example, &circumstances).unwrap();
     assert_eq!(routing.rows()[routing.find(0, 1, None)].max_dials, 2);
-    // With the second copies that it shows commented out, where they are allowed.
-    let all: String = example
-        .lines()
-        .map(|line| {
-            format!(
-                "{}\n",
-                line.strip_prefix("# [").map_or_else(
-                    || line
-                        .strip_prefix("# quantile")
-                        .map(|rest| format!("quantile{rest}"))
-                        .unwrap_or(line.into()),
-                    |rest| format!("[{rest}")
-                )
-            )
-        })
-        .collect();
+    // With the second copies that it shows commented out at its end, where they are allowed.
+    let (before, shown) = example.split_once("second one:\n#\n").unwrap();
+    let all = before.to_string() + "\n" + &shown.replace("# ", "");
     let routing = read(&all, &circumstances).unwrap();
     assert!(routing.rows()[routing.find(1, 1, None)].second.is_some(), "{all}");
 }
--- a/command/tests/command.rs
+++ b/command/tests/command.rs
@@ -263,11 +263,13 @@
     // Its own group, as at a terminal.
     let mut child = command().args(arguments).stderr(Stdio::piped()).process_group(0).spawn().unwrap();
     let lines = BufReader::new(child.stderr.take().unwrap()).lines();
-    // A wait for a line that never comes ends with the child.
+    // A wait for a line that never comes ends with the child; by a handle of its own, since its number may by then be
+    // another's.
     let pid = rustix::process::Pid::from_raw(child.id() as i32).unwrap();
+    let handle = rustix::process::pidfd_open(pid, rustix::process::PidfdFlags::empty()).unwrap();
     std::thread::spawn(move || {
         std::thread::sleep(LONG);
-        let _ = rustix::process::kill_process(pid, rustix::process::Signal::KILL);
+        let _ = rustix::process::pidfd_send_signal(handle, rustix::process::Signal::KILL);
     });
     (child, lines)
 }
--- a/fleet/src/crowd.rs
+++ b/fleet/src/crowd.rs
@@ -119,6 +119,34 @@
     rude: Option<Rude>,
 }
 
+impl Client {
+    fn new(place: usize, number: u64, due: Moment, seed: u64, rude: Option<Rude>) -> Client {
+        Client {
+            place,
+            stage: Part::Away,
+            wire: None,
+            serial: 0,
+            // Room for a million connections of each client.
+            tag: Tag(number << 20),
+            connections: number << 20,
+            door: 0,
+            doors_tried: 0,
+            tries: 0,
+            due,
+            asked: due,
+            life_ends: None,
+            again: false,
+            retries: false,
+            has_stood: false,
+            next_line: 0,
+            before: Span::ZERO,
+            out: VecDeque::new(),
+            chance: Chance::from_seed(seed),
+            rude,
+        }
+    }
+}
+
 #[derive(Debug)]
 pub enum Alarm {
     Arrive,
@@ -295,29 +323,7 @@
             let sums = &mut self.sums.kinds[usize::from(arrival.kind)];
             sums.arrivals += 1;
             sums.asked_s += arrival.life.min(self.until.since(due)).secs();
-            let client = Client {
-                place: self.next,
-                stage: Part::Away,
-                wire: None,
-                serial: 0,
-                // Room for a million connections of each client.
-                tag: Tag(number << 20),
-                connections: number << 20,
-                door: 0,
-                doors_tried: 0,
-                tries: 0,
-                due,
-                asked: due,
-                life_ends: None,
-                again: false,
-                retries: false,
-                has_stood: false,
-                next_line: 0,
-                before: Span::ZERO,
-                out: VecDeque::new(),
-                chance: Chance::from_seed(seed),
-                rude: None,
-            };
+            let client = Client::new(self.next, number, due, seed, None);
             self.next += 1;
             let id = self.clients.insert(client);
             self.connect(id, works);
@@ -705,29 +711,10 @@
         }
         for _ in 0..count {
             self.sums.rude += 1;
-            let number = (1 << 43) + self.sums.rude;
-            let client = Client {
-                place: 0,
-                stage: Part::Away,
-                wire: None,
-                serial: 0,
-                tag: Tag(number << 20),
-                connections: number << 20,
-                door: 0,
-                doors_tried: 0,
-                tries: 0,
-                due: works.now,
-                asked: works.now,
-                life_ends: None,
-                again: false,
-                retries: false,
-                has_stood: false,
-                next_line: 0,
-                before: Span::ZERO,
-                out: VecDeque::new(),
-                chance: Chance::from_seed(self.chance.below(u64::MAX)),
-                rude: Some(rude),
-            };
+            // Other than all arrivals' and than those of other threads, whose first arrival is another.
+            let number = (1 << 43) + (self.arrivals[0].0 << 30) + self.sums.rude;
+            let seed = self.chance.below(u64::MAX);
+            let client = Client::new(0, number, works.now, seed, Some(rude));
             let id = self.clients.insert(client);
             self.connect(id, works);
         }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -2,6 +2,7 @@
 use crate::plan::Marked;
 use crate::run::begun;
 use crate::summary::{Summary, rounds};
+use plotters::coord::ranged1d::Ranged;
 use plotters::prelude::*;
 use std::collections::BTreeMap;
 use thistlecroft::units::{Moment, Span};
@@ -35,8 +36,24 @@
     marks: &'a [(String, f64, f64)],
 }
 
+fn failed(fault: DrawingAreaErrorKind<std::io::Error>) -> String {
+    format!("plot: {fault}")
+}
+
+fn legend<'a, X, Y>(
+    chart: &mut ChartContext<'a, SVGBackend<'a>, Cartesian2d<X, Y>>,
+    at: SeriesLabelPosition,
+) -> Result<(), String>
+where
+    X: Ranged<ValueType = f64>,
+    Y: Ranged<ValueType = f64>,
+{
+    let labels = &mut chart.configure_series_labels();
+    let labels = labels.position(at).background_style(WHITE.mix(0.8)).label_font(("sans-serif", 12));
+    labels.draw().map_err(failed)
+}
+
 fn chart(frame: &Frame, lines: &[Line]) -> Result<String, String> {
-    let failed = |fault: DrawingAreaErrorKind<std::io::Error>| format!("plot: {fault}");
     let mut svg = String::new();
     let most =
         lines.iter().flat_map(|line| &line.points).map(|&(_, y)| y).fold(0.0, f64::max).max(1e-3) * 1.1;
@@ -79,13 +96,7 @@
                     .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], hue.stroke_width(2)));
             }
         }
-        chart
-            .configure_series_labels()
-            .position(SeriesLabelPosition::UpperRight)
-            .background_style(WHITE.mix(0.8))
-            .label_font(("sans-serif", 12))
-            .draw()
-            .map_err(failed)?;
+        legend(&mut chart, SeriesLabelPosition::UpperRight)?;
         area.present().map_err(failed)?;
     }
     Ok(svg)
@@ -93,7 +104,6 @@
 
 /// Delays against the part of clients that had no more, on logarithmic scales.
 fn distribution(crowd: &CrowdSums) -> Result<String, String> {
-    let failed = |fault: DrawingAreaErrorKind<std::io::Error>| format!("plot: {fault}");
     let mut svg = String::new();
     let mut lines = Vec::new();
     for (place, kind) in crowd.kinds.iter().enumerate() {
@@ -134,13 +144,7 @@
                 .label(name)
                 .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], hue.stroke_width(width)));
         }
-        chart
-            .configure_series_labels()
-            .position(SeriesLabelPosition::UpperLeft)
-            .background_style(WHITE.mix(0.8))
-            .label_font(("sans-serif", 12))
-            .draw()
-            .map_err(failed)?;
+        legend(&mut chart, SeriesLabelPosition::UpperLeft)?;
         area.present().map_err(failed)?;
     }
     Ok(svg)
--- a/lab/src/spans.rs
+++ b/lab/src/spans.rs
@@ -15,19 +15,8 @@
 /// # Errors
 /// One line that shows how spans are written.
 pub fn span(text: &str) -> Result<Span, String> {
-    let wrong = || format!("\"{text}\" is no span of time, such as \"250ms\", \"1.5s\" or \"2m\"");
-    let digits = text.find(|sign: char| !sign.is_ascii_digit() && sign != '.').ok_or_else(wrong)?;
-    let (figure, unit) = text.split_at(digits);
-    let us = match unit {
-        "us" => 1.0,
-        "ms" => 1e3,
-        "s" => 1e6,
-        "m" => 60e6,
-        "h" => 3_600e6,
-        _ => return Err(wrong()),
-    };
-    let figure: f64 = figure.parse().map_err(|_| wrong())?;
-    Ok(Span::from_us((figure * us).round() as u64))
+    Span::written(text)
+        .ok_or_else(|| format!("\"{text}\" is no span of time, such as \"250ms\", \"1.5s\" or \"2m\""))
 }
 
 impl<'de> Deserialize<'de> for Time {
--- a/src/units.rs
+++ b/src/units.rs
@@ -37,6 +37,20 @@
         self.0
     }
 
+    /// As people write it, a figure and its unit: `10us`, `250ms`, `1.5s`, `2m`, `1h`. None where it is not written so.
+    pub fn written(text: &str) -> Option<Span> {
+        let (figure, unit) = text.split_at(text.find(|sign: char| !sign.is_ascii_digit() && sign != '.')?);
+        let us = match unit {
+            "us" => 1.0,
+            "ms" => 1e3,
+            "s" => 1e6,
+            "m" => 60e6,
+            "h" => 3_600e6,
+            _ => return None,
+        };
+        Some(Span((figure.parse::<f64>().ok()? * us).round() as u64))
+    }
+
     pub fn secs(self) -> f64 {
         self.0 as f64 / 1e6
     }
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -74,6 +74,7 @@
         }
         for dial in 0..2 {
             let expected = usize::from(withdrawn.contains(&dial));
+            // Told to stop it says so with each step, which is passed over.
             assert_eq!(asked(&bench, Asked::Withdraw(1, dial)).min(1), expected, "{course:?}: dial {dial}");
         }
         assert_eq!(answers(&bench, 1).len(), *answered, "{course:?}");
@@ -106,16 +107,21 @@
         ("the other drains", able(), two(row(2, Standing::Draining, None)), 1),
     ];
     for (name, deployment, list, expected) in cases {
-        let mut bench = Bench::new(deployment, &list);
-        let cold_first =
-            |dials: &[(u32, _)]| name.contains("cold") && dials.first().is_some_and(|dial| dial.0 == 2);
-        bench.arrive(1, arrival(5, 0, ms(4_000)));
-        if cold_first(&bench.dials(1)) {
-            // The cold one had its turn for the first dial; the second may then go to the warm one.
-            continue;
+        let mut seen = 0;
+        for seed in 0..20 {
+            let mut bench = Bench::seeded(deployment.clone(), seed, &list);
+            // A cold one that has its turn for the first dial leaves the warm one for the second.
+            if bench
+                .arrive(1, arrival(5, 0, ms(4_000)))
+                .is_some_and(|(at, _)| name.contains("cold") && at == 2)
+            {
+                continue;
+            }
+            bench.pass(ms(250));
+            assert_eq!(bench.dials(1).len(), expected, "{name}");
+            seen += 1;
         }
-        bench.pass(ms(250));
-        assert_eq!(bench.dials(1).len(), expected, "{name}");
+        assert!(seen > 0, "{name}: never met");
     }
     // Ended before: what comes of it is a further dial, not a second one.
     let mut bench = Bench::new(able(), &rows(4));
@@ -127,7 +133,9 @@
 
 #[test]
 fn a_routes_share_of_further_dials_holds_while_everything_fails() {
-    for (share, most) in [(None, 2_000), (Some(0.5), 100), (Some(0.1), 20), (Some(0.0), 0)] {
+    // The least and the most of 200 sessions that all fail, each allowed two further dials.
+    let cases = [(None, 201, 400), (Some(0.5), 51, 100), (Some(0.1), 10, 20), (Some(0.0), 0, 0)];
+    for (share, least, most) in cases {
         let deployment = with_row(|row| row.further_share = share, deployment(Effect::Repeatable));
         let mut bench = Bench::new(deployment, &rows(30));
         let (mut further, mut unanswered) = (0, 0);
@@ -142,8 +150,7 @@
             further += bench.dials(id).len().saturating_sub(1);
             unanswered += usize::from(answers(&bench, id).len() != 1);
         }
-        assert!(further <= most, "{share:?}: {further}");
-        assert!(share != Some(0.5) || further > 50, "{share:?}: {further}");
+        assert!((least..=most).contains(&further), "{share:?}: {further}");
         assert_eq!(unanswered, 0, "{share:?}: given up is answered at once");
     }
 }
@@ -170,7 +177,7 @@
         bench.end(0, dial, Verdict::Full, false);
         bench.pass(ms(1_900));
     }
-    assert!(bench.dials(0).len() > 1 || answers(&bench, 0).len() == 1);
+    assert!(bench.dials(0).len() >= 2, "{:?}", bench.dials(0));
     for id in [0, 1] {
         bench.relay.left(SessionId(id), &mut bench.book);
         (0..3).for_each(|dial| bench.end(id, dial, Verdict::Withdrawn, false));
