--- a/charter/src/routing.rs
+++ b/charter/src/routing.rs
@@ -22,7 +22,7 @@
     pub zones: Vec<String>,
     /// The relay's own, by its place among the zones.
     pub zone: usize,
-    /// The settings allow two dials of a session at once.
+    /// The settings allow two dials of a session at once, and one of them to be given up.
     pub two_dials: bool,
     /// Descriptors that sessions may take.
     pub descriptors: usize,
--- a/charter/src/rules.rs
+++ b/charter/src/rules.rs
@@ -126,7 +126,9 @@
     |case| {
         let own = case.route.second_copy.as_ref()?;
         (!case.of.two_dials).then(|| {
-            let why = "the settings allow one dial at a time (parallelTries)".to_string();
+            let why =
+                "the settings allow one dial at a time (parallelTries), or none to be given up (mayCancel)"
+                    .to_string();
             ("second_copy", Some(own.place.clone()), why)
         })
     },
--- a/relay/src/start.rs
+++ b/relay/src/start.rs
@@ -72,7 +72,7 @@
             .collect(),
         zones: site.zones.clone(),
         zone: usize::from(site.deployment.zone.0),
-        two_dials: site.deployment.two_dials,
+        two_dials: site.deployment.two_dials && site.deployment.may_withdraw,
         descriptors: sockets.saturating_sub(RESERVE),
     }
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -499,7 +499,9 @@
         let Some(dial) = self.send(now, id, backend, front) else { return self.finish(id, None, front) };
         self.turn(id, State::Dialling(dial), front);
         let row = self.sessions[&id].row.clone();
-        let allowed = self.deployment.two_dials && row.effect == Effect::Repeatable;
+        // The one that loses has to be given up, which not every deployment allows.
+        let Deployment { two_dials, may_withdraw, .. } = self.deployment;
+        let allowed = two_dials && may_withdraw && row.effect == Effect::Repeatable;
         if let Some(long) = self.lanes.long(&row).filter(|_| allowed && dial.number + 1 < row.max_dials) {
             self.plan(now + long, Errand::Second(id, dial.number), front);
         }
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -88,6 +88,7 @@
     let cold = Some(Moment::from_us(99_000_000));
     let referenced = Effect::Referenced { scope: Scope::All, window: ms(5_000) };
     let one_dial = Deployment { two_dials: false, ..doubled(Effect::Repeatable) };
+    let kept = Deployment { may_withdraw: false, ..doubled(Effect::Repeatable) };
     let last = with_row(|row| row.max_dials = 1, doubled(Effect::Repeatable));
     let few =
         with_row(|row| row.second = Some(SecondCopy { share: 0.0, ..COPY }), doubled(Effect::Repeatable));
@@ -97,6 +98,7 @@
     let cases = [
         ("none of the below", able(), rows(4), 2),
         ("one dial at a time", one_dial, rows(4), 1),
+        ("none may be given up", kept, rows(4), 1),
         ("once-only", doubled(Effect::OnceOnly), rows(4), 1),
         ("referenced", doubled(referenced), rows(4), 1),
         ("the last dial", last, rows(4), 1),
