A busy discovery is called again with full jitter over a doubling span, by one clock

The middle relay's list was 24 s old at 24 s, so that relays dialled boxes long gone (88 dials and 130 probes unreachable) and left those that replaced them empty. Checked and ruled out: the call itself (the first 40 of 100 were served, about 20 a second), the agent's address, restarts. At fault: Watch::fail (pauses of 50 ms to 0.8 s, evenly) and, beside it, the module's list_failed through News::ListFailed, a second clock that began a call whenever the first one rested. Calls that come faster than they are served keep all of them from being served. Change: relay/src/pacing.rs, pure: an address where nobody answers keeps the quick pauses; one that answers something else or breaks off what it had taken on is left alone for random() x 2, 4, 8, 16 s. Debug lines (relay/src/trace.rs) tell what the decisions hear and ask for, by names that are the same at every relay.

--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -1,6 +1,7 @@
 //! The watch on the list of backends: HTTP/1.1 with a chunked answer that stays open, and what its lines say.
 use crate::front::News;
 use crate::lines::Words;
+use crate::pacing::{How, Pacing};
 use crate::sockets::{Owner, Sock};
 use crate::timers::Alarm;
 use crate::works::Works;
@@ -18,10 +19,6 @@
 const SILENCE: Span = Span::from_ms(2_500);
 /// A new address has less: its list counts as told four seconds after the signal, and it answers at once.
 const SILENCE_OF_NEXT: Span = Span::from_ms(800);
-/// Between attempts, doubling up to the longest. What discovery has to tell counts as told six seconds late
-/// at most, so the longest stays well below.
-const FIRST_PAUSE: Span = Span::from_ms(50);
-const LONGEST_PAUSE: Span = Span::from_ms(800);
 /// Against a line that never ends: thousands of backends fit in less.
 const LONGEST_TEXT: usize = 16 << 20;
 
@@ -49,6 +46,7 @@
 /// Which backend is which, by the id that is the same at every relay, and where each is to be found.
 pub struct Book {
     by_name: HashMap<String, BackendId>,
+    names: Vec<String>,
     addresses: Vec<SocketAddr>,
     zones: Vec<String>,
     places: ReportPlaces,
@@ -56,13 +54,18 @@
 
 impl Book {
     pub fn new(zones: Vec<String>, places: ReportPlaces) -> Book {
-        Book { by_name: HashMap::new(), addresses: Vec::new(), zones, places }
+        Book { by_name: HashMap::new(), names: Vec::new(), addresses: Vec::new(), zones, places }
     }
 
     pub fn address(&self, id: BackendId) -> Option<SocketAddr> {
         self.addresses.get(id.index()).copied()
     }
 
+    /// The same at every relay; empty for one that no list has named.
+    pub fn name(&self, id: BackendId) -> &str {
+        self.names.get(id.index()).map_or("", String::as_str)
+    }
+
     pub fn named(&self, name: &str) -> Option<BackendId> {
         self.by_name.get(name).copied()
     }
@@ -94,6 +97,7 @@
         let backend = *self.by_name.entry(entry.instance_id.clone()).or_insert(next);
         if backend == next {
             self.addresses.push(address);
+            self.names.push(entry.instance_id.clone());
         }
         self.addresses[backend.index()] = address;
         let zone = self.zones.iter().position(|zone| *zone == entry.zone).unwrap_or_else(|| {
@@ -150,7 +154,26 @@
     /// Only the alarm set last counts: were each to start an attempt, which sets one more, a discovery that
     /// stays down would be asked ever faster until the loop did nothing else.
     wake_at: Moment,
-    pause: Span,
+    pacing: Pacing,
+}
+
+/// Why a call came to nothing, and how far it had come.
+struct Fault {
+    how: How,
+    why: String,
+}
+
+impl Fault {
+    fn new(how: How, why: impl ToString) -> Fault {
+        Fault { how, why: why.to_string() }
+    }
+}
+
+/// A list or an answer that can't be used.
+impl From<String> for Fault {
+    fn from(why: String) -> Fault {
+        Fault::new(How::TurnedAway, why)
+    }
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -212,25 +235,24 @@
         if matches!(call.state, State::Resting)
             && let Err(fault) = call.begin(since, works)
         {
-            self.fail(which, works, &fault.to_string());
+            self.fail(which, works, Fault::new(How::Absent, fault));
         }
     }
 
-    /// The last list stays in force.
-    fn fail(&mut self, which: Which, works: &mut Works, why: &str) {
-        let share = 0.5 + 0.5 * self.chance.float();
-        let call = self.call(which);
+    /// The last list stays in force. Only here is it decided when the next call is made: two clocks that each began one
+    /// asked a busy discovery twice as often.
+    fn fail(&mut self, which: Which, works: &mut Works, Fault { how, why }: Fault) {
+        let call = match (which, &mut self.next) {
+            (Which::Next, Some(next)) => next,
+            _ => &mut self.current,
+        };
         // Told once: while discovery is down every attempt ends here.
-        let level = if call.pause == FIRST_PAUSE { log::Level::Warn } else { log::Level::Debug };
+        let level = if call.pacing.is_first() { log::Level::Warn } else { log::Level::Debug };
         log::log!(level, "discovery at {}: {why}; the last list stays", call.at);
         call.state = State::Resting;
-        let wait = call.pause * share;
-        call.pause = (call.pause * 2.0).min(LONGEST_PAUSE);
+        let wait = call.pacing.pause(how, &mut self.chance);
         call.wake(works.now + wait, works);
         works.counters.list_failures += 1;
-        if which == Which::Current {
-            works.news.push_back(News::ListFailed);
-        }
     }
 
     pub fn alarm(&mut self, works: &mut Works) {
@@ -244,7 +266,9 @@
             }
             match call.state {
                 State::Resting => self.begin(which, works),
-                _ if works.now.since(call.heard) >= call.patience => self.fail(which, works, "silent"),
+                _ if works.now.since(call.heard) >= call.patience => {
+                    self.fail(which, works, Fault::new(How::Absent, "silent"));
+                }
                 _ => call.wake(call.heard + call.patience, works),
             }
         }
@@ -264,13 +288,13 @@
                 Ok(true) => which = Which::Current,
                 Ok(false) => {}
                 Err(why) => {
-                    done = Err(why);
+                    done = Err(why.into());
                     break;
                 }
             }
         }
-        if let Err(why) = done {
-            self.fail(which, works, &why);
+        if let Err(fault) = done {
+            self.fail(which, works, fault);
         }
     }
 
@@ -291,7 +315,7 @@
             log::info!("discovery at {}: {} backends", self.current.at, rows.len());
         }
         self.generation = Some(list.generation);
-        self.current.pause = FIRST_PAUSE;
+        self.current.pacing.listed();
         works.counters.lists += 1;
         let scope = if list.reset { ListScope::Whole } else { ListScope::Changes };
         works.news.push_back(News::Listed(scope, rows));
@@ -302,8 +326,8 @@
 impl Call {
     fn new(at: SocketAddr, patience: Span, now: Moment) -> Call {
         let (raw, text) = (Vec::new(), Vec::new());
-        let (heard, wake_at, pause) = (now, now, FIRST_PAUSE);
-        Call { at, state: State::Resting, raw, text, heard, patience, wake_at, pause }
+        let (heard, wake_at, pacing) = (now, now, Pacing::default());
+        Call { at, state: State::Resting, raw, text, heard, patience, wake_at, pacing }
     }
 
     fn owns(&self, key: usize) -> bool {
@@ -336,9 +360,9 @@
     }
 
     /// Goes on as far as the socket allows; whole lines of the list's text go to `lines`.
-    fn event(&mut self, lines: &mut Vec<Vec<u8>>, works: &mut Works) -> Result<(), String> {
+    fn event(&mut self, lines: &mut Vec<Vec<u8>>, works: &mut Works) -> Result<(), Fault> {
         let State::Connecting(sock, words) = &mut self.state else { return self.read(lines, works) };
-        let told = |fault: std::io::Error| fault.to_string();
+        let told = |fault: std::io::Error| Fault::new(How::Absent, fault);
         if sock.is_up().map_err(told)?
             && words.give(sock).map_err(told)?
             && let State::Connecting(mut sock, _) = std::mem::replace(&mut self.state, State::Resting)
@@ -349,16 +373,16 @@
         Ok(())
     }
 
-    fn read(&mut self, lines: &mut Vec<Vec<u8>>, works: &mut Works) -> Result<(), String> {
+    fn read(&mut self, lines: &mut Vec<Vec<u8>>, works: &mut Works) -> Result<(), Fault> {
         let (State::Asked(sock) | State::Following(sock, _)) = &mut self.state else { return Ok(()) };
         let mut piece = [0; 16 * 1024];
         match sock.read(&mut piece) {
-            Ok(0) => return Err("the watch ended".into()),
+            Ok(0) => return Err(Fault::new(How::TurnedAway, "the watch ended")),
             Ok(more) => self.raw.extend_from_slice(&piece[..more]),
             Err(fault) if matches!(fault.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
                 return Ok(());
             }
-            Err(fault) => return Err(fault.to_string()),
+            Err(fault) => return Err(Fault::new(How::TurnedAway, fault)),
         }
         self.heard = works.now;
         if matches!(self.state, State::Asked(_)) && !self.read_head()? {
@@ -372,9 +396,9 @@
             }
         }
         if self.text.len() + self.raw.len() > LONGEST_TEXT {
-            return Err("a line without end".into());
+            return Err(Fault::new(How::TurnedAway, "a line without end"));
         }
-        cut
+        Ok(cut?)
     }
 
     fn read_head(&mut self) -> Result<bool, String> {
--- a/relay/src/front.rs
+++ b/relay/src/front.rs
@@ -12,7 +12,6 @@
 #[derive(Debug)]
 pub enum News {
     Listed(ListScope, Vec<Listing>),
-    ListFailed,
     Arrived(SessionId, Arrival),
     Inherited(SessionId, BackendId, Arrival),
     Ready(SessionId, u32),
@@ -83,7 +82,6 @@
     };
     let done = catch_unwind(AssertUnwindSafe(|| match news {
         News::Listed(scope, rows) => relay.listed(scope, &rows),
-        News::ListFailed => relay.list_failed(now, desk),
         News::Arrived(id, arrival) => relay.arrived(now, id, arrival, desk),
         News::Inherited(id, at, arrival) => relay.inherit(now, id, at, arrival, desk),
         News::Ready(id, dial) => relay.ready(now, id, dial, desk),
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -6,11 +6,13 @@
 mod discovery;
 mod front;
 mod lines;
+mod pacing;
 mod protocol;
 mod service;
 mod sockets;
 mod start;
 mod timers;
+mod trace;
 mod works;
 
 pub use service::Service;
--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -10,6 +10,7 @@
 use crate::sockets::{Owner, Sockets, key_of, owner_of};
 use crate::start::{Bound, Origin, Posting, read_file};
 use crate::timers::{Alarm, Alarms, Clock};
+use crate::trace;
 use crate::works::Works;
 use polling::{Event, Events, PollMode, Poller};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
@@ -238,6 +239,7 @@
         let now = self.works.now;
         let mut failed = Vec::new();
         while let Some(news) = self.works.news.pop_front() {
+            trace::news(&news, &self.watch.book);
             let mut desk = Desk { orders: &mut self.orders, alarms: &mut self.works.alarms };
             if let Err(about) = hand_in(&mut self.relay, news, now, &mut desk) {
                 self.works.counters.panics += 1;
@@ -247,6 +249,7 @@
         }
         let works = &mut self.works;
         for order in std::mem::take(&mut self.orders) {
+            trace::order(&order, &self.watch.book);
             match order {
                 Order::Dial(id, backend, wait) => {
                     self.sessions.dial(id, backend, wait, &self.watch.book, works)
