--- a/src/balance.rs
+++ b/src/balance.rs
@@ -44,6 +44,8 @@
 const EJECT: Span = Span::from_ms(4_000); // the first time, doubling: longer than a short pause
 const NOTE_AGE: Span = Span::from_ms(2_000); // notes on late messages come once a second
 const SILENT: Span = Span::from_ms(1_000); // no line back for so long: a pause is over by then
+const STOOD_FIRST: f64 = 3.0; // warm-ups: a relay of few connections sees none leave for as long, and one then
+const SPREAD: f64 = 3.0; // of the turns at cold backends: all that have one may use it after all
 const KEPT: f64 = 0.99; // of what is counted of late, each housekeeping
 const HOUSEKEEPING: Span = Span::from_ms(500); // often enough to act on a report while it is fresh
 
@@ -111,6 +113,10 @@
     mean: f64,
     /// What one connection adds to a backend of middling size.
     each: f64,
+    /// It follows from what backends report.
+    counted: bool,
+    /// Backends that are cold now.
+    cold: f64,
     /// Loads are shares of what a backend can do, not connections.
     tells_share: bool,
     empty: bool,
@@ -161,6 +167,8 @@
     /// How long connections stood here, all together, and how many of them left by themselves, of late.
     stood: f64,
     left_alone: f64,
+    /// Sessions met within about a window of the cold rule.
+    lately: f64,
     /// How long a set-up takes of late, over all backends.
     set_up: Span,
 }
@@ -240,6 +248,7 @@
     /// True where its route has room for one more.
     fn enter(&mut self, now: Moment, id: SessionId, arrival: Arrival) -> bool {
         self.meet(arrival.group);
+        self.lately += 1.0;
         let row = self.routes[usize::from(arrival.route.0)].clone();
         let room = self.lanes.enter(&row);
         self.sessions.insert(id, Session::new(arrival, row, now));
@@ -435,6 +444,8 @@
                 Errand::Housekeeping => {
                     self.stood = self.stood * KEPT + self.sessions.len() as f64 * HOUSEKEEPING.secs();
                     self.left_alone *= KEPT;
+                    let window = self.deployment.cold.window.max(HOUSEKEEPING);
+                    self.lately *= 1.0 - HOUSEKEEPING.secs() / window.secs();
                     self.met_all *= KEPT;
                     self.met.values_mut().for_each(|met| *met *= KEPT);
                     self.met.retain(|_, met| *met > 0.1);
@@ -809,11 +820,13 @@
             let (told, place) = (loads[place], place as f64);
             let far = !crossing_is_free && backend.listing.zone != self.deployment.zone;
             let load = told + opening * place / (place + takes).max(1.0);
+            // An open turn at a cold backend is room, whatever is guessed of one not heard of.
+            let room = backend.report(now).is_none() && self.cold_turn(now, at).is_some();
             // A backend driven past what it can do serves nobody, and clients it drops come back at once:
             // what finds no room anywhere is refused instead. Where little room is left a group gets no new
             // backend on a guess; but while the fleet has room, to refuse it would be one.
             let rank = match pool.tells_share {
-                true if load >= HOT && told + opening < FULL => 2,
+                true if load >= HOT && (room || told + opening < FULL) => 2,
                 true if load >= HOT && (told >= FULL || fleet >= HOT) => return None,
                 true if load >= HOT => 3,
                 _ => u32::from(far),
@@ -844,6 +857,8 @@
     /// What the pool tells of the fleet, from entries that are not too old.
     fn pool(&self, now: Moment) -> Pool {
         let (mut heard, mut load, mut weighted, mut count, mut tells_share) = (0.0, 0.0, 0.0, 0.0, false);
+        let is_cold = |&(at, _): &(BackendId, &Backend)| self.cold_turn(now, at).is_some();
+        let cold = self.ready_ones().filter(is_cold).count() as f64;
         for (_, backend) in self.ready_ones() {
             let (Some(report), Some(told)) = (backend.report(now), backend.told(now)) else { continue };
             heard += 1.0;
@@ -853,9 +868,10 @@
             tells_share |= report.load.is_some();
         }
         if heard == 0.0 {
-            return Pool { empty: true, ..Pool::default() };
+            return Pool { empty: true, cold, ..Pool::default() };
         }
-        if count == 0.0 {
+        let counted = count > 0.0;
+        if !counted {
             let open: u32 = self.backends.values().map(|b| b.open).sum();
             let ready = self.ready_ones().count() as f64;
             count = f64::from(open) * f64::from(self.deployment.relays) * heard / ready.max(1.0);
@@ -864,7 +880,7 @@
         // backend.
         let each = load / f64::max(count, heard);
         let each = if tells_share { each.min(EACH_MOST) } else { each };
-        Pool { load: load / heard, mean: weighted / heard, each, tells_share, empty: false }
+        Pool { load: load / heard, mean: weighted / heard, each, counted, cold, tells_share, empty: false }
     }
 
     /// What a backend counts for: its report and what this relay placed there since. Relays that share
@@ -897,11 +913,13 @@
         let share = cold.start_share + (1.0 - cold.start_share) * age.secs() / cold.warm_up.secs();
         // Any window overlaps two turns: half for either. Where groups share work, what they cost lowers the
         // estimate by about as much, and the rule does not count it. As many relays have the turn as the
-        // budget holds connections.
+        // budget holds connections; and where each meets fewer sessions than there are cold backends, so many
+        // more as their few sessions go to others of them.
         let part = if self.deployment.groups { 1.0 } else { 0.5 };
         let budget = part * cold.factor * share * self.warm_rate(pool) * cold.window.secs();
         let relays = u64::from(self.deployment.relays);
-        let (slots, each) = ((budget as u64).clamp(1, relays), (budget / relays as f64).max(1.0));
+        let spread = (pool.cold / self.lately.max(1.0)).clamp(1.0, SPREAD);
+        let (slots, each) = (((budget * spread) as u64).clamp(1, relays), (budget / relays as f64).max(1.0));
         let place =
             (u64::from(self.deployment.me) + relays - (turn * slots + listing.mark) % relays) % relays;
         place < slots && f64::from(used) < each.floor()
@@ -909,10 +927,14 @@
 
     /// New connections a second that would fill a warm backend of middling size: as many as it holds when
     /// full times the rate at which they leave by themselves, or that fills it over its warm-up if that is
-    /// less. A rush of clients that come back shows in neither.
+    /// less. A rush of clients that come back shows in neither. One departure is taken as seen in some time at
+    /// first: a relay that holds one connection sees none leave for longer than a warm-up lasts, and by a rate
+    /// of none all relays but one keep off.
     fn warm_rate(&self, pool: Pool) -> f64 {
-        let leave = (self.left_alone / self.stood).min(1.0 / self.deployment.cold.warm_up.secs());
-        if pool.each <= 0.0 || self.stood <= 0.0 { 0.0 } else { leave / pool.each }
+        let warm_up = self.deployment.cold.warm_up.secs();
+        let first = f64::from(u8::from(pool.counted));
+        let leave = (self.left_alone + first) / (self.stood + STOOD_FIRST * warm_up);
+        if pool.each <= 0.0 { 0.0 } else { leave.min(1.0 / warm_up) / pool.each }
     }
 }
 
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,119 @@
+//! What only a fleet shows: many instances of the decisions on one stepped clock, and what the backends see together.
+mod helper;
+
+use helper::{Asked, Bench, arrival, deployment, ms, row};
+use std::collections::BTreeMap;
+use thistlecroft::deployment::{ColdStart, Deployment, Effect};
+use thistlecroft::front::{ListScope, Standing, Verdict};
+use thistlecroft::units::{Chance, Moment, Span};
+
+/// Relays that share nothing but time.
+struct Fleet {
+    relays: Vec<Bench>,
+    chance: Chance,
+    sessions: u32,
+    /// Backend, when, of every dial.
+    dials: Vec<(u32, Moment)>,
+}
+
+impl Fleet {
+    fn new(relays: u32, backends: u32, of: &Deployment) -> Fleet {
+        let list: Vec<_> = (0..backends).map(|id| row(id, Standing::Ready, None)).collect();
+        let one = |me| Bench::seeded(Deployment { me, relays, ..of.clone() }, u64::from(me) + 1, &list);
+        let relays = (0..relays).map(one).collect();
+        Fleet { relays, chance: Chance::from_seed(5), sessions: 0, dials: Vec::new() }
+    }
+
+    fn now(&self) -> Moment {
+        self.relays[0].now
+    }
+
+    /// Backends above zero answer probes of all relays with this load and so many connections.
+    fn pass(&mut self, span: Span, load: impl Fn(u32) -> (f64, f64)) {
+        for relay in &mut self.relays {
+            let before = relay.book.asked.len();
+            relay.pass(span);
+            let probed: Vec<u32> = relay.book.asked[before..]
+                .iter()
+                .filter_map(|asked| if let Asked::Probe(at) = asked { Some(*at) } else { None })
+                .collect();
+            for at in probed {
+                let (held, load) = load(at);
+                relay.report(at, Some(held), Some(load));
+            }
+        }
+    }
+
+    /// A session at a relay by chance; it stands at once where it is dialled.
+    fn arrive(&mut self, group: u64) {
+        let me = self.chance.below(self.relays.len() as u64) as usize;
+        let (id, relay) = (self.sessions, &mut self.relays[me]);
+        self.sessions += 1;
+        if let Some((at, _)) = relay.arrive(id, arrival(u64::from(id) + 1, group, ms(1_200))) {
+            self.dials.push((at, relay.now));
+            relay.stand(id, 0);
+        }
+    }
+
+    /// The most dials at one backend within this span.
+    fn most_within(&self, span: Span) -> BTreeMap<u32, usize> {
+        let mut most: BTreeMap<u32, usize> = BTreeMap::new();
+        for &(at, from) in &self.dials {
+            let within = |&&(other, when): &&(u32, Moment)| other == at && when >= from && when < from + span;
+            let count = self.dials.iter().filter(within).count();
+            most.entry(at).and_modify(|most| *most = count.max(*most)).or_insert(count);
+        }
+        most
+    }
+}
+
+/// Seven of twelve backends are cold and the others full; most relays meet no session or one within a window. By turns for
+/// as many relays as the budget holds connections, 0.17 of it were used; with as many more as there are cold backends, one of
+/// them got 19 connections of the 15 allowed.
+#[test]
+fn cold_backends_are_used_and_not_pushed_over_where_traffic_is_thin() {
+    let cold = ColdStart { start_share: 0.31, warm_up: ms(9_000), factor: 3.0, window: ms(3_000) };
+    for (relays, sessions_a_second, seed) in [(100, 15, 1), (100, 30, 2), (400, 30, 3), (10, 15, 4)] {
+        let of = Deployment { cold, ..deployment(Effect::Repeatable) };
+        let mut fleet = Fleet::new(relays, 12, &of);
+        fleet.chance = Chance::from_seed(seed);
+        // A full backend holds 35 connections, of which each relay has its part, and one in fifty leaves each second.
+        let full = |at: u32| if at < 5 { (33.0, 0.95) } else { (0.0, 0.0) };
+        let mut id = 1_000_000;
+        for me in 0..relays as usize {
+            for at in 0..(165 / relays).max(1) {
+                fleet.relays[me].inherit(id, at % 5);
+                id += 1;
+            }
+        }
+        for _ in 0..20 {
+            fleet.pass(ms(500), full);
+            let leaves = fleet.chance.below(u64::from(relays)) as usize;
+            let first = 1_000_000 + leaves as u32 * (165 / relays).max(1);
+            fleet.relays[leaves].end(first, 0, Verdict::Ok, true);
+        }
+        let start = fleet.now();
+        let back: Vec<_> = (5..12).map(|at| row(at, Standing::Ready, Some(start))).collect();
+        for relay in &mut fleet.relays {
+            relay.relay.listed(ListScope::Changes, &back);
+        }
+        fleet.dials.clear();
+        for step in 0..90 {
+            fleet.pass(ms(100), full);
+            for _ in 0..sessions_a_second / 10 + u32::from(step % 2 < sessions_a_second % 10) {
+                let group = fleet.chance.below(20) + 1;
+                fleet.arrive(group);
+            }
+        }
+        fleet.dials.retain(|(at, _)| *at >= 5);
+        // What the rule allows over the warm-up, with connections that last fifty seconds.
+        let allowed = 7.0 * 3.0 * 0.65 * 35.0 / 50.0 * 9.0;
+        let used = fleet.dials.len() as f64 / allowed;
+        assert!(used > 0.3, "{relays} relays, {sessions_a_second} a second: {used:.2} used");
+        for (at, most) in fleet.most_within(ms(3_000)) {
+            // Filled no faster than over its warm-up, at its share half way through the window.
+            let limit = 3.0 * (0.31 + 0.69 * 1.5 / 9.0) * 35.0 / 9.0 * 3.0;
+            assert!((most as f64) < limit, "{relays} relays: backend {at} got {most} of {limit:.0}");
+        }
+    }
+}
