--- a/src/balance.rs
+++ b/src/balance.rs
@@ -35,8 +35,7 @@
 const HELD_FOR_HOME: usize = 20; // connections: a relay with fewer knows too little of groups to move any
 const ROOMY: f64 = 0.3; // load below which the own zone takes crossing connections back
 const HOT: f64 = 0.6; // load from which a backend's messages begin to be late
-const FULL: f64 = 0.8; // load from which nothing is placed: between reports it may rise by the rest
-const OVERDRIVEN: f64 = 0.9; // load from which connections are sent away
+const FULL: f64 = 0.8; // load from which nothing is placed and some is sent away: it may rise between reports
 const DRAIN: f64 = 0.5; // load down to which, where work has piled up
 const SETTLED: Span = Span::from_ms(2_000); // relief moves nobody sooner: no report holds his load yet
 const STRIKES: u32 = 2; // failures in a row that eject: a single one may be chance
@@ -691,8 +690,11 @@
         }
     }
 
+    /// Every second one asks where own connections stand: it can relieve no other, and hears seldom of each.
     fn probe(&mut self, now: Moment, front: &mut dyn Front) {
-        let ready: Vec<BackendId> = self.ready_ones().map(|(id, _)| id).collect();
+        let own = self.chance.below(2) == 0 && self.ready_ones().any(|(_, at)| at.open > 0);
+        let asked = self.ready_ones().filter(|(_, at)| !own || at.open > 0);
+        let ready: Vec<BackendId> = asked.map(|(id, _)| id).collect();
         if let Some(&id) = self.any_of(&ready).filter(|_| self.deployment.may_probe) {
             front.probe(id);
         }
@@ -710,7 +712,7 @@
         for (&at, backend) in &mut self.backends {
             let Some((heard, Report { load: Some(load), .. })) = backend.heard else { continue };
             let behind = backend.late_for(shortest, now);
-            let limit = if behind { HOT } else { OVERDRIVEN };
+            let limit = if behind { HOT } else { FULL };
             if load > limit && heard >= backend.relieved + REPORT_LAG && now.since(heard) < REPORT_LAG {
                 backend.relieved = now;
                 over.insert(at, 1.0 - if behind { DRAIN } else { HOT } / load);
@@ -932,8 +934,8 @@
     /// of none all relays but one keep off.
     fn warm_rate(&self, pool: Pool) -> f64 {
         let warm_up = self.deployment.cold.warm_up.secs();
-        let first = f64::from(u8::from(pool.counted));
-        let leave = (self.left_alone + first) / (self.stood + STOOD_FIRST * warm_up);
+        let leave =
+            (self.left_alone + f64::from(u8::from(pool.counted))) / (self.stood + STOOD_FIRST * warm_up);
         if pool.each <= 0.0 { 0.0 } else { leave.min(1.0 / warm_up) / pool.each }
     }
 }
