--- a/command/src/experiments.rs
+++ b/command/src/experiments.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use thistlecroft_lab::compare;
+use thistlecroft_lab::count::Counts;
 use thistlecroft_lab::run::{Look, Way, run as run_once};
 use thistlecroft_lab::saturate::saturate;
 use thistlecroft_lab::scenario::{Baseline, Scenario};
@@ -39,6 +40,13 @@
     },
     /// Put two runs, or folders of runs, side by side.
     Compare { first: PathBuf, second: PathBuf },
+    /// Count what the relays of a fleet did together, from a folder of their logs at debug.
+    Count {
+        folder: PathBuf,
+        /// Seconds that are counted together.
+        #[arg(long, default_value_t = 2.0)]
+        span: f64,
+    },
     /// List the scenarios that come with the command.
     List,
     /// Print the figures of all runs in a folder, and write `index.html` there that leads to each.
@@ -110,6 +118,10 @@
             println!("{}", compare::table((&names.0, &one), (&names.1, &two)));
             Ok(())
         }
+        Verb::Count { folder, span } => {
+            print!("{}", Counts::read(&folder, span).map_err(End::Wrong)?.table());
+            Ok(())
+        }
         Verb::Report { folder } => report(&folder),
         Verb::Saturate { out } => saturation(&out),
         Verb::Run { scenario: name, seed, seeds, out, relay, ways, baseline, quiet } => {
