Lists that are old, repeated, empty, shrunken or name a known id anew: a table over sockets

Need: the hard cases of the large fleet's issue; each is one list after another over loopback, and what a client hears then.

--- a/relay/tests/sockets.rs
+++ b/relay/tests/sockets.rs
@@ -765,6 +765,67 @@
     drop(relay);
 }
 
+#[test]
+fn lists_that_are_old_empty_shrunken_or_name_a_known_id_anew_are_taken_as_they_say() {
+    let (here, _met) = backend(Play::Echo);
+    let dead = nobody();
+    let ready = |id, at| (id, at, "Ready");
+    let cached: Vec<(String, SocketAddr)> = (0..10).map(|id| (format!("old{id}"), dead)).collect();
+    let cached: Vec<_> = cached.iter().map(|(id, at)| ready(id.as_str(), *at)).collect();
+    // What is known at start, the lists that come, and how many of them count.
+    let first = list(7, true, &[ready("one", here)]);
+    let cases = [
+        ("an older one", "null", vec![first.clone(), list(5, false, &[("one", here, "Gone")])], 1, "UP"),
+        ("a repeated one", "null", vec![first.clone(), list(7, false, &[("one", here, "Gone")])], 1, "UP"),
+        ("an empty one", "null", vec![first.clone(), list(8, true, &[])], 2, "BUSY"),
+        (
+            "the last one gone",
+            "null",
+            vec![first.clone(), list(8, false, &[("one", here, "Gone")])],
+            2,
+            "BUSY",
+        ),
+        (
+            "a shrunken one",
+            "null",
+            vec![
+                list(7, true, &[ready("one", here), ready("b", dead), ready("c", dead)]),
+                list(8, true, &[ready("one", here)]),
+            ],
+            2,
+            "UP",
+        ),
+        (
+            "a known id elsewhere",
+            "null",
+            vec![list(7, true, &[ready("one", dead)]), list(8, false, &[ready("one", here)])],
+            2,
+            "UP",
+        ),
+        ("a cached one of boxes that are gone", &list(3, true, &cached), vec![first.clone()], 1, "UP"),
+    ];
+    for (name, known, lists, counting, expected) in cases {
+        let mut pieces = vec![HEAD.to_string()];
+        pieces.extend(lists.iter().map(|text| chunk(text)));
+        // Once this one counts all before it have been read.
+        pieces.push(chunk(&list(9, false, &[("last", dead, "Terminating")])));
+        let (at, _asked) = discovery(vec![Script { pieces, ends: false }]);
+        let relay = start(at, 1_000, known, false);
+        let until = Instant::now() + LONG;
+        loop {
+            relay.signal("USR1");
+            let count = counted(&relay.logged(" lists="), "lists");
+            if count == counting + 1 {
+                break;
+            }
+            assert!(count <= counting && Instant::now() < until, "{name}: {count} lists");
+        }
+        let mut client = relay.open("safe", 1_000);
+        let answer = client.hears();
+        assert!(answer.starts_with(expected), "{name}: {answer}");
+    }
+}
+
 #[test]
 fn a_discovery_that_is_not_there_is_asked_often_and_one_without_time_is_left_alone() {
     // Whether it answers, and the calls within 4 s.
