--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -242,15 +242,14 @@
     /// The last list stays in force. Only here is it decided when the next call is made: two clocks that each began one
     /// asked a busy discovery twice as often.
     fn fail(&mut self, which: Which, works: &mut Works, Fault { how, why }: Fault) {
-        let call = match (which, &mut self.next) {
-            (Which::Next, Some(next)) => next,
-            _ => &mut self.current,
-        };
+        let mut pacing = self.call(which).pacing;
         // Told once: while discovery is down every attempt ends here.
-        let level = if call.pacing.is_first() { log::Level::Warn } else { log::Level::Debug };
+        let level = if pacing.is_first() { log::Level::Warn } else { log::Level::Debug };
+        let wait = pacing.pause(how, &mut self.chance);
+        let call = self.call(which);
         log::log!(level, "discovery at {}: {why}; the last list stays", call.at);
         call.state = State::Resting;
-        let wait = call.pacing.pause(how, &mut self.chance);
+        call.pacing = pacing;
         call.wake(works.now + wait, works);
         works.counters.list_failures += 1;
     }
--- a/relay/src/pacing.rs
+++ b/relay/src/pacing.rs
@@ -33,7 +33,7 @@
 
     /// The first failure since a list came.
     pub fn is_first(&self) -> bool {
-        self.absent + self.turned_away == 0
+        self.absent == 0 && self.turned_away == 0
     }
 
     /// The span to the next call: nearly even while nobody is there, full jitter over a doubling one where it has no time.
@@ -62,15 +62,11 @@
 
     /// Watches that all broke at once call a discovery that serves so many calls a second in turn, also those whose
     /// caller has given up after two seconds. How many hold a watch again after 30 s, and how often it was called.
-    fn play(
-        relays: u64,
-        a_second: f64,
-        pause: &mut dyn FnMut(usize, How, &mut Chance) -> Span,
-    ) -> (usize, u32) {
+    fn play(relays: u64, a_second: f64, pause: &mut dyn FnMut(usize, &mut Chance) -> Span) -> (usize, u32) {
         let (mut calls, mut back, mut count) = (BTreeSet::new(), 0, 0);
         let mut chances: Vec<Chance> = (0..relays).map(Chance::from_seed).collect();
         for (id, chance) in chances.iter_mut().enumerate() {
-            calls.insert((pause(id, How::TurnedAway, chance).us(), id));
+            calls.insert((pause(id, chance).us(), id));
         }
         let mut free_at = 0.0f64;
         while let Some((at, id)) = calls.pop_first().filter(|(at, _)| *at < 30_000_000) {
@@ -79,7 +75,7 @@
             if free_at - at as f64 / 1e6 < 2.0 {
                 back += 1;
             } else {
-                let wait = 2_000_000 + pause(id, How::TurnedAway, &mut chances[id]).us();
+                let wait = 2_000_000 + pause(id, &mut chances[id]).us();
                 calls.insert((at + wait, id));
             }
         }
@@ -90,12 +86,13 @@
     fn a_fleet_that_lost_its_watches_gets_them_back() {
         for (relays, a_second) in [(2, 1.0), (100, 20.0), (1_000, 200.0)] {
             let mut each = vec![Pacing::default(); relays as usize];
-            let (back, calls) = play(relays, a_second, &mut |id, how, chance| each[id].pause(how, chance));
+            let (back, calls) =
+                play(relays, a_second, &mut |id, chance| each[id].pause(How::TurnedAway, chance));
             assert!(back * 10 >= relays as usize * 9, "{relays}: {back} back");
             assert!(u64::from(calls) <= relays * 5, "{relays}: {calls} calls");
         }
         // The check can fail: pauses that end at 0.8 s keep all but the first few out for good.
-        let short = |_: usize, _: How, chance: &mut Chance| LONGEST_PAUSE * (0.5 + 0.5 * chance.float());
+        let short = |_: usize, chance: &mut Chance| LONGEST_PAUSE * (0.5 + 0.5 * chance.float());
         let (back, calls) = play(100, 20.0, &mut { short });
         assert!(back < 50 && calls > 500, "{back} back, {calls} calls");
     }
--- a/relay/src/trace.rs
+++ b/relay/src/trace.rs
@@ -3,16 +3,13 @@
 use crate::discovery::Book;
 use crate::front::{News, Order};
 use log::{Level, debug, log_enabled};
-use thistlecroft::front::{ListScope, Standing};
+use thistlecroft::front::Standing;
 
 pub fn news(news: &News, book: &Book) {
     if !log_enabled!(Level::Debug) {
         return;
     }
     match news {
-        News::Listed(ListScope::Changes, rows) if rows.iter().all(|row| row.standing == Standing::Ready) => {
-            debug!("list rows={}", rows.len());
-        }
         News::Listed(scope, rows) => {
             let of = |standing| rows.iter().filter(|row| row.standing == standing).count();
             let [ready, draining, gone] = [Standing::Ready, Standing::Draining, Standing::Gone].map(of);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -43,7 +43,7 @@
 const EJECT: Span = Span::from_ms(4_000); // the first time, doubling: longer than a short pause
 const NOTE_AGE: Span = Span::from_ms(2_000); // notes on late messages come once a second
 const SILENT: Span = Span::from_ms(1_000); // no line back for so long: a pause is over by then
-const STOOD_FIRST: f64 = 3.0; // warm-ups: a relay of few connections sees none leave for as long, and one then
+const STOOD_FIRST: f64 = 3.0; // warm-ups in which one departure is taken as seen at first
 const SPREAD: f64 = 3.0; // of the turns at cold backends: all that have one may use it after all
 const KEPT: f64 = 0.99; // of what is counted of late, each housekeeping
 const HOUSEKEEPING: Span = Span::from_ms(500); // often enough to act on a report while it is fresh
@@ -929,9 +929,9 @@
 
     /// New connections a second that would fill a warm backend of middling size: as many as it holds when
     /// full times the rate at which they leave by themselves, or that fills it over its warm-up if that is
-    /// less. A rush of clients that come back shows in neither. One departure is taken as seen in some time at
-    /// first: a relay that holds one connection sees none leave for longer than a warm-up lasts, and by a rate
-    /// of none all relays but one keep off.
+    /// less. A rush of clients that come back shows in neither. One departure is taken as seen at first: a
+    /// relay that holds one connection sees none leave for longer than a warm-up lasts, and by a rate of none
+    /// all relays but one keep off.
     fn warm_rate(&self, pool: Pool) -> f64 {
         let warm_up = self.deployment.cold.warm_up.secs();
         let leave =
