--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -13,6 +13,8 @@
     sessions: u32,
     /// Backend, when, of every dial.
     dials: Vec<(u32, Moment)>,
+    refused: usize,
+    probes: usize,
 }
 
 impl Fleet {
@@ -20,7 +22,7 @@
         let list: Vec<_> = (0..backends).map(|id| row(id, Standing::Ready, None)).collect();
         let one = |me| Bench::seeded(Deployment { me, relays, ..of.clone() }, u64::from(me) + 1, &list);
         let relays = (0..relays).map(one).collect();
-        Fleet { relays, chance: Chance::from_seed(5), sessions: 0, dials: Vec::new() }
+        Fleet { relays, chance: Chance::from_seed(5), sessions: 0, dials: Vec::new(), refused: 0, probes: 0 }
     }
 
     fn now(&self) -> Moment {
@@ -36,6 +38,7 @@
                 .iter()
                 .filter_map(|asked| if let Asked::Probe(at) = asked { Some(*at) } else { None })
                 .collect();
+            self.probes += probed.len();
             for at in probed {
                 let (held, load) = load(at);
                 relay.report(at, Some(held), Some(load));
@@ -51,6 +54,9 @@
         if let Some((at, _)) = relay.arrive(id, arrival(u64::from(id) + 1, group, ms(1_200))) {
             self.dials.push((at, relay.now));
             relay.stand(id, 0);
+        } else {
+            assert_eq!(relay.answers(id).len(), 1, "session {id} is answered at once");
+            self.refused += 1;
         }
     }
 
@@ -115,3 +121,39 @@
         }
     }
 }
+
+/// All twelve backends start anew at once: whatever can't be placed is answered at once, and probes stay at their price.
+#[test]
+fn where_all_backends_are_cold_all_sessions_are_answered_and_none_is_pushed_over() {
+    let cold = ColdStart { start_share: 0.31, warm_up: ms(9_000), factor: 3.0, window: ms(3_000) };
+    for relays in [2, 100, 400] {
+        let mut fleet = Fleet::new(
+            relays,
+            12,
+            &Deployment { cold, probe_price: 0.0023, ..deployment(Effect::Repeatable) },
+        );
+        let start = fleet.now();
+        let list: Vec<_> = (0..12).map(|at| row(at, Standing::Ready, Some(start))).collect();
+        for relay in &mut fleet.relays {
+            relay.relay.listed(ListScope::Whole, &list);
+        }
+        for _ in 0..90 {
+            fleet.pass(ms(100), |_| (10.0, 0.3));
+            (0..3).for_each(|_| {
+                let group = fleet.chance.below(20) + 1;
+                fleet.arrive(group);
+            });
+        }
+        assert_eq!(fleet.dials.len() + fleet.refused, 270, "{relays} relays");
+        for (at, from, count) in fleet.after_each(ms(3_000)) {
+            // A full backend holds 33 of these connections.
+            let share = 0.31 + 0.69 * (from.since(start).secs() + 1.5) / 9.0;
+            let limit = 3.0 * share * 33.0 / 9.0 * 3.0;
+            assert!((count as f64) < limit, "{relays} relays: backend {at} got {count} of {limit:.0}");
+        }
+        // One in five seconds each at least; more only as sessions pay for them, about two a session.
+        let most = relays as usize * 3 + 270 * 3;
+        let least = relays as usize;
+        assert!((least..=most).contains(&fleet.probes), "{relays} relays: {} probes", fleet.probes);
+    }
+}
