--- a/relay/src/clients.rs
+++ b/relay/src/clients.rs
@@ -130,6 +130,12 @@
     idle: BTreeSet<Idle>,
 }
 
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Entry {
+    Shut,
+    Open,
+}
+
 /// Not parted yet, silent since, and whose.
 type Idle = (bool, Moment, u32);
 
@@ -137,6 +143,7 @@
     map: BTreeMap<u32, Session>,
     next: u32,
     door: Door,
+    entry: Entry,
     /// Since when connections may have waited to be accepted.
     behind_since: Option<Moment>,
     /// Accepting pauses until a descriptor is free.
@@ -152,13 +159,29 @@
 use Fate::{Goes, Over};
 
 impl Sessions {
-    pub fn new(mut door: Door, names: Names, routing: Routing, sockets: usize) -> Sessions {
-        door.want(true);
+    /// No client is taken before `open_door`.
+    pub fn new(door: Door, names: Names, routing: Routing, sockets: usize) -> Sessions {
         let most_sockets = sockets.saturating_sub(RESERVE);
         let (claimed, idle) = (BTreeSet::new(), BTreeSet::new());
         let (generation, generations) = (1, BTreeMap::new());
         let terms = Terms { names, routing, generation, generations, most_sockets, claimed, idle };
-        Sessions { map: BTreeMap::new(), next: 0, door, behind_since: None, full: false, terms }
+        let (map, entry) = (BTreeMap::new(), Entry::Shut);
+        Sessions { map, next: 0, door, entry, behind_since: None, full: false, terms }
+    }
+
+    pub fn open_door(&mut self) {
+        self.entry = Entry::Open;
+        self.door.want(true);
+    }
+
+    /// Whoever waits to be accepted is left to another process.
+    pub fn shut_door(&mut self) {
+        self.entry = Entry::Shut;
+        self.door.want(false);
+    }
+
+    pub fn takes_clients(&self) -> bool {
+        self.entry == Entry::Open
     }
 
     pub fn is_empty(&self) -> bool {
@@ -194,6 +217,9 @@
     /// Takes connections in, each with what it has said already, so that one that means to be served is never
     /// among those that make room.
     pub fn accept(&mut self, book: &Book, works: &mut Works) {
+        if self.entry == Entry::Shut {
+            return;
+        }
         for _ in 0..ACCEPTS {
             let open = works.sockets.open();
             if open >= self.terms.most_sockets
@@ -239,7 +265,7 @@
 
     pub fn resume_accepting(&mut self) {
         self.full = false;
-        self.door.want(true);
+        self.door.want(self.entry == Entry::Open);
     }
 
     /// Ends the connection that is needed least: one that has had its last word, else the one that has been silent for
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -47,7 +47,8 @@
 pub struct Book {
     by_name: HashMap<String, BackendId>,
     names: Vec<String>,
-    addresses: Vec<SocketAddr>,
+    /// None where no list has named it yet.
+    addresses: Vec<Option<SocketAddr>>,
     zones: Vec<String>,
     places: ReportPlaces,
 }
@@ -58,7 +59,7 @@
     }
 
     pub fn address(&self, id: BackendId) -> Option<SocketAddr> {
-        self.addresses.get(id.index()).copied()
+        self.addresses.get(id.index()).copied().flatten()
     }
 
     /// The same at every relay; empty for one that no list has named.
@@ -70,6 +71,22 @@
         self.by_name.get(name).copied()
     }
 
+    /// No list has told an address.
+    fn is_empty(&self) -> bool {
+        self.addresses.iter().all(Option::is_none)
+    }
+
+    /// The same id when a list names it.
+    pub fn enter(&mut self, name: &str) -> BackendId {
+        let next = BackendId(self.addresses.len() as u32);
+        let backend = *self.by_name.entry(name.to_string()).or_insert(next);
+        if backend == next {
+            self.addresses.push(None);
+            self.names.push(name.to_string());
+        }
+        backend
+    }
+
     fn listings(&mut self, entries: &[Entry]) -> Result<Vec<Listing>, String> {
         // All are read before any is noted, so that a bad list changes nothing.
         let mut read = Vec::with_capacity(entries.len());
@@ -93,13 +110,8 @@
     }
 
     fn listing(&mut self, entry: &Entry, address: SocketAddr, standing: Standing) -> Listing {
-        let next = BackendId(self.addresses.len() as u32);
-        let backend = *self.by_name.entry(entry.instance_id.clone()).or_insert(next);
-        if backend == next {
-            self.addresses.push(address);
-            self.names.push(entry.instance_id.clone());
-        }
-        self.addresses[backend.index()] = address;
+        let backend = self.enter(&entry.instance_id);
+        self.addresses[backend.index()] = Some(address);
         let zone = self.zones.iter().position(|zone| *zone == entry.zone).unwrap_or_else(|| {
             self.zones.push(entry.zone.clone());
             self.zones.len() - 1
@@ -120,7 +132,7 @@
 }
 
 /// FNV-1a: the same number for a name at every relay and in every release.
-fn hash(bytes: &[u8]) -> u64 {
+pub fn hash(bytes: &[u8]) -> u64 {
     bytes
         .iter()
         .fold(0xcbf2_9ce4_8422_2325, |sum, &byte| (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
@@ -176,6 +188,13 @@
     }
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    Nothing,
+    Known,
+    Told,
+}
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Which {
     Current,
@@ -204,6 +223,15 @@
         Ok(News::Listed(ListScope::Cached, self.book.listings(&known.instances)?))
     }
 
+    /// Discovery has told a list, or one was known at start.
+    pub fn listed(&self) -> Listed {
+        match (self.generation.is_some(), self.book.is_empty()) {
+            (true, _) => Listed::Told,
+            (false, false) => Listed::Known,
+            (false, true) => Listed::Nothing,
+        }
+    }
+
     pub fn open(&mut self, works: &mut Works) {
         self.begin(Which::Current, works);
     }
--- a/relay/src/front.rs
+++ b/relay/src/front.rs
@@ -22,6 +22,8 @@
     Delay(SessionId, Span),
     Overdue(SessionId, Span),
     Rerouted(Vec<Route>),
+    /// Taken out by hand, or put back.
+    Banned(BackendId, bool),
     Woken,
     Stopping,
 }
@@ -92,6 +94,7 @@
         News::Delay(id, delay) => relay.delay_noted(now, id, delay, desk),
         News::Overdue(id, waited) => relay.overdue(now, id, waited, desk),
         News::Rerouted(rows) => relay.reroute(&rows),
+        News::Banned(id, out) => relay.ban(now, id, out),
         News::Woken => relay.woken(now, desk),
         News::Stopping => relay.stopping(now, desk),
     }));
--- /dev/null
+++ b/relay/src/hand.rs
@@ -0,0 +1,128 @@
+//! What operators do by hand: their calls answered, and the backends they took out made known to the decisions and kept for
+//! the next process.
+use crate::admin::{Call, Readiness};
+use crate::callers::Callers;
+use crate::discovery::Book;
+use crate::front::News;
+use crate::shelf::{Fault, Shelf};
+use crate::timers::Alarm;
+use crate::works::Works;
+use std::collections::BTreeSet;
+use thistlecroft::units::{Moment, Span};
+
+/// What another process of this relay wrote is known here after so long.
+const LOOK_EVERY: Span = Span::from_ms(50);
+/// The list of bans is held by another process for the time of one write; one that holds it for longer hangs.
+const LOCKED: Span = Span::from_ms(500);
+const LOCKED_AGAIN: Span = Span::from_ms(5);
+
+/// A call whose answer is worked out; it goes out once the decisions have been told.
+pub type Answer = (u32, Result<&'static str, String>);
+
+pub struct Hand {
+    pub callers: Option<Callers>,
+    shelf: Option<Shelf>,
+    /// As the decisions were told.
+    out: BTreeSet<String>,
+    /// Since when a change waits for the other process to let go of the list.
+    locked: Option<Moment>,
+}
+
+impl Hand {
+    pub fn new(callers: Option<Callers>, shelf: Option<Shelf>, book: &mut Book, works: &mut Works) -> Hand {
+        let mut hand = Hand { callers, shelf, out: BTreeSet::new(), locked: None };
+        hand.look(book, works);
+        hand
+    }
+
+    /// Reads what another process has changed.
+    pub fn look(&mut self, book: &mut Book, works: &mut Works) {
+        let Some(shelf) = &mut self.shelf else { return };
+        if shelf.refresh() {
+            let later = shelf.bans().out.clone();
+            for id in self.out.symmetric_difference(&later) {
+                works.news.push_back(News::Banned(book.enter(id), later.contains(id)));
+            }
+            log::info!("bans of another process taken over: {} out", later.len());
+            self.out = later;
+        }
+        works.alarms.set(works.now + LOOK_EVERY, Alarm::Shelf);
+    }
+
+    /// Works out the answers to the calls of this turn.
+    pub fn answers(&mut self, readiness: Readiness, book: &mut Book, works: &mut Works) -> Vec<Answer> {
+        let Some(callers) = &mut self.callers else { return Vec::new() };
+        let calls = std::mem::take(&mut callers.calls);
+        let (mut answers, mut waiting) = (Vec::new(), Vec::new());
+        for (caller, call) in calls {
+            let done = match &call {
+                Call::Ready => Some(readiness.told().map(|()| "ready").map_err(str::to_string)),
+                // While one waits all behind it do: their order is the operators'.
+                _ if !waiting.is_empty() => None,
+                Call::Disable(id) => self.change(id, true, book, works),
+                Call::Enable(id) => self.change(id, false, book, works),
+            };
+            match done {
+                Some(done) => answers.push((caller, done)),
+                None => waiting.push((caller, call)),
+            }
+        }
+        if !waiting.is_empty() {
+            works.alarms.set(works.now + LOCKED_AGAIN, Alarm::Shelf);
+        }
+        if let Some(callers) = &mut self.callers {
+            callers.calls = waiting;
+        }
+        answers
+    }
+
+    /// None while the other process holds the list.
+    fn change(
+        &mut self,
+        id: &str,
+        out: bool,
+        book: &mut Book,
+        works: &mut Works,
+    ) -> Option<Result<&'static str, String>> {
+        let Some(backend) = book.named(id) else {
+            return Some(Err(format!("no backend {id} was ever listed here")));
+        };
+        if let Some(shelf) = &mut self.shelf {
+            match shelf.change(id, out) {
+                Ok(()) => self.locked = None,
+                Err(Fault::Locked) => {
+                    let since = *self.locked.get_or_insert(works.now);
+                    if works.now.since(since) < LOCKED {
+                        return None;
+                    }
+                    self.locked = None;
+                    return Some(Err("another process holds the list of bans: nothing changed".into()));
+                }
+                Err(Fault::Other(fault)) => return Some(Err(format!("the ban can't be kept: {fault}"))),
+            }
+        }
+        let changed = if out { self.out.insert(id.to_string()) } else { self.out.remove(id) };
+        if changed {
+            log::info!("{id} is {} by hand", if out { "out" } else { "back" });
+            works.news.push_back(News::Banned(backend, out));
+        }
+        Some(Ok(match (out, changed) {
+            (true, true) => "out",
+            (true, false) => "already out",
+            (false, true) => "back",
+            (false, false) => "was not out",
+        }))
+    }
+
+    /// Written after the decisions have been told.
+    pub fn answer(&mut self, answers: Vec<Answer>, works: &mut Works) {
+        let Some(callers) = &mut self.callers else { return };
+        for (caller, done) in answers {
+            callers.answer(caller, done.as_ref().map(|word| *word).map_err(String::as_str), works);
+        }
+    }
+
+    pub fn out(&self) -> usize {
+        self.out.len()
+    }
+}
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -1,14 +1,19 @@
 //! The relay on sockets, for a process of its own or inside another: read a `Posting`, start a `Service`, run it.
+mod admin;
 mod backends;
+mod bans;
 mod buffers;
+mod callers;
 mod clients;
 mod counters;
 mod discovery;
 mod front;
+mod hand;
 mod lines;
 mod pacing;
 mod protocol;
 mod service;
+mod shelf;
 mod sockets;
 mod start;
 mod timers;
@@ -23,7 +28,7 @@
 /// # Errors
 /// A line for each fault of a file, or one: the address is taken, or the poller failed.
 pub fn serve(path: &str, charter: Option<&str>) -> Result<(), Vec<String>> {
-    let mut posting = read_file(path).map_err(|fault| vec![fault])?;
+    let mut posting = read_file(path).and_then(Posting::placed).map_err(|fault| vec![fault])?;
     if let Some(charter) = charter {
         posting = posting.chartered(charter)?;
     }
--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -1,12 +1,16 @@
 //! The loop: each turn gathers what is ready, hands it to the decisions in one go, and carries out what they
 //! ask for. One thread; no part of a turn waits.
+use crate::admin::Readiness;
 use crate::backends::Probes;
 use crate::buffers::{Pool, SIZE};
+use crate::callers::{self, Callers};
 use crate::clients::Sessions;
 use crate::counters::Counters;
-use crate::discovery::{Book, Watch};
+use crate::discovery::{Book, Listed, Watch};
 use crate::front::{Desk, News, Order, hand_in};
+use crate::hand::Hand;
 use crate::protocol::Names;
+use crate::shelf::Shelf;
 use crate::sockets::{Owner, Sockets, key_of, owner_of};
 use crate::start::{Bound, Origin, Posting, read_file};
 use crate::timers::{Alarm, Alarms, Clock};
@@ -37,6 +41,11 @@
 /// Taken off the time to stop, so that the process has ended before it is killed.
 const STOP_MARGIN: Span = Span::from_ms(150);
 
+/// Beside another process that serves, clients are taken once discovery has told its list; after this also on the list
+/// known at start, and after the other with none: the process before may be about to end.
+const LIST_KNOWN: Span = Span::from_ms(1_500);
+const LIST_LACKING: Span = Span::from_ms(5_000);
+
 pub struct Service {
     clock: Clock,
     poller: Rc<Poller>,
@@ -44,7 +53,11 @@
     sessions: Sessions,
     probes: Probes,
     watch: Watch,
+    hand: Hand,
     relay: Relay,
+    started: Moment,
+    /// The platform holds the clients' socket: another process may serve beside this one.
+    passed: bool,
     orders: Vec<Order>,
     stop_within: Span,
     stopping: Option<Moment>,
@@ -76,7 +89,15 @@
         let (connect_timeout, stop_within) = (deployment.connect_timeout, deployment.stop_within);
         let routing = posting.charter.routing;
         let deployment = Deployment { routes: routing.rows().to_vec(), ..deployment };
-        let door = sockets.listen(posting.listen)?;
+        let at = |address, fault: io::Error| io::Error::other(format!("{address}: {fault}"));
+        let passed = posting.passed.is_some();
+        let door = match posting.passed {
+            Some(listener) => sockets.door(Owner::Door, listener)?,
+            None => sockets.listen(Owner::Door, posting.listen).map_err(|fault| at(posting.listen, fault))?,
+        };
+        let admin = posting.admin.map(|to| sockets.listen(Owner::Admin, to).map_err(|fault| at(to, fault)));
+        let callers = admin.transpose()?.map(Callers::new);
+        let clients_sockets = posting.sockets - callers.as_ref().map_or(0, |_| callers::RESERVE);
         let pool = Pool::new((posting.memory_mb << 20) / BUFFER_PART / SIZE);
         let (alarms, news, counters) = (Alarms::default(), VecDeque::new(), Counters::default());
         let mut works = Works { now, sockets, pool, alarms, news, counters, starved: VecDeque::new() };
@@ -88,6 +109,9 @@
                 Err(fault) => log::warn!("the list known at start: {fault}"),
             }
         }
+        let shelf = posting.folder.filter(|_| passed || callers.is_some());
+        let shelf = shelf.map(|folder| Shelf::new(&folder, &posting.name));
+        let hand = Hand::new(callers, shelf, &mut watch.book, &mut works);
         let mut orders = Vec::new();
         let mut desk = Desk { orders: &mut orders, alarms: &mut works.alarms };
         let relay = Relay::new(deployment, posting.seed, now, &mut desk);
@@ -99,21 +123,53 @@
             };
         }
         log::info!("{} serves at {}", posting.name, posting.listen);
-        Ok(Service {
+        let mut service = Service {
             clock,
             poller,
             works,
-            sessions: Sessions::new(door, names, routing, posting.sockets),
+            sessions: Sessions::new(door, names, routing, clients_sockets),
             probes: Probes::new(connect_timeout, site.idle),
             watch,
+            hand,
             relay,
+            started: now,
+            passed,
             orders,
             stop_within,
             stopping: None,
             signals,
             origin: posting.origin,
             bound: posting.charter.bound,
-        })
+        };
+        for span in [LIST_KNOWN, LIST_LACKING] {
+            service.works.alarms.set(now + span, Alarm::Opening);
+        }
+        service.open_door();
+        Ok(service)
+    }
+
+    /// Takes clients as soon as they can be served. Without a process beside it there is nobody else to serve them.
+    fn open_door(&mut self) {
+        let since = self.works.now.since(self.started);
+        let can = match self.watch.listed() {
+            Listed::Told => true,
+            Listed::Known => since >= LIST_KNOWN,
+            Listed::Nothing => since >= LIST_LACKING,
+        };
+        if self.stopping.is_none() && !self.sessions.takes_clients() && (can || !self.passed) {
+            self.sessions.open_door();
+            if self.passed {
+                log::info!("takes clients");
+            }
+        }
+    }
+
+    fn readiness(&self) -> Readiness {
+        Readiness {
+            stopping: self.stopping.is_some(),
+            listed: self.watch.listed() != Listed::Nothing,
+            accepting: self.sessions.takes_clients(),
+        }
     }
 
     /// Until told to stop.
@@ -135,8 +191,13 @@
                 _ => {}
             }
             self.works.now = self.clock.now();
-            for event in events.iter() {
-                self.guarded(|service| service.event(event.key));
+            // Operators first, so that they are answered whatever the load.
+            for operators in [true, false] {
+                let ours =
+                    |event: &Event| matches!(owner_of(event.key), Some(Owner::Admin | Owner::Caller(_)));
+                for event in events.iter().filter(|event| ours(event) == operators) {
+                    self.guarded(|service| service.event(event.key));
+                }
             }
             for _ in 0..ALARMS {
                 let Some(alarm) = self.works.alarms.due(self.works.now) else { break };
@@ -160,7 +221,14 @@
         match owner_of(key) {
             Some(Owner::Door) => self.sessions.accept(&self.watch.book, works),
             Some(Owner::Signals) => self.signalled(),
-            Some(Owner::Watch) => self.watch.event(key, works),
+            Some(Owner::Watch) => {
+                self.watch.event(key, works);
+                self.open_door();
+            }
+            Some(Owner::Admin) => self.hand.callers.iter_mut().for_each(|callers| callers.accept(works)),
+            Some(Owner::Caller(id)) => {
+                self.hand.callers.iter_mut().for_each(|callers| callers.event(id, key, works));
+            }
             Some(Owner::Client(id)) => self.sessions.client_event(id, key, &self.watch.book, works),
             Some(Owner::Dial(id)) => self.sessions.dial_event(id, key, works),
             Some(Owner::Probe(id)) => self.probes.event(BackendId(id), key, works),
@@ -180,6 +248,9 @@
             Alarm::Overdue(id) => self.sessions.overdue_alarm(id, works),
             Alarm::Idle(id) => self.sessions.idle_alarm(id, works),
             Alarm::Again(id) => self.sessions.again_alarm(id, &self.watch.book, works),
+            Alarm::Caller(id) => self.hand.callers.iter_mut().for_each(|callers| callers.alarm(id, works)),
+            Alarm::Shelf => self.hand.look(&mut self.watch.book, works),
+            Alarm::Opening => self.open_door(),
             Alarm::Stop => {}
         }
     }
@@ -188,12 +259,19 @@
         let mut bytes = [0; 64];
         if matches!(self.signals[COUNT_BYTE].read(&mut bytes), Ok(1..)) {
             let (sessions, generations) = (self.sessions.len(), self.sessions.generations());
-            log::info!("{sessions} sessions ({generations}); {}", self.works.counters);
+            let out = self.hand.out();
+            log::info!(
+                "{sessions} sessions ({generations}), {out} backends out by hand; {}",
+                self.works.counters
+            );
         }
         if matches!(self.signals[STOP_BYTE].read(&mut bytes), Ok(1..)) && self.stopping.is_none() {
             log::info!("told to stop, {} sessions", self.sessions.len());
             self.stopping = Some(self.works.now);
             self.works.news.push_back(News::Stopping);
+            if self.passed {
+                self.sessions.shut_door();
+            }
             self.works.alarms.set(self.works.now + ACCEPT_ON, Alarm::Stop);
             self.works.alarms.set(self.works.now + (self.stop_within - STOP_MARGIN), Alarm::Stop);
         }
@@ -231,12 +309,16 @@
 
     fn is_over(&self) -> bool {
         let Some(since) = self.stopping.map(|at| self.works.now.since(at)) else { return false };
-        since >= ACCEPT_ON && self.sessions.is_empty() || since >= self.stop_within - STOP_MARGIN
+        let accepts_on = !self.passed && since < ACCEPT_ON;
+        let is_quiet = self.sessions.is_empty() && self.hand.callers.iter().all(Callers::is_quiet);
+        !accepts_on && is_quiet || since >= self.stop_within - STOP_MARGIN
     }
 
     /// Hands in what the turn gathered, then carries out what came back.
     fn hand_over(&mut self) {
         let now = self.works.now;
+        let readiness = self.readiness();
+        let answers = self.hand.answers(readiness, &mut self.watch.book, &mut self.works);
         let mut failed = Vec::new();
         while let Some(news) = self.works.news.pop_front() {
             trace::news(&news, &self.watch.book);
@@ -248,6 +330,7 @@
             }
         }
         let works = &mut self.works;
+        self.hand.answer(answers, works);
         for order in std::mem::take(&mut self.orders) {
             trace::order(&order, &self.watch.book);
             match order {
--- a/relay/src/sockets.rs
+++ b/relay/src/sockets.rs
@@ -19,6 +19,9 @@
     Client(u32),
     Dial(u32),
     Probe(u32),
+    /// The operators' door, and a caller there.
+    Admin,
+    Caller(u32),
 }
 
 pub struct Sockets {
@@ -55,6 +58,8 @@
         3 => Owner::Client(id),
         4 => Owner::Dial(id),
         5 => Owner::Probe(id),
+        6 => Owner::Admin,
+        7 => Owner::Caller(id),
         _ => return None,
     })
 }
@@ -67,6 +72,8 @@
         Owner::Client(id) => (3, id),
         Owner::Dial(id) => (4, id),
         Owner::Probe(id) => (5, id),
+        Owner::Admin => (6, 0),
+        Owner::Caller(id) => (7, id),
     };
     kind << 60 | (serial as usize & 0x0fff_ffff) << 32 | id as usize
 }
@@ -104,15 +111,20 @@
         }
     }
 
-    pub fn listen(&mut self, at: SocketAddr) -> Result<Door> {
+    pub fn listen(&mut self, owner: Owner, at: SocketAddr) -> Result<Door> {
         let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
         // A restart must not wait for the connections of the process before.
         socket.set_reuse_address(true)?;
         socket.bind(&at.into())?;
         socket.listen(BACKLOG)?;
-        socket.set_nonblocking(true)?;
-        let listener: TcpListener = socket.into();
-        Ok(Door { watched: self.watched(Owner::Door, listener.as_raw_fd()), listener })
+        self.door(owner, socket.into())
+    }
+
+    /// Takes over a listening socket, which other processes may hold as well: they share its queue and its
+    /// being non-blocking. It is closed at the end and never shut down, which would end it for all.
+    pub fn door(&mut self, owner: Owner, listener: TcpListener) -> Result<Door> {
+        listener.set_nonblocking(true)?;
+        Ok(Door { watched: self.watched(owner, listener.as_raw_fd()), listener })
     }
 }
 
--- a/relay/src/start.rs
+++ b/relay/src/start.rs
@@ -1,8 +1,12 @@
 //! What a relay is told at its start, and faults in it as one plain line.
+use crate::callers;
 use crate::clients::RESERVE;
 use crate::discovery::ListText;
 use serde::Deserialize;
-use std::net::SocketAddr;
+use socket2::{Domain, SockRef};
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{BorrowedFd, FromRawFd, RawFd};
+use std::path::PathBuf;
 use thistlecroft_charter::{Charter, Circumstances, Lanes, ListenerFacts, Routing};
 use thistlecroft_facts::{self as facts, Site};
 
@@ -18,6 +22,12 @@
     pub site: Site,
     pub origin: Origin,
     pub charter: Chartered,
+    /// Where operators call, if they may.
+    pub admin: Option<SocketAddr>,
+    /// The clients' listening socket, where the platform holds it.
+    pub passed: Option<TcpListener>,
+    /// A folder that the next process of this relay finds as this one left it.
+    pub folder: Option<PathBuf>,
 }
 
 /// The routes that a charter gives, or those that there are without one.
@@ -48,7 +58,31 @@
     }
 }
 
+/// The variables that say what the configuration may leave out, and where the platform holds the clients' socket.
+const ADMIN: &str = "ROUTER_ADMIN_ADDR";
+const PASSED: &str = "ROUTER_PASSED_SOCKET";
+
 impl Posting {
+    /// The same with what the environment tells.
+    ///
+    /// # Errors
+    /// One line: an address or a descriptor that is none.
+    pub fn placed(mut self) -> Result<Posting, String> {
+        if self.admin.is_none()
+            && let Ok(text) = std::env::var(ADMIN)
+        {
+            self.admin = Some(address(ADMIN, &text)?);
+        }
+        if let Ok(text) = std::env::var(PASSED) {
+            self.passed = Some(passed(&text).map_err(|why| format!("{PASSED}: \"{text}\" {why}"))?);
+        }
+        if self.admin.is_some() && self.sockets < FEWEST_SOCKETS + callers::RESERVE {
+            return Err(format!("limits: {} sockets are too few for an operators' door", self.sockets));
+        }
+        self.folder = std::env::var_os("TMPDIR").map(PathBuf::from).filter(|folder| folder.is_absolute());
+        Ok(self)
+    }
+
     /// The same with a charter.
     ///
     /// # Errors
@@ -98,6 +132,27 @@
     }
 }
 
+fn address(name: &str, value: &str) -> Result<SocketAddr, String> {
+    value.parse().map_err(|_| format!("{name}: \"{value}\" is no address with a port"))
+}
+
+/// A listening socket that this process was started with. Held by other processes too, it is taken over once.
+fn passed(text: &str) -> Result<TcpListener, &'static str> {
+    let number: RawFd = text.parse().ok().filter(|&fd| fd > 2).ok_or("is no descriptor")?;
+    // SAFETY: only asked about here; one that is not open is answered with an error.
+    let borrowed = unsafe { BorrowedFd::borrow_raw(number) };
+    let socket = SockRef::from(&borrowed);
+    match socket.is_listener() {
+        Ok(true) if socket.domain().is_ok_and(|domain| domain != Domain::UNIX) => {}
+        Ok(true) => return Err("is no TCP socket"),
+        Ok(false) => return Err("is a socket that does not listen"),
+        Err(_) => return Err("is no open socket"),
+    }
+    socket.set_cloexec(true).map_err(|_| "can't be kept")?;
+    // SAFETY: open, and nothing else in this process knows of it.
+    Ok(unsafe { TcpListener::from_raw_fd(number) })
+}
+
 #[derive(Deserialize)]
 struct Text {
     name: String,
@@ -106,6 +161,7 @@
     seed: String,
     limits: Limits,
     known: Option<ListText>,
+    admin_addr: Option<String>,
     settings: serde_json::Value,
 }
 
@@ -125,9 +181,6 @@
 pub fn read(text: &[u8]) -> Result<Posting, String> {
     let keys: serde_json::Map<_, _> = serde_json::from_slice(text).map_err(|fault| fault.to_string())?;
     let text: Text = serde_json::from_slice(text).map_err(|fault| fault.to_string())?;
-    let address = |name: &str, value: &str| -> Result<SocketAddr, String> {
-        value.parse().map_err(|_| format!("{name}: \"{value}\" is no address with a port"))
-    };
     let seed = u64::from_str_radix(&text.seed, 16)
         .map_err(|_| format!("seed: \"{}\" is no hexadecimal number of 64 bits", text.seed))?;
     if text.limits.sockets < FEWEST_SOCKETS {
@@ -151,6 +204,9 @@
         site,
         origin: Origin { path: None, keys },
         charter: Chartered { routing, bound },
+        admin: text.admin_addr.as_deref().map(|text| address("admin_addr", text)).transpose()?,
+        passed: None,
+        folder: None,
     })
 }
 
--- a/relay/src/tests.rs
+++ b/relay/src/tests.rs
@@ -210,7 +210,7 @@
         starved: Default::default(),
     };
     let at = std::net::SocketAddr::from(([127, 60, 0, 1], 20_000 + (std::process::id() % 40_000) as u16));
-    let door = works.sockets.listen(at).unwrap();
+    let door = works.sockets.listen(Owner::Door, at).unwrap();
     let book = Book::new(Vec::new(), Default::default());
     let listeners = names(false).listeners.into_iter().map(|name| ListenerFacts {
         name,
@@ -226,6 +226,7 @@
     };
     let routing = Routing::plain(&of);
     let mut sessions = Sessions::new(door, names(false), routing, 1_000);
+    sessions.open_door();
     let mut clients: Vec<TcpStream> = (0..2).map(|_| TcpStream::connect(at).unwrap()).collect();
     while sessions.len() < 2 {
         sessions.accept(&book, &mut works);
--- a/relay/src/timers.rs
+++ b/relay/src/timers.rs
@@ -39,6 +39,12 @@
     Idle(u32),
     /// An inherited connection is tried again.
     Again(u32),
+    /// A caller at the operators' door is slow, or has its answer and stays.
+    Caller(u32),
+    /// What another process of this relay may have written is looked at.
+    Shelf,
+    /// A list of backends may be old enough to serve by.
+    Opening,
     Stop,
 }
 
--- a/relay/src/trace.rs
+++ b/relay/src/trace.rs
@@ -39,6 +39,7 @@
             let (held, load) = (report.connections.unwrap_or(-1.0), report.load.unwrap_or(-1.0));
             debug!("probed box={} verdict={verdict:?} held={held:.0} load={load:.3}", book.name(*at));
         }
+        News::Banned(at, out) => debug!("banned box={} out={out}", book.name(*at)),
         News::Load(..)
         | News::Delay(..)
         | News::Overdue(..)
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -102,6 +102,8 @@
     message_delay: Option<(Moment, Span)>,
     /// The last turn in which this relay used it cold, and how often.
     cold_turn: Option<(u64, u32)>,
+    /// When it was last taken out by hand and when it was put back.
+    returned: Option<(Moment, Moment)>,
     relieved: Moment,
 }
 
@@ -154,6 +156,8 @@
     until: Option<Moment>,
     clients: Keys,
     backends: BTreeMap<BackendId, Backend>,
+    /// Taken out by hand, since when: no list and no start puts them back.
+    banned: BTreeMap<BackendId, Moment>,
     errands: BTreeSet<(Moment, Errand)>,
     /// Probes that the sessions so far pay for and that are not yet sent.
     probes_due: f64,
@@ -205,9 +209,7 @@
         for row in rows {
             let backend = self.backends.entry(row.backend).or_insert_with(|| Backend::new(*row));
             if backend.listing.up_since != row.up_since {
-                // Another process under the same id: what was known of the last one misleads.
-                let groups = std::mem::take(&mut backend.groups);
-                *backend = Backend { open: backend.open, groups, ..Backend::new(*row) };
+                backend.renew(*row);
             }
             backend.listing = *row;
         }
@@ -226,6 +228,19 @@
         self.plan(now + wait, Errand::Subscribe, front);
     }
 
+    /// An operator takes a backend out, or puts it back. It was restarted meanwhile, whether or not the list
+    /// says so yet: nothing that was known of it holds, least of all that it failed.
+    pub fn ban(&mut self, now: Moment, id: BackendId, out: bool) {
+        if out {
+            self.banned.entry(id).or_insert(now);
+        } else if let Some(since) = self.banned.remove(&id)
+            && let Some(backend) = self.backends.get_mut(&id)
+        {
+            backend.renew(backend.listing);
+            backend.returned = Some((since, now));
+        }
+    }
+
     // ---- sessions ----
 
     pub fn arrived(&mut self, now: Moment, id: SessionId, arrival: Arrival, front: &mut dyn Front) {
@@ -411,7 +426,7 @@
         backend.message_delay = Some((now, delay));
         // Its last report may be seconds old, and relief waits for a fresh one.
         let stale = backend.heard.is_none_or(|(at, _)| now.since(at) >= REPORT_LAG);
-        let ready = backend.listing.standing == Standing::Ready;
+        let ready = backend.listing.standing == Standing::Ready && !self.banned.contains_key(&dial.backend);
         if may_probe && stale && ready && backend.late_for(shortest, now) {
             front.probe(dial.backend);
         }
@@ -771,7 +786,8 @@
 
     fn ready_ones(&self) -> impl Iterator<Item = (BackendId, &Backend)> {
         let all = self.backends.iter().map(|(&id, backend)| (id, backend));
-        all.filter(|(_, backend)| backend.listing.standing == Standing::Ready)
+        let ready = all.filter(|(_, backend)| backend.listing.standing == Standing::Ready);
+        ready.filter(|(id, _)| !self.banned.contains_key(id))
     }
 
     fn any_of<'a, T>(&mut self, list: &'a [T]) -> Option<&'a T> {
@@ -902,7 +918,7 @@
     /// see the same start of the same backend, so its age cuts time into turns without a word between them.
     fn cold_turn(&self, now: Moment, id: BackendId) -> Option<(u64, u32)> {
         let (backend, cold) = (&self.backends[&id], &self.deployment.cold);
-        let age = now.since(backend.listing.up_since?);
+        let age = now.since(backend.up_since()?);
         let turn = age.us() / cold.window.us().max(1);
         let used = backend.cold_turn.filter(|&(at, _)| at == turn).map_or(0, |(_, used)| used);
         (age < cold.warm_up).then_some((turn, used))
@@ -911,7 +927,7 @@
     /// If this relay may use a cold backend in the turn that runs.
     fn turn_is_open(&self, now: Moment, id: BackendId, (turn, used): (u64, u32), pool: Pool) -> bool {
         let (listing, cold) = (self.backends[&id].listing, &self.deployment.cold);
-        let age = listing.up_since.map_or(cold.warm_up, |at| now.since(at));
+        let age = self.backends[&id].up_since().map_or(cold.warm_up, |at| now.since(at));
         let share = cold.start_share + (1.0 - cold.start_share) * age.secs() / cold.warm_up.secs();
         // Any window overlaps two turns: half for either. Where groups share work, what they cost lowers the
         // estimate by about as much, and the rule does not count it. As many relays have the turn as the
@@ -953,6 +969,18 @@
         Backend { listing, weight_heard: 1.0, ..Backend::default() }
     }
 
+    /// Another process under the same id: what was known of the last one misleads.
+    fn renew(&mut self, listing: Listing) {
+        let groups = std::mem::take(&mut self.groups);
+        *self = Backend { open: self.open, groups, returned: self.returned, ..Backend::new(listing) };
+    }
+
+    /// When it started, as the list says; put back by hand, no sooner than it was taken out.
+    fn up_since(&self) -> Option<Moment> {
+        let listed = self.listing.up_since;
+        self.returned.filter(|&(out, _)| listed.is_none_or(|at| at < out)).map(|(_, back)| back).or(listed)
+    }
+
     fn report(&self, now: Moment) -> Option<Report> {
         // Where the list tells of loads it says more than a report that is no longer fresh.
         let age = if self.listing.weight == 1.0 { POOL_AGE } else { POOL_AGE_LISTED };
