--- a/relay/src/backends.rs
+++ b/relay/src/backends.rs
@@ -62,6 +62,12 @@
         Ok(Dial { number, serial, backend, sock, stage: Stage::Connecting, line, connect_by, give_up_at })
     }
 
+    /// One that another process of this relay made.
+    pub fn standing(backend: BackendId, sock: Sock, now: Moment) -> Dial {
+        let (stage, line) = (Stage::Standing, Words::default());
+        Dial { number: 0, serial: 0, backend, sock, stage, line, connect_by: now, give_up_at: now }
+    }
+
     pub fn failed(&self, cause: Cause) -> Fault {
         let reach = match self.stage {
             Stage::Connecting => Reach::Nothing,
--- a/relay/src/clients.rs
+++ b/relay/src/clients.rs
@@ -3,16 +3,19 @@
 use crate::buffers::Pool;
 use crate::counters::Counters;
 use crate::discovery::Book;
+use crate::estate::{Estate, Word};
 use crate::front::News;
 use crate::lines::{Flow, TooLong, Took, Words};
 use crate::protocol::{self, Cause, Fault, First, Names, Open, Reach, Said};
 use crate::sockets::{Door, Owner, Sock};
+use crate::succession::Line;
 use crate::timers::Alarm;
 use crate::works::Works;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{ErrorKind, Read};
+use std::os::fd::OwnedFd;
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use thistlecroft::front::{Ending, Report, Verdict};
+use thistlecroft::front::{Arrival, Ending, Report, Verdict};
 use thistlecroft::ids::{BackendId, RouteId, SessionId};
 use thistlecroft::units::{Moment, Span};
 use thistlecroft_charter::{FrontRow, Routing};
@@ -52,6 +55,14 @@
 /// The same where the list does not know the backend: it may be about to come, once.
 const UNKNOWN_WITHIN: Span = Span::from_ms(2_000);
 
+/// Connections on their way to the next process at once: each is held twice for that time.
+const OFFERS: usize = 16;
+/// Looked at in one turn, for one that may go.
+const OFFER_LOOKS: usize = 64;
+const OFFER_AGAIN: Span = Span::from_ms(10);
+/// Without an answer it is kept, and moved as if there were no next process.
+const OFFERED_WITHIN: Span = Span::from_ms(500);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     /// Its first line is awaited.
@@ -62,6 +73,8 @@
     Inheriting,
     /// Up: lines pass both ways.
     Standing,
+    /// Up, and offered to the next process: nobody reads until it has answered.
+    Handing,
     /// Our last words are on their way out.
     Leaving,
     /// All is said; only the client's end of the connection is awaited.
@@ -79,6 +92,8 @@
     stage: Stage,
     client: Sock,
     open: Option<Box<Open>>,
+    /// What the next process needs to know of it.
+    about: Option<Box<About>>,
     /// What its route says, and by which reading of the file.
     front: Option<FrontRow>,
     generation: Option<u32>,
@@ -113,6 +128,16 @@
     starved: bool,
 }
 
+/// What stays of an `Open` once it is up.
+struct About {
+    listener: String,
+    key: Option<u64>,
+    group: Option<u64>,
+    load: Option<f64>,
+    /// The decisions sent it away while it was offered.
+    sent_away: bool,
+}
+
 /// What a session needs to know of the whole.
 struct Terms {
     names: Names,
@@ -148,6 +173,9 @@
     behind_since: Option<Moment>,
     /// Accepting pauses until a descriptor is free.
     full: bool,
+    /// To be handed to the next process, and how many are on their way.
+    offers: VecDeque<u32>,
+    on_way: usize,
     terms: Terms,
 }
 
@@ -165,8 +193,8 @@
         let (claimed, idle) = (BTreeSet::new(), BTreeSet::new());
         let (generation, generations) = (1, BTreeMap::new());
         let terms = Terms { names, routing, generation, generations, most_sockets, claimed, idle };
-        let (map, entry) = (BTreeMap::new(), Entry::Shut);
-        Sessions { map, next: 0, door, entry, behind_since: None, full: false, terms }
+        let (map, entry, offers) = (BTreeMap::new(), Entry::Shut, VecDeque::new());
+        Sessions { map, next: 0, door, entry, behind_since: None, full: false, offers, on_way: 0, terms }
     }
 
     pub fn open_door(&mut self) {
@@ -406,6 +434,133 @@
         }
     }
 
+    // ---- to the next process, and from the one before ----
+
+    /// All that stands, and what will stand, is to go to the next process.
+    pub fn leave_to_heir(&mut self, works: &mut Works) {
+        self.offers = self.map.keys().copied().collect();
+        works.alarms.set(works.now, Alarm::Offering);
+    }
+
+    /// Offers as many as may be on their way.
+    ///
+    /// # Errors
+    /// The next process is gone.
+    pub fn offer(&mut self, heir: &Line, book: &Book, works: &mut Works) -> std::io::Result<()> {
+        for _ in 0..self.offers.len().min(OFFER_LOOKS) {
+            if self.on_way >= OFFERS {
+                break;
+            }
+            let Some(id) = self.offers.pop_front() else { break };
+            let Some(session) = self.map.get_mut(&id) else { continue };
+            match session.heritable() {
+                Some(true) if session.offer(heir, book)? => {
+                    self.on_way += 1;
+                    works.alarms.set(works.now + OFFERED_WITHIN, Alarm::Offered(id));
+                }
+                Some(_) => self.offers.push_back(id),
+                None => {}
+            }
+        }
+        if !self.offers.is_empty() {
+            works.alarms.set(works.now + OFFER_AGAIN, Alarm::Offering);
+        }
+        Ok(())
+    }
+
+    /// The next process holds it: this one lets go, without a word to either side.
+    pub fn handed(&mut self, id: u32, heir: &Line, works: &mut Works) -> std::io::Result<()> {
+        if self.map.get(&id).is_none_or(|session| session.stage != Stage::Handing) {
+            return Ok(());
+        }
+        if !heir.say(&Word::Yours { serial: id }, &[], &[])? {
+            return Err(std::io::Error::other("it does not read"));
+        }
+        self.on_way -= 1;
+        self.step(id, works, |session, _, works| {
+            works.counters.handed += 1;
+            session.tell_end(Verdict::Withdrawn, works);
+            Over
+        });
+        Ok(())
+    }
+
+    /// It stays after all; true where it had been on its way.
+    pub fn keep(&mut self, id: u32, works: &mut Works) -> bool {
+        let offered = self.map.get(&id).is_some_and(|session| session.stage == Stage::Handing);
+        if offered {
+            self.on_way -= 1;
+            self.step(id, works, |session, _, works| session.keep(works));
+        }
+        offered
+    }
+
+    /// There is no next process any more.
+    pub fn keep_all(&mut self, works: &mut Works) {
+        self.offers.clear();
+        let offered = self.map.iter().filter(|(_, session)| session.stage == Stage::Handing);
+        let offered: Vec<u32> = offered.map(|(&id, _)| id).collect();
+        for id in offered {
+            self.keep(id, works);
+        }
+    }
+
+    /// If two more descriptors fit in.
+    pub fn has_room(&self, works: &Works) -> bool {
+        works.sockets.open() + 2 <= self.terms.most_sockets
+    }
+
+    /// A connection that the process before has let go of: client and backend don't notice.
+    pub fn adopt(
+        &mut self,
+        of: &Estate,
+        [client, backend]: [OwnedFd; 2],
+        (up, down): (&[u8], &[u8]),
+        book: &mut Book,
+        works: &mut Works,
+    ) -> std::io::Result<()> {
+        let id = self.next;
+        let at = book.enter(&of.backend);
+        let client = works.sockets.adopt(Owner::Client(id), client.into())?;
+        let backend = works.sockets.adopt(Owner::Dial(id), backend.into())?;
+        let no_buffer = || std::io::Error::other("no buffer");
+        let up = Flow::holding(up, of.up.1, &mut works.pool).ok_or_else(no_buffer)?;
+        let down = Flow::holding(down, of.down.1, &mut works.pool).ok_or_else(no_buffer)?;
+        self.next = self.next.wrapping_add(1);
+        let mut session = Session::new(id, client, works.now, works);
+        // A listener that these settings don't have any more: all that its row is asked for is how to move it.
+        let listener = self.terms.names.listeners.iter().position(|name| *name == of.listener).unwrap_or(0);
+        let row = self.terms.routing.find(listener, of.key.unwrap_or_default(), of.group);
+        let front = self.terms.routing.front(row);
+        let arrival = Arrival {
+            route: RouteId(row as u16),
+            key: of.key,
+            group: of.group.filter(|_| self.terms.names.groups),
+            dial_timeout: Span::ZERO,
+        };
+        session.stage = Stage::Standing;
+        session.dial = Some(Dial::standing(at, backend, works.now));
+        (session.up, session.down, session.stood) = (up, down, true);
+        (session.front, session.generation) = (Some(front), Some(self.terms.enter()));
+        session.close_by = None;
+        session.heard = Moment::from_us(of.heard_us);
+        session.asked = of.asked_us.map(Moment::from_us);
+        session.told_delay = Span::from_us(of.told_delay_us);
+        session.claimed = self.terms.claimed.insert(of.id).then_some(of.id);
+        let (key, group, load) = (of.key, of.group, of.load);
+        session.about =
+            Some(Box::new(About { listener: of.listener.clone(), key, group, load, sent_away: false }));
+        session.watch(works);
+        self.map.insert(id, session);
+        works.counters.adopted += 1;
+        works.news.push_back(News::Inherited(SessionId(id), at, arrival));
+        if let Some(load) = load {
+            works.news.push_back(News::Load(SessionId(id), load));
+        }
+        self.step(id, works, |_, _, _| Goes);
+        Ok(())
+    }
+
     // ---- what the decisions ask for ----
 
     pub fn dial(
@@ -463,8 +618,13 @@
     }
 
     pub fn send_away(&mut self, id: SessionId, works: &mut Works) {
-        self.step(id.0, works, |session, _, works| {
-            if session.stage == Stage::Standing { session.send_away(works) } else { Goes }
+        self.step(id.0, works, |session, _, works| match (session.stage, &mut session.about) {
+            (Stage::Standing, _) => session.send_away(works),
+            (Stage::Handing, Some(about)) => {
+                about.sent_away = true;
+                Goes
+            }
+            _ => Goes,
         });
     }
 
@@ -503,6 +663,7 @@
             stage: Stage::Opening,
             client,
             open: None,
+            about: None,
             front: None,
             generation: None,
             dial: None,
@@ -538,6 +699,65 @@
         idle.then_some((self.stage != Stage::Parted, self.heard, self.id))
     }
 
+    /// If it may go to the next process now, or may later; none where it never will.
+    fn heritable(&self) -> Option<bool> {
+        match self.stage {
+            Stage::Opening | Stage::Placing | Stage::Inheriting => Some(false),
+            Stage::Standing => {
+                let ends = self.end_told || self.up.ended || self.down.ended || self.said.is_some();
+                (!ends && self.close_by.is_none()).then_some(!self.words.waits() && self.other.is_none())
+            }
+            Stage::Handing | Stage::Leaving | Stage::Parted => None,
+        }
+    }
+
+    /// True where the offer went out.
+    fn offer(&mut self, heir: &Line, book: &Book) -> std::io::Result<bool> {
+        let (Some(dial), Some(about), Some(id)) = (&self.dial, &self.about, self.claimed) else {
+            return Ok(false);
+        };
+        let ((up, up_whole), (down, down_whole)) = (self.up.held(), self.down.held());
+        let word = Word::Session(Estate {
+            serial: self.id,
+            id,
+            listener: about.listener.clone(),
+            key: about.key,
+            group: about.group,
+            backend: book.name(dial.backend).to_string(),
+            heard_us: self.heard.us(),
+            asked_us: self.asked.map(Moment::us),
+            told_delay_us: self.told_delay.us(),
+            load: about.load,
+            up: (up.len(), up_whole),
+            down: (down.len(), down_whole),
+        });
+        let descriptors = [self.client.descriptor(), dial.sock.descriptor()];
+        if !heir.say(&word, &[up, down], &descriptors)? {
+            return Ok(false);
+        }
+        self.stage = Stage::Handing;
+        self.settle();
+        Ok(true)
+    }
+
+    fn keep(&mut self, works: &mut Works) -> Fate {
+        self.stage = Stage::Standing;
+        if self.about.as_ref().is_some_and(|about| about.sent_away) {
+            return self.send_away(works);
+        }
+        self.watched = false;
+        self.watch(works);
+        Goes
+    }
+
+    /// A client's line without one back is looked after.
+    fn watch(&mut self, works: &mut Works) {
+        if !self.watched && self.asked.is_some() {
+            self.watched = true;
+            works.alarms.set(works.now + OVERDUE, Alarm::Overdue(self.id));
+        }
+    }
+
     fn session_id(&self) -> SessionId {
         SessionId(self.id)
     }
@@ -549,6 +769,10 @@
 
     /// What the poller is to wait for, from the stage and what waits.
     fn settle(&mut self) {
+        if self.stage == Stage::Handing {
+            self.client.want(false, false);
+            return self.dial.iter_mut().for_each(|dial| dial.sock.want(false, false));
+        }
         let passing = matches!(self.stage, Stage::Standing | Stage::Leaving);
         let to_client = passing && self.down.waits() || self.words.waits();
         self.client.want(self.up.has_room() && !self.starved, to_client);
@@ -620,8 +844,10 @@
     // ---- from the client ----
 
     fn client_event(&mut self, terms: &mut Terms, book: &Book, works: &mut Works) -> Fate {
-        if self.stage == Stage::Parted {
-            return self.drop_rest(works);
+        match self.stage {
+            Stage::Parted => return self.drop_rest(works),
+            Stage::Handing => return Goes,
+            _ => {}
         }
         if self.up.has_room() {
             match self.up.take(&mut self.client, &mut works.pool) {
@@ -654,6 +880,7 @@
                 self.bad_line("more than one line before the answer", works)
             }
             Stage::Standing => self.client_lines(works),
+            Stage::Handing => Goes,
             Stage::Leaving | Stage::Parted => {
                 self.up.clear(&mut works.pool);
                 Goes
@@ -693,6 +920,9 @@
                     }
                     let inherited = open.at.is_some();
                     let arrival = &mut open.arrival;
+                    let listener = terms.names.listeners[usize::from(arrival.route.0)].clone();
+                    let (key, group) = (arrival.key, open.group);
+                    self.about = Some(Box::new(About { listener, key, group, load: None, sent_away: false }));
                     let row = terms.routing.find(
                         usize::from(arrival.route.0),
                         arrival.key.unwrap_or_default(),
@@ -733,10 +963,7 @@
                     works.counters.lines_up += 1;
                     if self.asked.is_none() {
                         self.asked = Some(works.now);
-                        if !self.watched {
-                            self.watched = true;
-                            works.alarms.set(works.now + OVERDUE, Alarm::Overdue(self.id));
-                        }
+                        self.watch(works);
                     }
                 }
                 Ok(None) => return self.pass_up(works),
@@ -764,7 +991,7 @@
                 self.close_within(CLIENT_ENDED, works);
                 self.pass_up(works)
             }
-            Stage::Leaving => Goes,
+            Stage::Leaving | Stage::Handing => Goes,
         }
     }
 
@@ -812,7 +1039,7 @@
                 self.tell_end(if self.up.ended { Verdict::Ok } else { Verdict::Reset }, works);
                 Over
             }
-            Stage::Placing | Stage::Inheriting => Goes,
+            Stage::Placing | Stage::Inheriting | Stage::Handing => Goes,
             Stage::Opening | Stage::Leaving | Stage::Parted => Over,
         }
     }
@@ -1029,7 +1256,7 @@
     }
 
     fn dial_event(&mut self, terms: &Terms, works: &mut Works) -> Fate {
-        let Some(dial) = &mut self.dial else { return Goes };
+        let Some(dial) = self.dial.as_mut().filter(|_| self.stage != Stage::Handing) else { return Goes };
         if let Err(fault) = dial.advance() {
             return self.dial_ended(fault, works);
         }
@@ -1060,7 +1287,10 @@
                         self.told_delay = Span::from_ms(1) * ms;
                         works.news.push_back(News::Delay(self.session_id(), self.told_delay));
                     }
-                    Some(Said::Load(load)) => works.news.push_back(News::Load(self.session_id(), load)),
+                    Some(Said::Load(load)) => {
+                        self.about.iter_mut().for_each(|about| about.load = Some(load));
+                        works.news.push_back(News::Load(self.session_id(), load));
+                    }
                     Some(Said::Last(verdict, report)) => self.said = Some((verdict, report)),
                     Some(Said::Up | Said::Other) => {
                         if let Some(asked) = self.asked.take() {
--- a/relay/src/counters.rs
+++ b/relay/src/counters.rs
@@ -19,5 +19,5 @@
     connections, pings, sessions, inherited, bad_lines, clients_left, accepted, refused, torn_down, turned_away, shed,
     sent_away, idle, second_dials, ended_well, ended_broken, dials, dials_full, dials_error, dials_timeout, dials_unreachable,
     dials_reset, dials_withdrawn, dials_never_sent, probes, probes_failed, lines_up, lines_down, lists,
-    list_failures, accept_failures, starved, calls, calls_denied, panics,
+    list_failures, accept_failures, starved, handed, adopted, calls, calls_denied, panics,
 }
--- /dev/null
+++ b/relay/src/estate.rs
@@ -0,0 +1,202 @@
+//! What goes from a process of a relay to the next, as it is written on the way: one packet each, a line of JSON with a
+//! version, then raw bytes. No I/O.
+use serde::{Deserialize, Serialize};
+use thistlecroft::front::{Memory, Report, Sight};
+use thistlecroft::units::{Moment, Span};
+
+/// Of the words below; a process that speaks another moves its clients instead.
+pub const VERSION: u32 = 1;
+
+/// A standing connection; its two descriptors go beside it, the client's first.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Estate {
+    /// Of its offer, for the answer.
+    pub serial: u32,
+    pub id: u64,
+    pub listener: String,
+    pub key: Option<u64>,
+    pub group: Option<u64>,
+    pub backend: String,
+    /// When a line last passed, and the first client's line without one back, Unix time in microseconds.
+    pub heard_us: u64,
+    pub asked_us: Option<u64>,
+    pub told_delay_us: u64,
+    pub load: Option<f64>,
+    /// Bytes that wait on their way to the backend and to the client, and how many of them are whole lines.
+    pub up: (usize, usize),
+    pub down: (usize, usize),
+}
+
+/// What a relay knows of one backend, by the id that is the same in both processes. Times are Unix microseconds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SightText {
+    pub backend: String,
+    heard: Option<(u64, Option<f64>, Option<f64>)>,
+    weight_heard: f64,
+    strikes: u32,
+    ejections: u32,
+    ejected_until_us: u64,
+    cold_turn: Option<(u64, u32)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemoryText {
+    pub sights: Vec<SightText>,
+    set_up_us: u64,
+    stood: f64,
+    left_alone: f64,
+}
+
+impl MemoryText {
+    pub fn of<'a>(memory: &Memory, name: impl Fn(&Sight) -> &'a str) -> MemoryText {
+        let sight = |sight: &Sight| SightText {
+            backend: name(sight).to_string(),
+            heard: sight.heard.map(|(at, report)| (at.us(), report.connections, report.load)),
+            weight_heard: sight.weight_heard,
+            strikes: sight.strikes,
+            ejections: sight.ejections,
+            ejected_until_us: sight.ejected_until.us(),
+            cold_turn: sight.cold_turn,
+        };
+        MemoryText {
+            sights: memory.sights.iter().map(sight).collect(),
+            set_up_us: memory.set_up.us(),
+            stood: memory.stood,
+            left_alone: memory.left_alone,
+        }
+    }
+
+    pub fn memory(&self, mut id: impl FnMut(&str) -> thistlecroft::ids::BackendId) -> Memory {
+        let sights = self.sights.iter().map(|sight| Sight {
+            id: id(&sight.backend),
+            heard: sight
+                .heard
+                .map(|(at, connections, load)| (Moment::from_us(at), Report { connections, load })),
+            weight_heard: sight.weight_heard,
+            strikes: sight.strikes,
+            ejections: sight.ejections,
+            ejected_until: Moment::from_us(sight.ejected_until_us),
+            cold_turn: sight.cold_turn,
+        });
+        let set_up = Span::from_us(self.set_up_us);
+        Memory { sights: sights.collect(), set_up, stood: self.stood, left_alone: self.left_alone }
+    }
+}
+
+/// What either side says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    /// The new one's first.
+    Hello {
+        version: u32,
+        relay: String,
+    },
+    /// The old one's, at the beginning and when it leaves.
+    Memory(MemoryText),
+    /// It takes nothing new any more.
+    Leaving,
+    Session(Estate),
+    /// The new one holds it and does not touch it yet.
+    Took {
+        serial: u32,
+    },
+    Declined {
+        serial: u32,
+    },
+    /// The old one has let go of it. Without this word the new one lets go: no connection ever has two readers.
+    Yours {
+        serial: u32,
+    },
+}
+
+/// `bytes`: what a session has waiting, up then down.
+pub fn packet(word: &Word, bytes: &[&[u8]]) -> Vec<u8> {
+    let mut packet = serde_json::to_vec(word).expect("a word is text, numbers and names");
+    packet.push(b'\n');
+    bytes.iter().for_each(|bytes| packet.extend_from_slice(bytes));
+    packet
+}
+
+/// # Errors
+/// What is wrong with it.
+pub fn word(packet: &[u8]) -> Result<(Word, &[u8], &[u8]), String> {
+    let at = packet.iter().position(|&byte| byte == b'\n').ok_or("a packet without a line")?;
+    let word: Word = serde_json::from_slice(&packet[..at]).map_err(|fault| fault.to_string())?;
+    let rest = &packet[at + 1..];
+    let (up, down) = match &word {
+        Word::Session(estate) => (estate.up, estate.down),
+        _ => ((0, 0), (0, 0)),
+    };
+    if up.0.checked_add(down.0) != Some(rest.len()) || up.1 > up.0 || down.1 > down.0 {
+        return Err("bytes that don't add up".into());
+    }
+    let (up, down) = rest.split_at(up.0);
+    Ok((word, up, down))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn estate() -> Estate {
+        Estate {
+            serial: 7,
+            id: 0x9b1f_03aa_5c7e_2d41,
+            listener: "slot \"hold\"\n".into(),
+            key: Some(u64::MAX),
+            group: None,
+            backend: "s-5be2a07c".into(),
+            heard_us: 1_796_000_000_000_001,
+            asked_us: Some(3),
+            told_delay_us: 0,
+            load: Some(0.25),
+            up: (6, 4),
+            down: (0, 0),
+        }
+    }
+
+    #[test]
+    fn words_come_out_as_they_went_in() {
+        let heard = [None, Some((9, Some(3.0), None)), Some((8, None, Some(0.5)))];
+        let sights = heard.map(|heard| SightText {
+            backend: "b".into(),
+            heard,
+            weight_heard: 0.8,
+            strikes: 1,
+            ejections: 2,
+            ejected_until_us: 11,
+            cold_turn: Some((5, 1)),
+        });
+        let memory = MemoryText { sights: sights.to_vec(), set_up_us: 12, stood: 1.5, left_alone: 2.5 };
+        let back = memory.memory(|_| thistlecroft::ids::BackendId(4));
+        assert_eq!(MemoryText::of(&back, |_| "b"), memory);
+        let words = [
+            Word::Hello { version: VERSION, relay: "n3".into() },
+            Word::Memory(memory),
+            Word::Leaving,
+            Word::Took { serial: 1 },
+            Word::Declined { serial: 2 },
+            Word::Yours { serial: 3 },
+        ];
+        for one in words {
+            assert_eq!(word(&packet(&one, &[])), Ok((one, &b""[..], &b""[..])));
+        }
+        let session = Word::Session(estate());
+        let sent = packet(&session, &[b"a\r\nb\n\n", b""]);
+        assert_eq!(word(&sent), Ok((session, &b"a\r\nb\n\n"[..], &b""[..])));
+    }
+
+    #[test]
+    fn what_does_not_add_up_is_a_fault() {
+        let sound = packet(&Word::Session(estate()), &[b"a\r\nb\n\n", b""]);
+        for length in 0..sound.len() {
+            assert!(word(&sound[..length]).is_err(), "cut at {length}");
+        }
+        let huge = Estate { up: (usize::MAX, 0), down: (usize::MAX, 0), ..estate() };
+        let more = Estate { up: (6, 7), ..estate() };
+        for bad in [huge, more] {
+            assert!(word(&packet(&Word::Session(bad), &[b"a\r\nb\n\n"])).is_err());
+        }
+        assert!(word(b"\xff\n").is_err() && word(b"{\"Leaving\":1}\n").is_err());
+    }
+}
--- a/relay/src/front.rs
+++ b/relay/src/front.rs
@@ -4,7 +4,7 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use thistlecroft::balance::Relay;
 use thistlecroft::deployment::Route;
-use thistlecroft::front::{Arrival, Ending, Front, ListScope, Listing, Report, Verdict};
+use thistlecroft::front::{Arrival, Ending, Front, ListScope, Listing, Memory, Report, Verdict};
 use thistlecroft::ids::{BackendId, SessionId};
 use thistlecroft::units::{Moment, Span};
 
@@ -24,6 +24,9 @@
     Rerouted(Vec<Route>),
     /// Taken out by hand, or put back.
     Banned(BackendId, bool),
+    /// What the process before knows, which still serves; and that it takes nothing new any more.
+    Recalled(Memory),
+    Alone,
     Woken,
     Stopping,
 }
@@ -95,6 +98,8 @@
         News::Overdue(id, waited) => relay.overdue(now, id, waited, desk),
         News::Rerouted(rows) => relay.reroute(&rows),
         News::Banned(id, out) => relay.ban(now, id, out),
+        News::Recalled(memory) => relay.recall(&memory, true),
+        News::Alone => relay.alone(),
         News::Woken => relay.woken(now, desk),
         News::Stopping => relay.stopping(now, desk),
     }));
--- a/relay/src/lines.rs
+++ b/relay/src/lines.rs
@@ -67,6 +67,22 @@
         took
     }
 
+    /// Bytes that wait, and how many of them are lines seen.
+    pub fn held(&self) -> (&[u8], usize) {
+        let bytes = self.buffer.as_ref().map_or(&[][..], |buffer| &buffer[self.start..self.end]);
+        (bytes, self.whole - self.start)
+    }
+
+    /// With what waited in another process; none where the pool has no buffer.
+    pub fn holding(bytes: &[u8], whole: usize, pool: &mut Pool) -> Option<Flow> {
+        if bytes.is_empty() {
+            return Some(Flow::default());
+        }
+        let mut buffer = pool.take()?;
+        buffer.get_mut(..bytes.len())?.copy_from_slice(bytes);
+        Some(Flow { buffer: Some(buffer), start: 0, whole, end: bytes.len(), ended: false })
+    }
+
     /// The next whole line, without its ending.
     pub fn next_line(&mut self) -> std::result::Result<Option<&[u8]>, TooLong> {
         let Some(buffer) = self.buffer.as_ref() else { return Ok(None) };
--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -7,22 +7,26 @@
 use crate::clients::Sessions;
 use crate::counters::Counters;
 use crate::discovery::{Book, Listed, Watch};
+use crate::estate::{Estate, MemoryText, VERSION, Word};
 use crate::front::{Desk, News, Order, hand_in};
 use crate::hand::Hand;
 use crate::protocol::Names;
 use crate::shelf::Shelf;
 use crate::sockets::{Owner, Sockets, key_of, owner_of};
 use crate::start::{Bound, Origin, Posting, read_file};
+use crate::succession::{self, Heard, Line, Post};
 use crate::timers::{Alarm, Alarms, Clock};
 use crate::trace;
 use crate::works::Works;
 use polling::{Event, Events, PollMode, Poller};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, Read};
 use std::num::NonZeroUsize;
+use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use thistlecroft::balance::Relay;
@@ -46,6 +50,28 @@
 const LIST_KNOWN: Span = Span::from_ms(1_500);
 const LIST_LACKING: Span = Span::from_ms(5_000);
 
+/// The processes of this relay before and after this one.
+#[derive(Default)]
+struct Succession {
+    relay: String,
+    post: Option<Post>,
+    /// It may end before it has left, and then is none.
+    elder: Option<Line>,
+    heir: Option<Line>,
+    /// Connections that the elder offered and has not let go of.
+    offered: BTreeMap<u32, Offered>,
+}
+
+struct Offered {
+    estate: Estate,
+    up: Vec<u8>,
+    down: Vec<u8>,
+    sockets: [OwnedFd; 2],
+}
+
+/// Packets of one channel in one turn.
+const PACKETS: usize = 32;
+
 pub struct Service {
     clock: Clock,
     poller: Rc<Poller>,
@@ -54,6 +80,7 @@
     probes: Probes,
     watch: Watch,
     hand: Hand,
+    succession: Succession,
     relay: Relay,
     started: Moment,
     /// The platform holds the clients' socket: another process may serve beside this one.
@@ -109,6 +136,10 @@
                 Err(fault) => log::warn!("the list known at start: {fault}"),
             }
         }
+        let succession = match posting.folder.as_deref().filter(|_| passed) {
+            Some(folder) => Succession::begin(folder, &posting.name, &mut works.sockets),
+            None => Succession::default(),
+        };
         let shelf = posting.folder.filter(|_| passed || callers.is_some());
         let shelf = shelf.map(|folder| Shelf::new(&folder, &posting.name));
         let hand = Hand::new(callers, shelf, &mut watch.book, &mut works);
@@ -131,6 +162,7 @@
             probes: Probes::new(connect_timeout, site.idle),
             watch,
             hand,
+            succession,
             relay,
             started: now,
             passed,
@@ -156,7 +188,8 @@
             Listed::Known => since >= LIST_KNOWN,
             Listed::Nothing => since >= LIST_LACKING,
         };
-        if self.stopping.is_none() && !self.sessions.takes_clients() && (can || !self.passed) {
+        let beside = self.succession.elder.is_some();
+        if self.stopping.is_none() && !self.sessions.takes_clients() && (can || !beside) {
             self.sessions.open_door();
             if self.passed {
                 log::info!("takes clients");
@@ -226,6 +259,20 @@
                 self.open_door();
             }
             Some(Owner::Admin) => self.hand.callers.iter_mut().for_each(|callers| callers.accept(works)),
+            Some(Owner::Post) => {
+                let heir = self.succession.post.as_mut().and_then(|post| post.accept(&mut works.sockets));
+                if heir.is_some() {
+                    self.lose_heir("another one has come");
+                    self.succession.heir = heir;
+                }
+            }
+            Some(Owner::Heir) if self.succession.heir.as_ref().is_some_and(|heir| heir.is(key)) => {
+                self.hear_heir();
+            }
+            Some(Owner::Elder) if self.succession.elder.as_ref().is_some_and(|elder| elder.is(key)) => {
+                self.hear_elder();
+            }
+            Some(Owner::Heir | Owner::Elder) => {}
             Some(Owner::Caller(id)) => {
                 self.hand.callers.iter_mut().for_each(|callers| callers.event(id, key, works));
             }
@@ -251,6 +298,12 @@
             Alarm::Caller(id) => self.hand.callers.iter_mut().for_each(|callers| callers.alarm(id, works)),
             Alarm::Shelf => self.hand.look(&mut self.watch.book, works),
             Alarm::Opening => self.open_door(),
+            Alarm::Offering => self.offer(),
+            Alarm::Offered(id) => {
+                if self.sessions.keep(id, works) {
+                    self.lose_heir("it does not answer");
+                }
+            }
             Alarm::Stop => {}
         }
     }
@@ -271,6 +324,7 @@
             self.works.news.push_back(News::Stopping);
             if self.passed {
                 self.sessions.shut_door();
+                self.leave();
             }
             self.works.alarms.set(self.works.now + ACCEPT_ON, Alarm::Stop);
             self.works.alarms.set(self.works.now + (self.stop_within - STOP_MARGIN), Alarm::Stop);
@@ -280,6 +334,119 @@
         }
     }
 
+    // ---- the processes before and after this one ----
+
+    /// What is known and what stands goes to the next process, if there is one.
+    fn leave(&mut self) {
+        let Some(heir) = &self.succession.heir else { return };
+        let said = heir.say(&memory(&self.relay, &self.watch.book), &[], &[]);
+        match said.and_then(|_| heir.say(&Word::Leaving, &[], &[])) {
+            Ok(true) => self.sessions.leave_to_heir(&mut self.works),
+            Ok(false) => self.lose_heir("it does not read"),
+            Err(fault) => self.lose_heir(&fault.to_string()),
+        }
+    }
+
+    fn offer(&mut self) {
+        let Some(heir) = &self.succession.heir else { return };
+        if let Err(fault) = self.sessions.offer(heir, &self.watch.book, &mut self.works) {
+            self.lose_heir(&fault.to_string());
+        }
+    }
+
+    fn lose_heir(&mut self, why: &str) {
+        if self.succession.heir.take().is_some() {
+            log::info!("the next process: {why}");
+            self.sessions.keep_all(&mut self.works);
+        }
+    }
+
+    fn hear_heir(&mut self) {
+        for _ in 0..PACKETS {
+            let Some(heir) = &self.succession.heir else { return };
+            let word = match heir.hear() {
+                Heard::Nothing => break,
+                Heard::Gone(why) => return self.lose_heir(&why),
+                Heard::Word(word, ..) => *word,
+            };
+            let done = match word {
+                Word::Hello { version: VERSION, relay } if relay == self.succession.relay => {
+                    if self.stopping.is_some() {
+                        return self.leave();
+                    }
+                    heir.say(&memory(&self.relay, &self.watch.book), &[], &[]).map(drop)
+                }
+                Word::Took { serial } => self.sessions.handed(serial, heir, &mut self.works),
+                Word::Declined { serial } => {
+                    self.sessions.keep(serial, &mut self.works);
+                    Ok(())
+                }
+                word => Err(io::Error::other(format!("unexpected: {word:?}"))),
+            };
+            if let Err(fault) = done {
+                return self.lose_heir(&fault.to_string());
+            }
+        }
+        self.offer();
+    }
+
+    fn hear_elder(&mut self) {
+        for _ in 0..PACKETS {
+            let Some(elder) = &self.succession.elder else { return };
+            let (book, works) = (&mut self.watch.book, &mut self.works);
+            let (word, up, down, sockets) = match elder.hear() {
+                Heard::Nothing => return,
+                Heard::Gone(why) => {
+                    log::info!("the process before: {why}");
+                    self.succession.elder = None;
+                    // What it did not let go of is its own, or lost with it.
+                    self.succession.offered.clear();
+                    works.news.push_back(News::Alone);
+                    return self.open_door();
+                }
+                Heard::Word(word, up, down, sockets) => (*word, up, down, sockets),
+            };
+            match word {
+                Word::Memory(text) => {
+                    works.news.push_back(News::Recalled(text.memory(|name| book.enter(name))));
+                }
+                Word::Leaving => {
+                    works.news.push_back(News::Alone);
+                    // Nobody else takes clients now.
+                    self.sessions.open_door();
+                }
+                Word::Session(estate) => {
+                    let serial = estate.serial;
+                    let offered = <[OwnedFd; 2]>::try_from(sockets).ok();
+                    let takes = self.stopping.is_none() && self.sessions.has_room(works);
+                    let word = match offered.filter(|_| takes) {
+                        Some(sockets) => {
+                            let offered = Offered { estate, up, down, sockets };
+                            self.succession.offered.insert(serial, offered);
+                            Word::Took { serial }
+                        }
+                        None => Word::Declined { serial },
+                    };
+                    // Where it can't be said the elder keeps it, and its end is heard next.
+                    if !matches!(elder.say(&word, &[], &[]), Ok(true)) {
+                        self.succession.offered.remove(&serial);
+                    }
+                }
+                Word::Yours { serial } => {
+                    if let Some(one) = self.succession.offered.remove(&serial) {
+                        let waiting = (&one.up[..], &one.down[..]);
+                        if let Err(fault) =
+                            self.sessions.adopt(&one.estate, one.sockets, waiting, book, works)
+                        {
+                            log::warn!("a connection of the process before is lost: {fault}");
+                        }
+                    }
+                }
+                word => log::warn!("the process before: unexpected {word:?}"),
+            }
+        }
+    }
+
     /// Discovery's address can change while the process runs, and all that the charter says; a bad file changes
     /// nothing of what it is about.
     fn reread(&mut self) {
@@ -352,6 +519,24 @@
     }
 }
 
+impl Succession {
+    fn begin(folder: &Path, relay: &str, sockets: &mut Sockets) -> Succession {
+        // Found before this one takes its place.
+        let elder = succession::elder(folder, sockets);
+        let hello = Word::Hello { version: VERSION, relay: relay.to_string() };
+        let elder = elder.filter(|elder| matches!(elder.say(&hello, &[], &[]), Ok(true)));
+        let post = Post::open(folder, sockets);
+        if let Err(fault) = &post {
+            log::warn!("the next process will not be handed anything: {fault}");
+        }
+        Succession { relay: relay.to_string(), post: post.ok(), elder, ..Succession::default() }
+    }
+}
+
+fn memory(relay: &Relay, book: &Book) -> Word {
+    Word::Memory(MemoryText::of(&relay.memory(), |sight| book.name(sight.id)))
+}
+
 /// The end of a pipe that turns readable when one of these signals comes.
 fn signal_pipe(signals: &[i32]) -> io::Result<UnixStream> {
     let (ours, theirs) = UnixStream::pair()?;
--- a/relay/src/sockets.rs
+++ b/relay/src/sockets.rs
@@ -4,7 +4,7 @@
 use std::cell::Cell;
 use std::io::{Read, Result, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::os::fd::{AsRawFd, BorrowedFd, RawFd};
+use std::os::fd::{AsFd, AsRawFd, BorrowedFd, RawFd};
 use std::rc::Rc;
 
 /// Deeper than any rush between two turns; the system cuts it to its own limit.
@@ -22,6 +22,10 @@
     /// The operators' door, and a caller there.
     Admin,
     Caller(u32),
+    /// Where the next process of this relay finds this one; the channel to it, and to the one before.
+    Post,
+    Heir,
+    Elder,
 }
 
 pub struct Sockets {
@@ -31,7 +35,7 @@
 }
 
 /// What is registered with the poller.
-struct Watched {
+pub struct Watched {
     poller: Rc<Poller>,
     open: Rc<Cell<usize>>,
     fd: RawFd,
@@ -60,6 +64,9 @@
         5 => Owner::Probe(id),
         6 => Owner::Admin,
         7 => Owner::Caller(id),
+        8 => Owner::Post,
+        9 => Owner::Heir,
+        10 => Owner::Elder,
         _ => return None,
     })
 }
@@ -74,6 +81,9 @@
         Owner::Probe(id) => (5, id),
         Owner::Admin => (6, 0),
         Owner::Caller(id) => (7, id),
+        Owner::Post => (8, 0),
+        Owner::Heir => (9, 0),
+        Owner::Elder => (10, 0),
     };
     kind << 60 | (serial as usize & 0x0fff_ffff) << 32 | id as usize
 }
@@ -87,7 +97,7 @@
         self.open.get()
     }
 
-    fn watched(&mut self, owner: Owner, fd: RawFd) -> Watched {
+    pub fn watched(&mut self, owner: Owner, fd: RawFd) -> Watched {
         self.serial = self.serial.wrapping_add(1);
         self.open.set(self.open.get() + 1);
         let key = key_of(owner, self.serial);
@@ -131,7 +141,11 @@
 const IN_PROGRESS: i32 = 115;
 
 impl Watched {
-    fn want(&mut self, reading: bool, writing: bool) {
+    pub fn is(&self, key: usize) -> bool {
+        self.key == key
+    }
+
+    pub fn want(&mut self, reading: bool, writing: bool) {
         let wants = (reading || writing).then_some((reading, writing));
         if wants == self.wants {
             return;
@@ -162,7 +176,12 @@
 
 impl Sock {
     pub fn is(&self, key: usize) -> bool {
-        self.watched.key == key
+        self.watched.is(key)
+    }
+
+    /// For handing it to another process, which then holds the same connection.
+    pub fn descriptor(&self) -> BorrowedFd<'_> {
+        self.stream.as_fd()
     }
 
     pub fn want(&mut self, reading: bool, writing: bool) {
--- /dev/null
+++ b/relay/src/succession.rs
@@ -0,0 +1,136 @@
+//! The channel between the process that ends and the one that goes on: packets over a Unix socket in the folder that both
+//! share, descriptors beside them. What is said is in `estate.rs`, what is done about it in `service.rs`.
+use crate::estate::{self, Word};
+use crate::sockets::{Owner, Sockets, Watched};
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags,
+};
+use socket2::{Domain, SockAddr, Socket, Type};
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::os::fd::{AsFd, AsRawFd, BorrowedFd, OwnedFd};
+use std::path::{Path, PathBuf};
+
+const NAME: &str = "thistlecroft-next";
+/// Two flows of a session and its line, with room to spare.
+const PACKET: usize = 64 * 1024;
+
+/// Where the next process finds this one.
+pub struct Post {
+    _watched: Watched,
+    socket: Socket,
+}
+
+/// One end of the channel.
+pub struct Line {
+    watched: Watched,
+    socket: Socket,
+}
+
+pub enum Heard {
+    Word(Box<Word>, Vec<u8>, Vec<u8>, Vec<OwnedFd>),
+    Nothing,
+    /// The other process has ended, or spoke what can't be read.
+    Gone(String),
+}
+
+fn socket() -> io::Result<Socket> {
+    let socket = Socket::new(Domain::UNIX, Type::SEQPACKET, None)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket)
+}
+
+/// The process that serves from this folder, if one does.
+pub fn elder(folder: &Path, sockets: &mut Sockets) -> Option<Line> {
+    let socket = socket().ok()?;
+    socket.connect(&SockAddr::unix(folder.join(NAME)).ok()?).ok()?;
+    Some(Line::new(socket, Owner::Elder, sockets))
+}
+
+impl Post {
+    /// From now on the next process finds this one and no longer the one before.
+    ///
+    /// # Errors
+    /// The folder's name is too long for a socket, say.
+    pub fn open(folder: &Path, sockets: &mut Sockets) -> io::Result<Post> {
+        let fresh: PathBuf = folder.join(format!("{NAME}-{}", std::process::id()));
+        // Of a process of the same number, long ago.
+        let _ = std::fs::remove_file(&fresh);
+        let socket = self::socket()?;
+        socket.bind(&SockAddr::unix(&fresh)?)?;
+        socket.listen(4)?;
+        std::fs::rename(&fresh, folder.join(NAME))?;
+        let mut watched = sockets.watched(Owner::Post, socket.as_raw_fd());
+        watched.want(true, false);
+        Ok(Post { _watched: watched, socket })
+    }
+
+    pub fn accept(&mut self, sockets: &mut Sockets) -> Option<Line> {
+        let (socket, _) = self.socket.accept().ok()?;
+        socket.set_nonblocking(true).ok()?;
+        Some(Line::new(socket, Owner::Heir, sockets))
+    }
+}
+
+impl Line {
+    fn new(socket: Socket, owner: Owner, sockets: &mut Sockets) -> Line {
+        let mut watched = sockets.watched(owner, socket.as_raw_fd());
+        watched.want(true, false);
+        Line { watched, socket }
+    }
+
+    pub fn is(&self, key: usize) -> bool {
+        self.watched.is(key)
+    }
+
+    /// True where it went out whole; false where there is no room for it at present.
+    ///
+    /// # Errors
+    /// The other process is gone.
+    pub fn say(&self, word: &Word, bytes: &[&[u8]], descriptors: &[BorrowedFd]) -> io::Result<bool> {
+        let packet = estate::packet(word, bytes);
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+        let mut beside = SendAncillaryBuffer::new(&mut space);
+        if !descriptors.is_empty() && !beside.push(SendAncillaryMessage::ScmRights(descriptors)) {
+            return Err(io::Error::other("too many descriptors"));
+        }
+        match rustix::net::sendmsg(&self.socket, &[IoSlice::new(&packet)], &mut beside, SendFlags::NOSIGNAL) {
+            Ok(_) => Ok(true),
+            Err(rustix::io::Errno::AGAIN | rustix::io::Errno::INTR) => Ok(false),
+            Err(fault) => Err(fault.into()),
+        }
+    }
+
+    pub fn hear(&self) -> Heard {
+        let mut bytes = vec![0; PACKET];
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+        let mut beside = RecvAncillaryBuffer::new(&mut space);
+        let got = rustix::net::recvmsg(
+            self.socket.as_fd(),
+            &mut [IoSliceMut::new(&mut bytes)],
+            &mut beside,
+            RecvFlags::CMSG_CLOEXEC | RecvFlags::DONTWAIT,
+        );
+        let length = match got {
+            Ok(message) if message.bytes == 0 => return Heard::Gone("it has ended".into()),
+            Ok(message) => message.bytes,
+            Err(fault) => {
+                return match io::Error::from(fault).kind() {
+                    ErrorKind::WouldBlock | ErrorKind::Interrupted => Heard::Nothing,
+                    _ => Heard::Gone(fault.to_string()),
+                };
+            }
+        };
+        let mut descriptors = Vec::new();
+        for message in beside.drain() {
+            if let RecvAncillaryMessage::ScmRights(received) = message {
+                descriptors.extend(received);
+            }
+        }
+        match estate::word(&bytes[..length]) {
+            Ok((word, up, down)) => Heard::Word(Box::new(word), up.to_vec(), down.to_vec(), descriptors),
+            Err(why) => Heard::Gone(why),
+        }
+    }
+}
--- a/relay/src/timers.rs
+++ b/relay/src/timers.rs
@@ -45,6 +45,9 @@
     Shelf,
     /// A list of backends may be old enough to serve by.
     Opening,
+    /// More standing connections may go to the next process; one offered has had no word.
+    Offering,
+    Offered(u32),
     Stop,
 }
 
--- a/relay/src/trace.rs
+++ b/relay/src/trace.rs
@@ -44,6 +44,8 @@
         | News::Delay(..)
         | News::Overdue(..)
         | News::Rerouted(_)
+        | News::Recalled(_)
+        | News::Alone
         | News::Woken
         | News::Stopping => {}
     }
--- a/relay/tests/operators.rs
+++ b/relay/tests/operators.rs
@@ -240,6 +240,68 @@
     third.says_no("DISABLE nobody");
 }
 
+#[test]
+fn standing_connections_go_to_the_next_process_unnoticed() {
+    let (address, met) = backend(Play::Echo);
+    let station = Station::with("handed", &[address]);
+    let mut process = station.started();
+    let mut clients: Vec<_> = (0..40).map(|_| process.relay.open("safe", 1_000)).collect();
+    clients.iter_mut().for_each(|client| assert_eq!(client.hears(), "UP receipt"));
+    // Half a line waits on its way when the process changes.
+    clients[0].say("begun ");
+    for round in 0..3 {
+        let next = station.started();
+        process.relay.signal("TERM");
+        assert!(end_of(&mut process.relay.child).success());
+        assert!(process.relay.logged("stopped;").contains("handed=40 "));
+        process = next;
+        for (number, client) in clients.iter_mut().enumerate().skip(1) {
+            client.say(&format!("line {number} of {round}\r\n"));
+            assert_eq!(client.hears(), format!("line {number} of {round}"));
+        }
+    }
+    clients[0].say("and ended\r\n");
+    assert_eq!(clients[0].hears(), "begun and ended");
+    // One dial each, and none was moved.
+    assert_eq!(met.try_iter().filter(|line| line.starts_with("OPEN")).count(), 40);
+    clients[1].ends_sending();
+    assert_eq!((clients[1].hears().as_str(), clients[1].hears().as_str()), ("BYE inflight=1", "end"));
+}
+
+#[test]
+fn without_a_next_process_that_takes_them_clients_are_moved() {
+    let (address, _met) = backend(Play::Echo);
+    for name in ["nobody", "foreign", "mute", "killed"] {
+        let station = Station::with(&format!("moved-{name}"), &[address]);
+        let process = station.started();
+        let mut client = process.relay.open("safe", 1_000);
+        assert_eq!(client.hears(), "UP receipt");
+        let place = station.folder.join("thistlecroft-next");
+        let packets = || {
+            use socket2::{Domain, SockAddr, Socket, Type};
+            let socket = Socket::new(Domain::UNIX, Type::SEQPACKET, None).unwrap();
+            socket.connect(&SockAddr::unix(&place).unwrap()).unwrap();
+            socket
+        };
+        let hello = |relay: &str| format!("{{\"Hello\":{{\"version\":1,\"relay\":\"{relay}\"}}}}\n");
+        // Each ends or keeps silent at another point of the way.
+        let mut beside = None;
+        match name {
+            "foreign" => drop(packets().send(hello("another").as_bytes()).unwrap()),
+            "mute" => {
+                let socket = packets();
+                socket.send(hello("r0").as_bytes()).unwrap();
+                beside = Some(socket);
+            }
+            "killed" => drop(station.started()),
+            _ => {}
+        }
+        process.relay.signal("TERM");
+        assert_eq!((client.hears().as_str(), client.hears().as_str()), ("MOVE", "end"), "{name}");
+        drop(beside);
+    }
+}
+
 #[test]
 fn a_socket_that_does_not_listen_is_one_clear_line() {
     let station = Station::with("bad-socket", &[]);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -5,6 +5,7 @@
 //! state by lifetime, events, dialling, picking.
 use crate::deployment::{Deployment, Effect, Route, Scope};
 use crate::front::{Arrival, Ending, Front, ListScope, Listing, Report, Standing, Verdict};
+use crate::front::{Memory, Sight};
 use crate::ids::{BackendId, SessionId};
 use crate::keys::{Client, Keys};
 use crate::lanes::Lanes;
@@ -156,6 +157,8 @@
     until: Option<Moment>,
     clients: Keys,
     backends: BTreeMap<BackendId, Backend>,
+    /// The process before still serves.
+    beside: bool,
     /// Taken out by hand, since when: no list and no start puts them back.
     banned: BTreeMap<BackendId, Moment>,
     errands: BTreeSet<(Moment, Errand)>,
@@ -241,6 +244,38 @@
         }
     }
 
+    /// What the next process of this relay is to know.
+    pub fn memory(&self) -> Memory {
+        let of = |(&id, at): (&BackendId, &Backend)| {
+            let Backend { heard, weight_heard, strikes, ejections, ejected_until, cold_turn, .. } = *at;
+            Sight { id, heard, weight_heard, strikes, ejections, ejected_until, cold_turn }
+        };
+        let sights = self.backends.iter().map(of).collect();
+        Memory { sights, set_up: self.set_up, stood: self.stood, left_alone: self.left_alone }
+    }
+
+    /// What the process before knew. `beside`: it still serves, and turns at cold backends are its own: to the
+    /// rules both are one relay.
+    pub fn recall(&mut self, memory: &Memory, beside: bool) {
+        self.beside = beside;
+        (self.set_up, self.stood, self.left_alone) = (memory.set_up, memory.stood, memory.left_alone);
+        for sight in &memory.sights {
+            let Some(backend) = self.backends.get_mut(&sight.id) else { continue };
+            if backend.heard.map(|(at, _)| at) < sight.heard.map(|(at, _)| at) {
+                (backend.heard, backend.weight_heard) = (sight.heard, sight.weight_heard);
+            }
+            backend.strikes = backend.strikes.max(sight.strikes);
+            backend.ejections = backend.ejections.max(sight.ejections);
+            backend.ejected_until = backend.ejected_until.max(sight.ejected_until);
+            backend.cold_turn = backend.cold_turn.max(sight.cold_turn);
+        }
+    }
+
+    /// The process before has gone.
+    pub fn alone(&mut self) {
+        self.beside = false;
+    }
+
     // ---- sessions ----
 
     pub fn arrived(&mut self, now: Moment, id: SessionId, arrival: Arrival, front: &mut dyn Front) {
@@ -940,7 +975,7 @@
         let (slots, each) = (((budget * spread) as u64).clamp(1, relays), (budget / relays as f64).max(1.0));
         let place =
             (u64::from(self.deployment.me) + relays - (turn * slots + listing.mark) % relays) % relays;
-        place < slots && f64::from(used) < each.floor()
+        place < slots && f64::from(used) < each.floor() && !self.beside
     }
 
     /// New connections a second that would fill a warm backend of middling size: as many as it holds when
--- a/src/front.rs
+++ b/src/front.rs
@@ -76,7 +76,7 @@
 }
 
 /// What a backend says of itself, as far as it says anything.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
     pub connections: Option<f64>,
     /// Load asked over what it can do.
@@ -92,3 +92,25 @@
     pub over: bool,
     pub report: Report,
 }
+
+/// What a relay knows of one backend.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sight {
+    pub id: BackendId,
+    pub heard: Option<(Moment, Report)>,
+    pub weight_heard: f64,
+    pub strikes: u32,
+    pub ejections: u32,
+    pub ejected_until: Moment,
+    pub cold_turn: Option<(u64, u32)>,
+}
+
+/// What one process of a relay hands to the next.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Memory {
+    pub sights: Vec<Sight>,
+    pub set_up: Span,
+    /// Seconds that connections stood, and how many left by themselves, of late.
+    pub stood: f64,
+    pub left_alone: f64,
+}
