--- a/adapter/src/tests.rs
+++ b/adapter/src/tests.rs
@@ -21,11 +21,12 @@
     digits.chunks(2).map(|pair| u8::from_str_radix(&pair.iter().collect::<String>(), 16).unwrap()).collect()
 }
 
-const LISTENERS: &str = r#"[{"handshakeTargetUs": 300000, "effect": "retryable", "utility": 1.0}]"#;
+const LISTENERS: &str =
+    r#"[{"deadlineUs": 1200000, "handshakeTargetUs": 300000, "effect": "retryable", "utility": 1.0}]"#;
 
 const SETTINGS: &str = r#"{"az": 0, "zones": ["a"], "balancers": 1, "me": 0, "tickUs": 2000, "unheardOf": [1],
  "discovery": "automatic",
- "listeners": [{"handshakeTargetUs": 300000, "effect": "retryable", "utility": 1.0}],
+ "listeners": [{"deadlineUs": 1200000, "handshakeTargetUs": 300000, "effect": "retryable", "utility": 1.0}],
  "invariants": {"askWithinUs": 1, "coldUs": 9000000, "fallUs": 3000000, "overloadFactor": 3.0,
   "startCapacity": 0.3},
  "permissions": {"dialTimeoutUs": 50000, "maxDials": 3, "maxRetryAfterUs": 2000000, "mayCancel": true,
--- a/charter/src/routing.rs
+++ b/charter/src/routing.rs
@@ -68,14 +68,14 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 struct Tried {
     key_prefix: Option<(u64, u32)>,
     groups: Vec<u64>,
     row: usize,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Routing {
     rows: Vec<Route>,
     fronts: Vec<FrontRow>,
@@ -240,6 +240,7 @@
     }
     let figure = |value: f64| value.to_string();
     let count = |value: u32| value.to_string();
+    tell("effect", effect_name(base.effect).to_string(), Origin::Settings);
     let handshake_target = stated!(handshake_target, base.handshake_target, Origin::Settings, say);
     let dial_timeout = stated!(dial_timeout, none, say);
     let connect_time = stated!(connect_time, base.connect_timeout, Origin::Settings, say);
--- a/facts/src/lib.rs
+++ b/facts/src/lib.rs
@@ -26,6 +26,7 @@
 }
 
 /// What the text tells, in the order that its indices and names have there.
+#[derive(Clone)]
 pub struct Site {
     pub deployment: Deployment,
     pub places: ReportPlaces,
@@ -46,6 +47,43 @@
     }
 }
 
+impl Site {
+    /// What holds while `later` takes the place of this one: the listeners of both, and for one that both have the
+    /// stricter of either, since the rules of the one bind until those of the other do.
+    pub fn until(&self, later: &Site) -> Site {
+        let mut both = later.clone();
+        let row = |site: &Site, place: usize| (site.deployment.routes[place], site.waits[place]);
+        for (place, name) in self.listeners.iter().enumerate() {
+            let (before, wait) = row(self, place);
+            match both.listeners.iter().position(|one| one == name) {
+                Some(at) => {
+                    let after = &mut both.deployment.routes[at];
+                    after.max_dials = after.max_dials.min(before.max_dials);
+                    after.effect = stricter(before.effect, after.effect);
+                }
+                None => {
+                    both.listeners.push(name.clone());
+                    both.deployment.routes.push(before);
+                    both.waits.push(wait);
+                }
+            }
+        }
+        both.deployment.two_dials &= self.deployment.two_dials;
+        both
+    }
+}
+
+/// What either allows.
+fn stricter(one: Effect, other: Effect) -> Effect {
+    match (one, other) {
+        (Effect::Repeatable, effect) | (effect, Effect::Repeatable) => effect,
+        (Effect::OnceOnly, _) | (_, Effect::OnceOnly) => Effect::OnceOnly,
+        (Effect::Referenced { scope, window }, Effect::Referenced { scope: other, window: least }) => {
+            Effect::Referenced { scope: scope.max(other), window: window.min(least) }
+        }
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Facts {
@@ -81,7 +119,6 @@
 struct ListenerFacts {
     #[serde(default)]
     name: String,
-    #[serde(default)]
     deadline_us: u64,
     handshake_target_us: u64,
     effect: EffectName,
@@ -161,6 +198,17 @@
     if facts.listeners.is_empty() {
         return Err("settings: no listeners".into());
     }
+    for (place, row) in facts.listeners.iter().enumerate() {
+        if row.deadline_us == 0 {
+            return Err(format!("settings: listener \"{}\": deadlineUs is zero", row.name));
+        }
+        if !row.name.is_empty() && facts.listeners[..place].iter().any(|other| other.name == row.name) {
+            return Err(format!("settings: listener \"{}\" stands twice", row.name));
+        }
+    }
+    if facts.permissions.max_dials == 0 {
+        return Err("settings: maxDials is zero".into());
+    }
     if facts.me >= facts.balancers {
         return Err(format!("settings: relay {} of {}", facts.me, facts.balancers));
     }
@@ -235,3 +283,76 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn text(listeners: &[(&str, &str)], dials: &str) -> String {
+        let rows = listeners.iter().map(|(name, more)| {
+            format!("{{\"name\":\"{name}\",\"handshakeTargetUs\":3,\"utility\":1.0,{more}}}")
+        });
+        let rows: Vec<String> = rows.collect();
+        format!(
+            r#"{{"az":0,"balancers":1,"me":0,"tickUs":2000,"discovery":"automatic","listeners":[{}],
+            "invariants":{{"askWithinUs":1,"coldUs":9,"fallUs":3,"overloadFactor":3.0,"startCapacity":0.3}},
+            "permissions":{{"dialTimeoutUs":5,"maxDials":{dials},"maxRetryAfterUs":2,"mayCancel":true,"probes":true,"retryAfter":true}}}}"#,
+            rows.join(",")
+        )
+    }
+
+    const SAFE: &str = r#""deadlineUs":1200000,"effect":"retryable""#;
+
+    #[test]
+    fn settings_that_are_not_sound_are_one_line() {
+        assert!(read(text(&[("a", SAFE), ("b", SAFE)], "3").as_bytes()).is_ok());
+        let deadline = |figure: &str| SAFE.replace("1200000", figure);
+        let cases = [
+            (text(&[("a", &deadline("0"))], "3"), "deadlineUs is zero"),
+            (text(&[("a", &deadline("-5"))], "3"), "-5"),
+            (text(&[("a", &deadline("1.5"))], "3"), "1.5"),
+            (text(&[("a", &deadline("\"soon\""))], "3"), "soon"),
+            (text(&[("a", r#""effect":"retryable""#)], "3"), "deadlineUs"),
+            (text(&[("a", SAFE), ("a", SAFE)], "3"), "stands twice"),
+            (text(&[], "3"), "no listeners"),
+            (text(&[("a", SAFE)], "0"), "maxDials is zero"),
+            (text(&[("a", SAFE)], "-1"), "-1"),
+            (text(&[("a", SAFE)], "2.5"), "2.5"),
+            (text(&[("a", SAFE)], "null"), "null"),
+            (String::new(), "EOF"),
+            (text(&[("a", SAFE)], "3")[..200].to_string(), "EOF"),
+        ];
+        for (text, expected) in cases {
+            let fault = read(text.as_bytes()).err().unwrap_or_else(|| panic!("taken: {text}"));
+            assert!(fault.contains(expected) && fault.lines().count() == 1, "{fault}");
+        }
+    }
+
+    #[test]
+    fn until_the_later_ones_bind_the_stricter_of_both_holds() {
+        let dedup = |scope: &str, window: u32| {
+            format!(r#""deadlineUs":9,"effect":"dedup","dedupScope":"{scope}","dedupWindowUs":{window}"#)
+        };
+        let once = SAFE.replace("retryable", "fragile");
+        let of = |scope, window| Effect::Referenced { scope, window: Span::from_us(window) };
+        // The row of a listener before and after, and what holds between.
+        let cases = [
+            (SAFE.to_string(), once.clone(), Effect::OnceOnly),
+            (once.clone(), SAFE.to_string(), Effect::OnceOnly),
+            (SAFE.to_string(), dedup("zone", 7), of(Scope::Zone, 7)),
+            (dedup("zone", 7), once, Effect::OnceOnly),
+            (dedup("cell", 7), dedup("all", 5), of(Scope::Cell, 5)),
+            (dedup("all", 5), dedup("zone", 7), of(Scope::Zone, 5)),
+        ];
+        for (before, after, expected) in cases {
+            let old = read(text(&[("gone", SAFE), ("a", &before)], "2").as_bytes()).unwrap();
+            let new = read(text(&[("a", &after), ("new", SAFE)], "3").as_bytes()).unwrap();
+            let both = old.until(&new);
+            assert_eq!(both.listeners, ["a", "new", "gone"]);
+            let rows = &both.deployment.routes;
+            assert_eq!(rows[0].effect, expected, "{before} {after}");
+            assert_eq!(rows.iter().map(|row| row.max_dials).collect::<Vec<_>>(), [2, 3, 2]);
+            assert_eq!(both.waits.len(), 3);
+        }
+    }
+}
--- a/relay/src/backends.rs
+++ b/relay/src/backends.rs
@@ -135,6 +135,11 @@
         Probes { open: BTreeMap::new(), serial: 0, within: connect_timeout * 2.0, idle }
     }
 
+    /// Other times, for the probes from now on.
+    pub fn resettle(&mut self, connect_timeout: Span, idle: Span) {
+        (self.within, self.idle) = (connect_timeout * 2.0, idle);
+    }
+
     pub fn ask(&mut self, id: BackendId, address: Option<SocketAddr>, works: &mut Works) {
         self.serial = self.serial.wrapping_add(1);
         let serial = self.serial;
--- a/relay/src/clients.rs
+++ b/relay/src/clients.rs
@@ -220,15 +220,15 @@
         self.map.len()
     }
 
-    /// Other routes, for the sessions that come from now on; what changes, a line for each.
-    pub fn reroute(&mut self, routing: Routing, works: &mut Works) -> Vec<String> {
-        let changes = self.terms.routing.changes(&routing);
-        if !changes.is_empty() {
-            works.news.push_back(News::Rerouted(routing.rows().to_vec()));
-            self.terms.routing = routing;
-            self.terms.generation += 1;
-        }
-        changes
+    /// Other names and routes, for the sessions that come from now on.
+    pub fn reroute(&mut self, names: Names, routing: Routing) {
+        let same = self.terms.names.listeners == names.listeners && self.terms.routing == routing;
+        (self.terms.names, self.terms.routing) = (names, routing);
+        self.terms.generation += u32::from(!same);
+    }
+
+    pub fn routing(&self) -> &Routing {
+        &self.terms.routing
     }
 
     pub fn generation(&self) -> u32 {
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -109,17 +109,28 @@
             .collect())
     }
 
+    /// The same number for a name as long as the process lives, whatever later settings call their zones.
+    pub fn zone(&mut self, name: &str) -> ZoneId {
+        let place = self.zones.iter().position(|zone| *zone == name).unwrap_or_else(|| {
+            self.zones.push(name.to_string());
+            self.zones.len() - 1
+        });
+        ZoneId(place as u16)
+    }
+
+    /// Which fields of a report count.
+    pub fn read_by(&mut self, places: ReportPlaces) {
+        self.places = places;
+    }
+
     fn listing(&mut self, entry: &Entry, address: SocketAddr, standing: Standing) -> Listing {
         let backend = self.enter(&entry.instance_id);
         self.addresses[backend.index()] = Some(address);
-        let zone = self.zones.iter().position(|zone| *zone == entry.zone).unwrap_or_else(|| {
-            self.zones.push(entry.zone.clone());
-            self.zones.len() - 1
-        });
+        let zone = self.zone(&entry.zone);
         Listing {
             backend,
             mark: hash(entry.instance_id.as_bytes()),
-            zone: ZoneId(zone as u16),
+            zone,
             cell: CellId(entry.cell.unwrap_or_default() as u16),
             standing,
             weight: self.places.weight(entry.weight.unwrap_or(1.0)),
--- a/relay/src/front.rs
+++ b/relay/src/front.rs
@@ -3,7 +3,7 @@
 use crate::timers::{Alarm, Alarms};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use thistlecroft::balance::Relay;
-use thistlecroft::deployment::Route;
+use thistlecroft::deployment::Deployment;
 use thistlecroft::front::{Arrival, Ending, Front, ListScope, Listing, Memory, Report, Verdict};
 use thistlecroft::ids::{BackendId, SessionId};
 use thistlecroft::units::{Moment, Span};
@@ -21,7 +21,7 @@
     Load(SessionId, f64),
     Delay(SessionId, Span),
     Overdue(SessionId, Span),
-    Rerouted(Vec<Route>),
+    Resettled(Box<Deployment>),
     /// Taken out by hand, or put back.
     Banned(BackendId, bool),
     /// What the process before knows, which still serves; and that it takes nothing new any more.
@@ -96,7 +96,7 @@
         News::Load(id, load) => relay.load_noted(id, load),
         News::Delay(id, delay) => relay.delay_noted(now, id, delay, desk),
         News::Overdue(id, waited) => relay.overdue(now, id, waited, desk),
-        News::Rerouted(rows) => relay.reroute(&rows),
+        News::Resettled(deployment) => relay.resettle(*deployment),
         News::Banned(id, out) => relay.ban(now, id, out),
         News::Recalled(memory) => relay.recall(&memory, true),
         News::Alone => relay.alone(),
--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -13,7 +13,7 @@
 use crate::protocol::Names;
 use crate::shelf::Shelf;
 use crate::sockets::{Owner, Sockets, key_of, owner_of};
-use crate::start::{Bound, Origin, Posting, read_file};
+use crate::start::{Bound, Origin, Posting, circumstances, read_file};
 use crate::succession::{self, Heard, Line, Post};
 use crate::timers::{Alarm, Alarms, Clock};
 use crate::trace;
@@ -33,6 +33,8 @@
 use thistlecroft::deployment::Deployment;
 use thistlecroft::ids::BackendId;
 use thistlecroft::units::{Moment, Span};
+use thistlecroft_charter::Routing;
+use thistlecroft_facts::Site;
 
 /// Events in one turn, so that timers are never far behind.
 const EVENTS: usize = 512;
@@ -69,6 +71,8 @@
     sockets: [OwnedFd; 2],
 }
 
+/// Clients come by new settings from so long after SIGHUP on, and rules bind from then on.
+const SETTINGS_BIND: Span = Span::from_ms(1_200);
 /// Packets of one channel in one turn.
 const PACKETS: usize = 32;
 
@@ -91,6 +95,11 @@
     signals: [UnixStream; 3],
     /// For what a later text would change.
     origin: Origin,
+    /// What holds, and what will hold alone from then on.
+    site: Site,
+    coming: Option<(Site, Routing)>,
+    settles_at: Moment,
+    sockets: usize,
     bound: Bound,
 }
 
@@ -107,12 +116,7 @@
         let poller = Rc::new(Poller::new()?);
         let mut sockets = Sockets::new(poller.clone());
         let site = posting.site;
-        let deployment = site.deployment;
-        let names = Names {
-            listeners: site.listeners,
-            groups: deployment.groups,
-            notes_tell_delay: site.notes_tell_delay,
-        };
+        let (deployment, names) = (site.deployment.clone(), names(&site));
         let (connect_timeout, stop_within) = (deployment.connect_timeout, deployment.stop_within);
         let routing = posting.charter.routing;
         let deployment = Deployment { routes: routing.rows().to_vec(), ..deployment };
@@ -128,7 +132,7 @@
         let pool = Pool::new((posting.memory_mb << 20) / BUFFER_PART / SIZE);
         let (alarms, news, counters) = (Alarms::default(), VecDeque::new(), Counters::default());
         let mut works = Works { now, sockets, pool, alarms, news, counters, starved: VecDeque::new() };
-        let book = Book::new(site.zones, site.places);
+        let book = Book::new(site.zones.clone(), site.places);
         let mut watch = Watch::new(posting.discovery, posting.seed, book, now);
         if let Some(known) = &posting.known {
             match watch.know(known) {
@@ -171,6 +175,10 @@
             stopping: None,
             signals,
             origin: posting.origin,
+            site,
+            coming: None,
+            settles_at: now,
+            sockets: posting.sockets,
             bound: posting.charter.bound,
         };
         for span in [LIST_KNOWN, LIST_LACKING] {
@@ -297,6 +305,7 @@
             Alarm::Again(id) => self.sessions.again_alarm(id, &self.watch.book, works),
             Alarm::Caller(id) => self.hand.callers.iter_mut().for_each(|callers| callers.alarm(id, works)),
             Alarm::Shelf => self.hand.look(&mut self.watch.book, works),
+            Alarm::Settled => self.settled(),
             Alarm::Opening => self.open_door(),
             Alarm::Offering => self.offer(),
             Alarm::Offered(id) => {
@@ -447,31 +456,70 @@
         }
     }
 
-    /// Discovery's address can change while the process runs, and all that the charter says; a bad file changes
-    /// nothing of what it is about.
+    // ---- other settings ----
+
+    /// Discovery's address, the settings and the charter can change while the process runs. A bad file changes nothing of
+    /// what it is about; settings and charter have to agree, and are taken up together or not at all.
     fn reread(&mut self) {
         let path = self.origin.path.as_deref().ok_or_else(|| "the configuration is in no file".to_string());
-        match path.and_then(read_file) {
+        let site = match path.and_then(read_file) {
             Ok(later) => {
                 let differs = self.origin.differs(&later.origin);
                 if !differs.is_empty() {
                     log::warn!("changes of {} need a restart", differs.join(", "));
                 }
                 self.watch.move_to(later.discovery, &mut self.works);
+                later.site
             }
-            Err(fault) => log::warn!("{fault}; what was read before stays"),
-        }
-        match self.bound.reread() {
-            Ok(None) => {}
-            Ok(Some(routing)) => {
-                let changes = self.sessions.reroute(routing, &mut self.works);
-                let generation = self.sessions.generation();
-                if !changes.is_empty() {
-                    log::info!(generation; "charter, generation {generation}: {}", changes.join("; "));
-                }
+            Err(fault) => {
+                log::warn!("{fault}; what was read before stays");
+                // The charter may have changed all the same.
+                self.coming.as_ref().map_or_else(|| self.site.clone(), |(site, _)| site.clone())
             }
-            Err(faults) => log::warn!("{}; the charter read before stays", faults.join("; ")),
+        };
+        if let Err(faults) = self.take_up(site) {
+            log::warn!("{}; the charter read before stays, and so do the settings", faults.join("; "));
+        }
+    }
+
+    /// What comes after some time has to agree as well, or nothing is taken.
+    fn take_up(&mut self, site: Site) -> Result<(), Vec<String>> {
+        let charter = self.bound.charter()?;
+        let both = self.site.until(&site);
+        let later = self.bound.routing(&charter, &circumstances(&site, self.sockets))?;
+        let between = self.bound.routing(&charter, &circumstances(&both, self.sockets))?;
+        self.settle(both, between);
+        self.coming = Some((site, later));
+        self.settles_at = self.works.now + SETTINGS_BIND;
+        self.works.alarms.set(self.settles_at, Alarm::Settled);
+        Ok(())
+    }
+
+    fn settled(&mut self) {
+        if self.works.now >= self.settles_at
+            && let Some((site, routing)) = self.coming.take()
+        {
+            self.settle(site, routing);
+        }
+    }
+
+    /// All of it at once, for what comes from now on.
+    fn settle(&mut self, site: Site, routing: Routing) {
+        let changes = self.sessions.routing().changes(&routing);
+        let own = site.zones.get(usize::from(site.deployment.zone.0)).cloned();
+        let zone = own.map_or(site.deployment.zone, |name| self.watch.book.zone(&name));
+        let routes = routing.rows().to_vec();
+        let deployment = Deployment { routes, zone, ..site.deployment.clone() };
+        self.watch.book.read_by(site.places);
+        self.probes.resettle(deployment.connect_timeout, site.idle);
+        self.stop_within = deployment.stop_within;
+        self.works.news.push_back(News::Resettled(Box::new(deployment)));
+        self.sessions.reroute(names(&site), routing);
+        let generation = self.sessions.generation();
+        if !changes.is_empty() {
+            log::info!(generation; "charter, generation {generation}: {}", changes.join("; "));
         }
+        self.site = site;
     }
 
     fn is_over(&self) -> bool {
@@ -533,6 +581,14 @@
     }
 }
 
+fn names(site: &Site) -> Names {
+    Names {
+        listeners: site.listeners.clone(),
+        groups: site.deployment.groups,
+        notes_tell_delay: site.notes_tell_delay,
+    }
+}
+
 fn memory(relay: &Relay, book: &Book) -> Word {
     Word::Memory(MemoryText::of(&relay.memory(), |sight| book.name(sight.id)))
 }
--- a/relay/src/start.rs
+++ b/relay/src/start.rs
@@ -36,28 +36,36 @@
     pub bound: Bound,
 }
 
-/// What a charter is held against, and where it is, to be read again.
+/// Where a charter is, to be read again, and the numbers that its routes have.
 pub struct Bound {
     path: Option<String>,
-    of: Circumstances,
     lanes: Lanes,
 }
 
 impl Bound {
-    /// None where there is no charter.
+    /// What the file says; the empty one where there is none.
     ///
     /// # Errors
-    /// A line for each thing that is wrong with the file.
-    pub fn reread(&mut self) -> Result<Option<Routing>, Vec<String>> {
-        let Some(path) = &self.path else { return Ok(None) };
+    /// A line for each thing that is wrong with the text by itself.
+    pub fn charter(&self) -> Result<Charter, Vec<String>> {
+        let Some(path) = &self.path else { return Ok(Charter::default()) };
         let text = std::fs::read_to_string(path).map_err(|fault| vec![format!("{path}: {fault}")])?;
-        let lines =
-            |faults: Vec<thistlecroft_charter::Fault>| faults.iter().map(ToString::to_string).collect();
-        let charter = Charter::parse(path, &text).map_err(lines)?;
-        charter.against(&self.of, &mut self.lanes).map(Some).map_err(lines)
+        Charter::parse(path, &text).map_err(lines)
+    }
+
+    /// The routes of a charter under such settings.
+    ///
+    /// # Errors
+    /// A line for each thing that does not agree.
+    pub fn routing(&mut self, charter: &Charter, of: &Circumstances) -> Result<Routing, Vec<String>> {
+        charter.against(of, &mut self.lanes).map_err(lines)
     }
 }
 
+fn lines(faults: Vec<thistlecroft_charter::Fault>) -> Vec<String> {
+    faults.iter().map(ToString::to_string).collect()
+}
+
 /// The variables that say what the configuration may leave out, and where the platform holds the clients' socket.
 const ADMIN: &str = "ROUTER_ADMIN_ADDR";
 const PASSED: &str = "ROUTER_PASSED_SOCKET";
@@ -89,9 +97,9 @@
     /// A line for each thing that is wrong with the file.
     pub fn chartered(mut self, path: &str) -> Result<Posting, Vec<String>> {
         self.charter.bound.path = Some(path.to_string());
-        if let Some(routing) = self.charter.bound.reread()? {
-            self.charter.routing = routing;
-        }
+        let charter = self.charter.bound.charter()?;
+        let of = circumstances(&self.site, self.sockets);
+        self.charter.routing = self.charter.bound.routing(&charter, &of)?;
         Ok(self)
     }
 }
@@ -125,7 +133,7 @@
         let names = self.keys.keys().chain(later.keys.keys().filter(|name| !self.keys.contains_key(*name)));
         let differs = |name: &&String| self.keys.get(*name) != later.keys.get(*name);
         names
-            .filter(|name| !matches!(name.as_str(), "discovery" | "known"))
+            .filter(|name| !matches!(name.as_str(), "discovery" | "known" | "settings"))
             .filter(differs)
             .cloned()
             .collect()
@@ -192,7 +200,7 @@
     let site = facts::read(text.settings.to_string().as_bytes())?;
     let of = circumstances(&site, text.limits.sockets);
     let routing = Routing::plain(&of);
-    let bound = Bound { path: None, of, lanes: Lanes::default() };
+    let bound = Bound { path: None, lanes: Lanes::default() };
     Ok(Posting {
         listen: address("listen", &text.listen)?,
         discovery: address("discovery", &text.discovery)?,
--- a/relay/src/timers.rs
+++ b/relay/src/timers.rs
@@ -43,6 +43,8 @@
     Caller(u32),
     /// What another process of this relay may have written is looked at.
     Shelf,
+    /// The settings told last hold alone.
+    Settled,
     /// A list of backends may be old enough to serve by.
     Opening,
     /// More standing connections may go to the next process; one offered has had no word.
--- a/relay/src/trace.rs
+++ b/relay/src/trace.rs
@@ -43,7 +43,7 @@
         News::Load(..)
         | News::Delay(..)
         | News::Overdue(..)
-        | News::Rerouted(_)
+        | News::Resettled(_)
         | News::Recalled(_)
         | News::Alone
         | News::Woken
--- a/relay/tests/operators.rs
+++ b/relay/tests/operators.rs
@@ -302,6 +302,66 @@
     }
 }
 
+/// A listener's row of the settings, as text.
+const PAY: &str = r#",{"name": "pay", "deadlineUs": 1500000, "handshakeTargetUs": 300000, "effect": "fragile", "utility": 1.0}]"#;
+
+#[test]
+fn other_settings_are_taken_up_whole_or_not_at_all() {
+    let (address, met) = backend(Play::Echo);
+    let relay = relay_with(&[address]);
+    let answered = |listener: &str| relay.open(listener, 1_000).hears();
+    let until = |listener: &str, word: &str| {
+        let began = Instant::now();
+        while answered(listener) != word {
+            assert!(began.elapsed() < LONG, "{listener} is never answered {word}");
+        }
+        began.elapsed()
+    };
+    let mut standing = relay.open("safe", 1_000);
+    assert_eq!(standing.hears(), "UP receipt");
+    assert_eq!(answered("pay"), "ERR");
+    // A class is added: served at once, and the others still are.
+    relay.told("}],\n \"invariants\"", &format!("}}{PAY},\n \"invariants\""));
+    until("pay", "UP receipt");
+    assert_eq!(answered("safe"), "UP receipt");
+    // Files that are broken change nothing, of this or of what went before.
+    let with = relay.text.replace("}],\n \"invariants\"", &format!("}}{PAY},\n \"invariants\""));
+    let broken = [
+        String::new(),
+        with[..with.len() - 40].to_string(),
+        with.replace(
+            "\"deadlineUs\": 1500000, \"handshakeTargetUs\": 300000, \"effect\": \"fragile\"",
+            "\"effect\": \"fragile\"",
+        ),
+        with.replace("1500000", "-5").replace("safe", "other"),
+        with.replace("1500000", "0").replace("safe", "other"),
+        with.replace("\"maxDials\": 1", "\"maxDials\": 0").replace("safe", "other"),
+        with.replace("\"pay\"", "\"safe\""),
+    ];
+    for text in &broken {
+        write_config(text);
+        relay.signal("HUP");
+        relay.logged("what was read before stays");
+        assert_eq!(answered("pay"), "UP receipt", "{text}");
+        assert_eq!(answered("other"), "ERR");
+    }
+    // A class is dropped, and two files in a row: clients under way are served for a while, and then it is unknown.
+    write_config(&with);
+    relay.signal("HUP");
+    let without = with.replace("\"name\": \"once\"", "\"name\": \"twice\"");
+    write_config(&without);
+    relay.signal("HUP");
+    until("twice", "UP receipt");
+    assert_eq!(answered("once"), "UP receipt", "clients under way");
+    let late = until("once", "ERR");
+    assert!(late < Duration::from_millis(1_300), "{late:?}");
+    assert_eq!(answered("pay"), "UP receipt");
+    // What stood through all of it still does.
+    standing.say("still here\r\n");
+    assert_eq!(standing.hears(), "still here");
+    drop(met);
+}
+
 #[test]
 fn a_socket_that_does_not_listen_is_one_clear_line() {
     let station = Station::with("bad-socket", &[]);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -181,9 +181,8 @@
 
 impl Relay {
     pub fn new(deployment: Deployment, seed: u64, now: Moment, front: &mut dyn Front) -> Relay {
-        let mut relay = Relay { chance: Chance::from_seed(seed), deployment, ..Relay::default() };
-        let rows = std::mem::take(&mut relay.deployment.routes);
-        relay.reroute(&rows);
+        let mut relay = Relay { chance: Chance::from_seed(seed), ..Relay::default() };
+        relay.resettle(deployment);
         if relay.deployment.ask_within.is_some() {
             front.subscribe();
         }
@@ -194,9 +193,10 @@
         relay
     }
 
-    /// Another table of routes, for the sessions that come from now on.
-    pub fn reroute(&mut self, rows: &[Route]) {
-        self.routes = rows.iter().copied().map(Arc::new).collect();
+    /// Other settings and another table of routes, for the sessions that come from now on.
+    pub fn resettle(&mut self, deployment: Deployment) {
+        self.routes = deployment.routes.iter().copied().map(Arc::new).collect();
+        self.deployment = deployment;
     }
 
     // ---- the list ----
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -2,7 +2,8 @@
 use crate::ids::ZoneId;
 use crate::units::Span;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// The narrower is the greater.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Scope {
     All,
     Zone,
@@ -23,7 +24,7 @@
 
 /// A row of the table of routes: one for each listener, and more of them where an operator's file has them. A session
 /// keeps the row it began with.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Route {
     /// Rows of one number share what is counted and learnt; 0 where nothing is.
     pub lane: u32,
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -161,14 +161,15 @@
 fn a_route_holds_so_many_at_once_and_a_session_keeps_the_row_it_began_with() {
     let deployment = with_row(|row| (row.lane, row.most) = (1, Some(2)), deployment(Effect::Repeatable));
     let wide = deployment.routes[0];
-    let mut bench = Bench::new(deployment, &rows(4));
+    let mut bench = Bench::new(deployment.clone(), &rows(4));
     for id in 0..4 {
         bench.arrive(id, arrival(u64::from(id) + 1, 0, ms(4_000)));
         assert_eq!(answers(&bench, id).len(), usize::from(id >= 2), "{id}");
     }
     // The new table has fewer at once, one dial, and another listener's row before it.
     let narrow = Route { most: Some(1), max_dials: 1, ..wide };
-    bench.relay.reroute(&[Route { lane: 0, most: None, ..wide }, narrow]);
+    let routes = vec![Route { lane: 0, most: None, ..wide }, narrow];
+    bench.relay.resettle(Deployment { routes, ..deployment });
     let with = |id: u32, route| Arrival { route: RouteId(route), ..arrival(u64::from(id) + 1, 0, ms(8_000)) };
     bench.arrive(10, with(10, 1));
     assert_eq!(answers(&bench, 10).len(), 1, "two of the old are still there");
