--- a/relay/src/succession.rs
+++ b/relay/src/succession.rs
@@ -106,12 +106,17 @@
         let mut bytes = vec![0; PACKET];
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
         let mut beside = RecvAncillaryBuffer::new(&mut space);
-        let got = rustix::net::recvmsg(
-            self.socket.as_fd(),
-            &mut [IoSliceMut::new(&mut bytes)],
-            &mut beside,
-            RecvFlags::CMSG_CLOEXEC | RecvFlags::DONTWAIT,
-        );
+        let mut take = || {
+            let into = &mut [IoSliceMut::new(&mut bytes)];
+            let flags = RecvFlags::CMSG_CLOEXEC | RecvFlags::DONTWAIT;
+            rustix::net::recvmsg(self.socket.as_fd(), into, &mut beside, flags)
+        };
+        let got = match take() {
+            // It ended with a word of ours unread, which is told first and once: what it said before still waits, and
+            // connections that it has let go of among it.
+            Err(rustix::io::Errno::CONNRESET) => take(),
+            got => got,
+        };
         let length = match got {
             Ok(message) if message.bytes == 0 => return Heard::Gone("it has ended".into()),
             Ok(message) => message.bytes,
@@ -134,3 +139,34 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_a_process_said_before_its_end_is_heard_whatever_it_left_unread() {
+        let folder = std::env::temp_dir().join(format!("thistlecroft-line-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let poller = std::rc::Rc::new(polling::Poller::new().unwrap());
+        let mut sockets = Sockets::new(poller);
+        for unread in [0, 1, 5] {
+            let mut post = Post::open(&folder, &mut sockets).unwrap();
+            let new = elder(&folder, &mut sockets).unwrap();
+            let old = post.accept(&mut sockets).unwrap();
+            for sockets in 0..unread {
+                assert!(new.say(&Word::Holds { sockets }, &[], &[]).unwrap());
+            }
+            for serial in 0..3 {
+                assert!(old.say(&Word::Yours { serial }, &[], &[]).unwrap());
+            }
+            drop(old);
+            for expected in 0..3 {
+                let Heard::Word(word, ..) = new.hear() else { panic!("{unread} unread: {expected} is lost") };
+                assert_eq!(*word, Word::Yours { serial: expected });
+            }
+            assert!(matches!(new.hear(), Heard::Gone(_)));
+        }
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
