--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -447,8 +447,10 @@
                 Word::Holds { sockets } => works.sockets.set_beside(sockets),
                 Word::Leaving => {
                     works.news.push_back(News::Alone);
-                    // Nobody else takes clients now.
-                    self.sessions.open_door();
+                    // Nobody else takes clients now, unless this one is told to stop as well.
+                    if self.stopping.is_none() {
+                        self.sessions.open_door();
+                    }
                 }
                 Word::Session(estate) => {
                     let serial = estate.serial;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -254,8 +254,8 @@
         Memory { sights, set_up: self.set_up, stood: self.stood, left_alone: self.left_alone }
     }
 
-    /// What the process before knew. `beside`: it still serves, and turns at cold backends are its own, since to
-    /// the rules both are one relay.
+    /// What the process before knew. `beside`: it still serves, and turns at cold backends are its alone:
+    /// to the rules both are one relay.
     pub fn recall(&mut self, memory: &Memory, beside: bool) {
         self.beside = beside;
         (self.set_up, self.stood, self.left_alone) = (memory.set_up, memory.stood, memory.left_alone);
