--- a/charter/src/keys.rs
+++ b/charter/src/keys.rs
@@ -130,7 +130,7 @@
         key(
             "retry_share",
             Kind::Part,
-            "Further dials at most, as a part of the sessions; what is saved counts for a hundred of them.",
+            "Further dials at most, as a part of the sessions, over the last hundred of them; a ration of the settings binds beside it.",
             "no limit",
         ),
         key("at_once", Kind::Count, "Sessions at once in this relay; more are refused.", "no limit"),
--- a/facts/src/lib.rs
+++ b/facts/src/lib.rs
@@ -2,7 +2,7 @@
 //! not read are passed over.
 use serde::Deserialize;
 use thistlecroft::balance::{BASE, CAP, COOL_DOWN, PATIENCE};
-use thistlecroft::deployment::{ColdStart, Deployment, Effect, Route, Scope};
+use thistlecroft::deployment::{ColdStart, Deployment, Effect, Ration, Route, Scope};
 use thistlecroft::ids::ZoneId;
 use thistlecroft::units::Span;
 
@@ -69,6 +69,14 @@
             }
         }
         both.deployment.two_dials &= self.deployment.two_dials;
+        both.deployment.ration = match (self.deployment.ration, later.deployment.ration) {
+            (Some(before), Some(after)) => Some(Ration {
+                free: before.free.min(after.free),
+                share: before.share.min(after.share),
+                window: before.window.max(after.window),
+            }),
+            (before, after) => before.or(after),
+        };
         both
     }
 }
@@ -153,6 +161,39 @@
     fall_us: u64,
     overload_factor: f64,
     start_capacity: f64,
+    #[serde(default)]
+    extra_free: Option<f64>,
+    #[serde(default)]
+    repeat_ratio: Option<f64>,
+    #[serde(default)]
+    extra_window_us: Option<f64>,
+}
+
+impl Invariants {
+    /// The ration of dials, where its figures and its window are stated; what is left out of the figures is zero.
+    fn ration(&self) -> Result<Option<Ration>, String> {
+        let stated = [
+            ("extraFree", self.extra_free),
+            ("repeatRatio", self.repeat_ratio),
+            ("extraWindowUs", self.extra_window_us),
+        ];
+        for (name, figure) in stated {
+            if let Some(figure) = figure.filter(|figure| !figure.is_finite() || *figure < 0.0) {
+                return Err(format!("settings: invariants.{name}: {figure} is below zero"));
+            }
+        }
+        let (free, share) = (self.extra_free, self.repeat_ratio);
+        let Some(window) = self.extra_window_us.filter(|&us| us > 0.0) else {
+            let without = "without a window (extraWindowUs)";
+            return match share.map(|_| "repeatRatio").or(free.map(|_| "extraFree")) {
+                Some(name) => Err(format!("settings: invariants.{name} {without}")),
+                None => Ok(None),
+            };
+        };
+        let window = Span::from_us(window as u64);
+        let any = free.or(share).is_some();
+        Ok(any.then(|| Ration { free: free.unwrap_or(0.0), share: share.unwrap_or(0.0), window }))
+    }
 }
 
 #[derive(Deserialize)]
@@ -250,6 +291,7 @@
             factor: rules.overload_factor,
             window: Span::from_us(rules.fall_us),
         },
+        ration: rules.ration()?,
         ask_within: (facts.discovery == Discovery::Subscribe).then_some(Span::from_us(rules.ask_within_us)),
         connect_timeout: Span::from_us(facts.permissions.dial_timeout_us),
         may_withdraw: facts.permissions.may_cancel,
@@ -328,6 +370,37 @@
         }
     }
 
+    #[test]
+    fn a_ration_of_dials_is_read_whole_or_refused() {
+        let with =
+            |more: &str| text(&[("a", SAFE)], "3").replace("\"fallUs\":3", &format!("\"fallUs\":3{more}"));
+        let ration = |free, share, us| Some(Ration { free, share, window: Span::from_us(us) });
+        let taken = [
+            ("", None),
+            (r#","extraFree":3.0,"repeatRatio":0.15,"extraWindowUs":5000000"#, ration(3.0, 0.15, 5_000_000)),
+            (r#","repeatRatio":0.15,"extraWindowUs":5000000"#, ration(0.0, 0.15, 5_000_000)),
+            (r#","extraFree":2,"extraWindowUs":9"#, ration(2.0, 0.0, 9)),
+            (r#","extraWindowUs":5000000"#, None),
+        ];
+        for (more, expected) in taken {
+            let site = read(with(more).as_bytes()).unwrap_or_else(|fault| panic!("{more}: {fault}"));
+            assert_eq!(site.deployment.ration, expected, "{more}");
+        }
+        let refused = [
+            (r#","extraFree":-1,"extraWindowUs":5"#, "extraFree: -1"),
+            (r#","repeatRatio":-0.5,"extraWindowUs":5"#, "repeatRatio: -0.5"),
+            (r#","repeatRatio":0.5,"extraWindowUs":-5"#, "extraWindowUs: -5"),
+            (r#","repeatRatio":0.5"#, "repeatRatio without a window"),
+            (r#","repeatRatio":0.5,"extraWindowUs":0"#, "repeatRatio without a window"),
+            (r#","extraFree":1"#, "extraFree without a window"),
+            (r#","repeatRatio":"much","extraWindowUs":5"#, "much"),
+        ];
+        for (more, expected) in refused {
+            let fault = read(with(more).as_bytes()).err().unwrap_or_else(|| panic!("taken: {more}"));
+            assert!(fault.contains(expected) && fault.lines().count() == 1, "{fault}");
+        }
+    }
+
     #[test]
     fn until_the_later_ones_bind_the_stricter_of_both_holds() {
         let dedup = |scope: &str, window: u32| {
--- a/relay/src/front.rs
+++ b/relay/src/front.rs
@@ -99,7 +99,7 @@
         News::Resettled(deployment) => relay.resettle(*deployment),
         News::Banned(id, out) => relay.ban(now, id, out),
         News::Recalled(memory) => relay.recall(&memory, true),
-        News::Alone => relay.alone(),
+        News::Alone => relay.alone(now),
         News::Woken => relay.woken(now, desk),
         News::Stopping => relay.stopping(now, desk),
     }));
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,7 +8,7 @@
 use crate::front::{Memory, Sight};
 use crate::ids::{BackendId, SessionId};
 use crate::keys::{Client, Keys};
-use crate::lanes::Lanes;
+use crate::lanes::{Extra, Lanes};
 use crate::units::{Chance, Moment, Span};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -196,6 +196,7 @@
     /// Other settings and another table of routes, for the sessions that come from now on.
     pub fn resettle(&mut self, deployment: Deployment) {
         self.routes = deployment.routes.iter().copied().map(Arc::new).collect();
+        self.lanes.limit(deployment.ration);
         self.deployment = deployment;
     }
 
@@ -257,7 +258,10 @@
     /// What the process before knew. `beside`: it still serves, and turns at cold backends are its alone:
     /// to the rules both are one relay.
     pub fn recall(&mut self, memory: &Memory, beside: bool) {
-        self.beside = beside;
+        if beside {
+            self.beside = true;
+            self.lanes.beside(None);
+        }
         (self.set_up, self.stood, self.left_alone) = (memory.set_up, memory.stood, memory.left_alone);
         for sight in &memory.sights {
             let Some(backend) = self.backends.get_mut(&sight.id) else { continue };
@@ -272,8 +276,9 @@
     }
 
     /// The process before has gone.
-    pub fn alone(&mut self) {
+    pub fn alone(&mut self, now: Moment) {
         self.beside = false;
+        self.lanes.beside(Some(now));
     }
 
     // ---- sessions ----
@@ -299,7 +304,7 @@
         self.meet(arrival.group);
         self.lately += 1.0;
         let row = self.routes[usize::from(arrival.route.0)].clone();
-        let room = self.lanes.enter(&row);
+        let room = self.lanes.enter(now, &row);
         self.sessions.insert(id, Session::new(arrival, row, now));
         room
     }
@@ -349,6 +354,9 @@
             State::Dialling(dial) if dial.number == number => {
                 session.ran = session.ran.or(verdict.may_have_run().then_some((dial.backend, dial.sent)));
                 session.last_tried = Some(dial.backend);
+                if verdict == Verdict::NeverSent && number > 0 {
+                    self.lanes.give_back(dial.sent);
+                }
                 self.heard(now, dial.backend, report);
                 if !matches!(verdict, Verdict::Ok | Verdict::Withdrawn | Verdict::NeverSent) {
                     self.strike(now, dial.backend, verdict);
@@ -522,6 +530,9 @@
     fn turn(&mut self, id: SessionId, next: State, front: &mut dyn Front) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let (was, group) = (std::mem::replace(&mut session.state, next), session.arrival.group);
+        if matches!(was, State::Held) {
+            self.lanes.promise(&session.row, false);
+        }
         let on = |state: State| match state {
             State::Dialling(dial) | State::Ready(dial, _) => Some(dial.backend),
             _ => None,
@@ -552,13 +563,17 @@
 
     fn dial(&mut self, now: Moment, id: SessionId, front: &mut dyn Front) {
         let Some(Session { state: State::New | State::Held, .. }) = self.sessions.get(&id) else { return };
+        self.turn(id, State::New, front); // what was promised is paid by the dial itself
         let Some(backend) = self.pick(now, id) else {
             self.plan_probe(now, HASTE, front);
             return self.refuse(now, id, front);
         };
+        let (row, first) = (self.sessions[&id].row.clone(), self.sessions[&id].dials == 0);
+        if !first && !self.lanes.pay(now, &row, Extra::Further) {
+            return self.refuse(now, id, front);
+        }
         let Some(dial) = self.send(now, id, backend, front) else { return self.finish(id, None, front) };
         self.turn(id, State::Dialling(dial), front);
-        let row = self.sessions[&id].row.clone();
         // The one that loses has to be given up, which not every deployment allows.
         let Deployment { two_dials, may_withdraw, .. } = self.deployment;
         let allowed = two_dials && may_withdraw && row.effect == Effect::Repeatable;
@@ -594,16 +609,14 @@
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let (State::Dialling(dial), None) = (session.state, session.second) else { return };
         let (row, group) = (session.row.clone(), session.arrival.group);
-        if dial.number != number || !self.lanes.pay_second(&row) {
+        if dial.number != number {
             return;
         }
         session.last_tried = Some(dial.backend);
         let other = self.pick(now, id).filter(|&at| at != dial.backend && self.cold_turn(now, at).is_none());
+        let other = other.filter(|_| self.lanes.pay(now, &row, Extra::Second));
         let second = other.and_then(|at| self.send(now, id, at, front));
-        match second {
-            Some(second) => self.hold(second.backend, group, true),
-            None => self.lanes.give_back_second(&row),
-        }
+        second.into_iter().for_each(|second| self.hold(second.backend, group, true));
         self.sessions.entry(id).and_modify(|session| session.second = second);
     }
 
@@ -621,7 +634,8 @@
         let room = row.connect_timeout + self.deployment.tick * 2.0;
         let in_time = now + wait + room < self.due(session) && session.dials < row.max_dials;
         let repeat_known = self.allowed(session, |_, window, at| now + wait < at + window);
-        if in_time && repeat_known && self.lanes.pay_further(&row) {
+        if in_time && repeat_known && self.is_granted(now, id) {
+            self.lanes.promise(&row, true);
             self.turn(id, State::Held, front);
             self.plan(now + wait, Errand::Redial(id), front);
         } else {
@@ -629,6 +643,21 @@
         }
     }
 
+    /// If what is left of the limits on further dials has one for this session: of the first half everyone, of
+    /// the second the more the greater its utility and the more of its time is left, since one that comes again
+    /// late or for little takes it from those that follow.
+    fn is_granted(&mut self, now: Moment, id: SessionId) -> bool {
+        let session = &self.sessions[&id];
+        let (row, left) = (session.row.clone(), self.due(session).since(now));
+        let most = self.routes.iter().fold(row.utility, |most, row| most.max(row.utility));
+        let worth =
+            row.utility / most.max(f64::MIN_POSITIVE) * left.secs() / session.arrival.dial_timeout.secs();
+        self.lanes.room(now, &row, Extra::Further).is_none_or(|room| {
+            let reach = room.most * (0.5 + 0.5 * worth);
+            room.spent + 1.0 <= room.most && (room.spent < room.most * 0.5 || room.spent + 1.0 <= reach)
+        })
+    }
+
     /// If a session may be repeated, by us or by its client: once it may have run, a once-only one never,
     /// and a referenced one as its group, its window and the first dial that may have run have it.
     fn allowed(&self, session: &Session, referenced: impl Fn(Scope, Span, Moment) -> bool) -> bool {
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -62,6 +62,14 @@
     pub share: f64,
 }
 
+/// Dials of one relay beyond each session's first: in any window so many, and this part of the sessions taken in it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ration {
+    pub free: f64,
+    pub share: f64,
+    pub window: Span,
+}
+
 /// How a cold backend may be loaded by all relays together.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ColdStart {
@@ -81,6 +89,7 @@
     /// How long a message may take on a connection that stands, of all listeners; zero where none is told.
     pub shortest_target: Span,
     pub cold: ColdStart,
+    pub ration: Option<Ration>,
     /// The list comes only when asked for, and must be asked for within this span.
     pub ask_within: Option<Span>,
     /// Of probes; sessions go by their rows.
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -80,6 +80,7 @@
         routes: vec![row],
         shortest_target: ms(50),
         cold: ColdStart { start_share: 0.25, warm_up: ms(10_000), factor: 4.0, window: ms(2_000) },
+        ration: None,
         ask_within: None,
         connect_timeout: ms(50),
         may_withdraw: true,
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -2,7 +2,7 @@
 mod helper;
 
 use helper::{Asked, Bench, arrival, deployment, ms, row, rows, with_row};
-use thistlecroft::deployment::{Deployment, Effect, Route, Scope, SecondCopy};
+use thistlecroft::deployment::{Deployment, Effect, Ration, Route, Scope, SecondCopy};
 use thistlecroft::front::{Arrival, ListScope, Listing, Standing, Verdict};
 use thistlecroft::ids::{RouteId, SessionId};
 use thistlecroft::units::{Moment, Span};
@@ -235,3 +235,42 @@
         assert_eq!(most > ms(1_000), counts, "{cool_down} {stood}: {most:?}");
     }
 }
+
+/// Six free dials in a window, all sessions fail at once: who comes later finds less, the more utility the more.
+#[test]
+fn the_first_half_of_a_ration_is_everyones_and_the_rest_goes_by_utility_and_time_left() {
+    let ration = Ration { free: 6.0, share: 0.0, window: ms(60_000) };
+    // Utility of the session, part of its time that is gone, how many dials were granted before, if one more is.
+    let cases = [
+        (1.0, 0, 2, true),
+        (1.0, 0, 3, false),
+        (1.0, 90, 2, true),
+        (3.0, 0, 3, true),
+        (3.0, 0, 4, false),
+        (3.0, 50, 4, false),
+        (5.0, 0, 4, true),
+        (5.0, 1, 5, false),
+        (5.0, 50, 4, false),
+    ];
+    for (utility, gone, before, granted) in cases {
+        let deployment = deployment(Effect::Repeatable);
+        let row = Route { base: Span::ZERO, ..deployment.routes[0] };
+        let routes = vec![Route { utility: 5.0, ..row }, Route { utility, ..row }];
+        let mut bench = Bench::new(Deployment { ration: Some(ration), routes, ..deployment }, &rows(200));
+        for id in 0..before {
+            bench.arrive(id, Arrival { route: RouteId(0), ..arrival(u64::from(id) + 1, 0, ms(8_000)) });
+            bench.end(id, 0, Verdict::Full, false);
+            bench.pass(Span::ZERO);
+            assert_eq!(bench.dials(id).len(), 2, "the ones before: {before}");
+        }
+        bench.arrive(90, Arrival { route: RouteId(1), ..arrival(90, 0, ms(8_000)) });
+        bench.pass(ms(80 * gone));
+        bench.end(90, 0, Verdict::Full, false);
+        bench.pass(Span::ZERO);
+        let what = format!("utility {utility}, {gone}% gone, {before} before");
+        assert_eq!(bench.dials(90).len() == 2, granted, "{what}");
+        // Who gets none is answered in the same moment, and told when to come back.
+        let told = matches!(answers(&bench, 90)[..], [Asked::Refuse(_, Some(_))]);
+        assert_eq!(told, !granted, "{what}");
+    }
+}
