Late messages count as load whatever a report says; what is late and unheard is left at once

Checked with a trace of probes, verdicts and notes: a backend that told 0.2 to 0.4 had messages 1.5 to 2.2 s late (target 100 ms) for twenty seconds, set-ups there went on at 50 to 110 ms, so pick() drew it as the lightest; relieve() read the report only. Ruled out: strikes (dials succeed), probes' own time (1 to 4 ms at a false reporter). Change: late messages set a floor under the load; after two report lags of contradiction it holds without notes and wanes as connections leave, until a message is in time. Relief takes it too; late and struck is left at once. Also holds for any shared resource that no report shows; it hurts where the shortest target is missed and others are not.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -101,6 +101,9 @@
     ejections: u32,
     ejected_until: Moment,
     message_delay: Option<(Moment, Span)>,
+    /// Since when its messages have been late, and if its reports have told of room meanwhile.
+    late_since: Option<Moment>,
+    untrue: bool,
     /// The last turn in which this relay used it cold, and how often.
     cold_turn: Option<(u64, u32)>,
     /// When it was last taken out by hand and when it was put back.
@@ -121,6 +124,8 @@
     cold: f64,
     /// Loads are shares of what a backend can do, not connections.
     tells_share: bool,
+    /// The part of the connections that leave within a second, and of what they were seen to cause.
+    wanes: f64,
     empty: bool,
 }
 
@@ -467,6 +472,11 @@
         let (shortest, may_probe) = (self.deployment.shortest_target, self.deployment.may_probe);
         let Some(backend) = self.backends.get_mut(&dial.backend) else { return };
         backend.message_delay = Some((now, delay));
+        if delay > shortest {
+            backend.late_since.get_or_insert(now);
+        } else {
+            (backend.late_since, backend.untrue) = (None, false);
+        }
         // Its last report may be seconds old, and relief waits for a fresh one.
         let stale = backend.heard.is_none_or(|(at, _)| now.since(at) >= REPORT_LAG);
         let ready = backend.listing.standing == Standing::Ready && !self.banned.contains_key(&dial.backend);
@@ -726,8 +736,14 @@
 
     fn heard(&mut self, now: Moment, id: BackendId, report: Report) {
         let told = report.connections.or(report.load).is_some();
+        let shortest = self.deployment.shortest_target;
         let Some(backend) = self.backends.get_mut(&id).filter(|_| told) else { return };
         backend.heard = Some((now, report));
+        // A report may be older than the lateness; one that is not and tells of room is not true.
+        let late_since = backend.late_since.filter(|_| backend.late_for(shortest, now));
+        if late_since.is_some_and(|at| now.since(at) > REPORT_LAG * 2.0) {
+            backend.untrue = report.load.is_some_and(|load| load < HOT);
+        }
         backend.weight_heard = backend.listing.weight;
         backend.placed.retain(|&at| at + REPORT_LAG > now);
     }
@@ -788,13 +804,22 @@
     fn relieve(&mut self, now: Moment, front: &mut dyn Front) {
         let shortest = self.deployment.shortest_target;
         let mut over: BTreeMap<BackendId, f64> = BTreeMap::new();
+        let wanes = self.leave_rate(true);
         for (&at, backend) in &mut self.backends {
-            let Some((heard, Report { load: Some(load), .. })) = backend.heard else { continue };
             let behind = backend.late_for(shortest, now);
+            // Late and not to be heard: nothing that is sent there comes through, the backend's fault or not.
+            let lost = behind && backend.strikes > 0;
+            let report = backend.heard.filter(|&(heard, _)| {
+                heard >= backend.relieved + REPORT_LAG && now.since(heard) < REPORT_LAG
+            });
+            let late = if behind { backend.late(now, shortest, wanes).min(FULL) } else { 0.0 };
+            let load = report.and_then(|(_, report)| report.load).map(|load| load.max(late));
             let limit = if behind { HOT } else { FULL };
-            if load > limit && heard >= backend.relieved + REPORT_LAG && now.since(heard) < REPORT_LAG {
+            if let Some(load) = load.filter(|&load| load > limit && !lost) {
                 backend.relieved = now;
                 over.insert(at, 1.0 - if behind { DRAIN } else { HOT } / load);
+            } else if lost {
+                over.insert(at, 1.0);
             }
         }
         let mut excess: BTreeMap<BackendId, f64> = BTreeMap::new();
@@ -962,7 +987,8 @@
         // backend.
         let each = load / f64::max(count, heard);
         let each = if tells_share { each.min(EACH_MOST) } else { each };
-        Pool { load: load / heard, mean: weighted / heard, each, counted, cold, tells_share, empty: false }
+        let (load, mean, wanes) = (load / heard, weighted / heard, self.leave_rate(true));
+        Pool { load, mean, each, counted, cold, tells_share, wanes, empty: false }
     }
 
     /// What a backend counts for: its report and what this relay placed there since. Relays that share
@@ -973,7 +999,9 @@
             return f64::from(backend.open);
         }
         let later = backend.placed.len() as f64 * f64::from(self.deployment.relays) * pool.each;
-        backend.told(now).unwrap_or(pool.mean / backend.listing.weight) + later
+        let told = backend.told(now).unwrap_or(pool.mean / backend.listing.weight);
+        let late = backend.late(now, self.deployment.shortest_target, pool.wanes);
+        if pool.tells_share { told.max(late) + later } else { told + later }
     }
 
     // ---- cold backends ----
@@ -1013,10 +1041,14 @@
     /// relay that holds one connection sees none leave for longer than a warm-up lasts, and by a rate of none
     /// all relays but one keep off.
     fn warm_rate(&self, pool: Pool) -> f64 {
-        let warm_up = self.deployment.cold.warm_up.secs();
-        let leave =
-            (self.left_alone + f64::from(u8::from(pool.counted))) / (self.stood + STOOD_FIRST * warm_up);
-        if pool.each <= 0.0 { 0.0 } else { leave.min(1.0 / warm_up) / pool.each }
+        let leave = self.leave_rate(pool.counted).min(1.0 / self.deployment.cold.warm_up.secs());
+        if pool.each <= 0.0 { 0.0 } else { leave / pool.each }
+    }
+
+    /// The part of the connections that leave by themselves within a second.
+    fn leave_rate(&self, one_seen: bool) -> f64 {
+        let first = STOOD_FIRST * self.deployment.cold.warm_up.secs();
+        (self.left_alone + f64::from(u8::from(one_seen))) / (self.stood + first)
     }
 }
 
@@ -1059,6 +1091,16 @@
         self.report(now).and_then(|report| report.load.or(report.connections)).map(|told| told * change)
     }
 
+    /// What late messages show of its load, whatever it reports: those at their target are as late as at a load
+    /// where lateness begins. It wanes as connections leave.
+    fn late(&self, now: Moment, target: Span, wanes: f64) -> f64 {
+        let holds = |at: Moment| self.untrue || now.since(at) < NOTE_AGE;
+        let Some((at, delay)) = self.message_delay.filter(|&(at, _)| target > Span::ZERO && holds(at)) else {
+            return 0.0;
+        };
+        (HOT * delay.secs() / target.secs()).min(1.0) * (-wanes * now.since(at).secs()).exp()
+    }
+
     fn late_for(&self, target: Span, now: Moment) -> bool {
         let recent = self.message_delay.filter(|(at, _)| now.since(*at) < NOTE_AGE);
         target > Span::ZERO && recent.is_some_and(|(_, delay)| delay > target)
--- /dev/null
+++ b/tests/evidence.rs
@@ -0,0 +1,108 @@
+//! What a relay makes of its own evidence where reports, lists and paths tell otherwise; tables of cases, no simulator.
+mod helper;
+
+use helper::{Asked, Bench, arrival, deployment, ms, rows};
+use thistlecroft::deployment::{Deployment, Effect};
+use thistlecroft::front::{Report, Verdict};
+use thistlecroft::ids::{BackendId, SessionId};
+use thistlecroft::units::Span;
+
+/// Four backends, ten connections at each, all heard of; nothing is shared between connections.
+fn settled() -> Bench {
+    let mut bench = Bench::new(Deployment { groups: false, ..deployment(Effect::Repeatable) }, &rows(4));
+    (0..40).for_each(|id| bench.inherit(id, id % 4));
+    bench.pass(ms(20_000));
+    (0..4).for_each(|at| bench.report(at, Some(10.0), Some(0.4)));
+    bench
+}
+
+fn note(bench: &mut Bench, backend: u32, delay: u64) {
+    // Whichever still stands there says so.
+    for id in (backend..40).step_by(4) {
+        bench.relay.delay_noted(bench.now, SessionId(id), ms(delay), &mut bench.book);
+    }
+}
+
+/// How many of these sessions go to that backend.
+fn placed_at(bench: &mut Bench, backend: u32, ids: std::ops::Range<u32>) -> usize {
+    let placed =
+        ids.filter(|&id| bench.arrive(id, arrival(0, 0, ms(4_800))).is_some_and(|(at, _)| at == backend));
+    placed.count()
+}
+
+/// The backend with number 0 tells of hardly any load.
+#[test]
+fn a_backend_whose_messages_are_late_is_not_the_lightest_whatever_it_reports() {
+    // Delay of its messages (the shortest target is 50 ms), and if it is drawn.
+    for (delay, drawn) in [(5, true), (30, true), (70, false), (2_000, false)] {
+        let mut bench = settled();
+        for _ in 0..4 {
+            note(&mut bench, 0, delay);
+            bench.report(0, Some(1.0), Some(0.02));
+            bench.pass(ms(1_000));
+        }
+        note(&mut bench, 0, delay);
+        assert_eq!(placed_at(&mut bench, 0, 100..112) > 0, drawn, "{delay} ms");
+    }
+}
+
+/// Connections have come and gone for long: half of what stands leaves within fourteen seconds.
+#[test]
+fn a_report_that_was_not_true_is_believed_again_once_messages_are_in_time() {
+    // What the report told while messages were late, if one in time is noted, the seconds after, and if it is drawn.
+    let cases = [
+        (0.02, false, 3, false),
+        // It told of its load: what it tells now, it is believed.
+        (1.50, false, 3, true),
+        (0.02, true, 0, true),
+        // Nobody stands there to tell; what overdrove it has left with time.
+        (0.02, false, 60, true),
+    ];
+    for (told, in_time, after, drawn) in cases {
+        let mut bench = settled();
+        for _ in 0..4 {
+            note(&mut bench, 0, 500);
+            bench.report(0, Some(1.0), Some(told));
+            bench.pass(ms(1_000));
+        }
+        note(&mut bench, 0, 500);
+        if in_time {
+            note(&mut bench, 0, 5);
+        }
+        for second in 0..after {
+            bench.pass(ms(1_000));
+            // Others come and go by themselves meanwhile.
+            for id in 0..3 {
+                let id = 1_000 + second * 3 + id;
+                if let Some((at, _)) = bench.arrive(id, arrival(0, 0, ms(4_800))) {
+                    assert!(drawn || at != 0, "second {second}");
+                    bench.stand(id, 0);
+                    bench.end(id, 0, Verdict::Ok, true);
+                }
+            }
+        }
+        (1..4).for_each(|at| bench.report(at, Some(10.0), Some(0.4)));
+        bench.report(0, Some(1.0), Some(0.02));
+        let what = format!("told {told}, in time {in_time}, {after} s after");
+        assert_eq!(placed_at(&mut bench, 0, 900..912) > 0, drawn, "{what}");
+    }
+}
+
+#[test]
+fn what_is_late_and_cannot_be_heard_is_left_at_once_and_one_sign_alone_is_not_enough() {
+    // Delay noted, probes that fail, and how many of ten are sent away within the next second.
+    let cases = [(800, 1, 10..=10), (800, 2, 10..=10), (10, 1, 0..=0), (10, 2, 0..=0), (800, 0, 2..=6)];
+    for (delay, failed, expected) in cases {
+        let mut bench = settled();
+        for _ in 0..failed {
+            bench.relay.probed(bench.now, BackendId(0), Verdict::Timeout, Report::default());
+        }
+        note(&mut bench, 0, delay);
+        bench.pass(ms(600));
+        let left = bench.sent_away();
+        assert!(expected.contains(&left), "{delay} ms, {failed} failed: {left}");
+        let others = |asked: &&Asked| matches!(asked, Asked::SendAway(id) if id % 4 != 0);
+        assert_eq!(bench.book.asked.iter().filter(others).count(), 0, "others stay");
+        bench.pass(Span::ZERO);
+    }
+}
