Probes that are answered bring a backend back, not a time: 2, 4, 8, 16 in a row

Change: two failures in a row put a backend out until it has answered two probes in a row, twice as many each time up to sixteen; a set-up that succeeds clears it, a failure begins anew. Where nothing may be probed one session in twenty tries. What a relay has seen of a backend is one value (Sight), handed over whole; its text has version 2. Also holds against a path that loses by chance; it could hurt where probes pass and dials do not, which the growing number bounds.

--- a/relay/src/estate.rs
+++ b/relay/src/estate.rs
@@ -2,10 +2,11 @@
 //! version, then raw bytes. No I/O.
 use serde::{Deserialize, Serialize};
 use thistlecroft::front::{Memory, Report, Sight};
+use thistlecroft::ids::BackendId;
 use thistlecroft::units::{Moment, Span};
 
 /// Of the words below; a process that speaks another moves its clients instead.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 
 /// A standing connection; its two descriptors go beside it, the client's first.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -35,7 +36,7 @@
     weight_heard: f64,
     strikes: u32,
     ejections: u32,
-    ejected_until_us: u64,
+    owed: u32,
     cold_turn: Option<(u64, u32)>,
 }
 
@@ -48,14 +49,14 @@
 }
 
 impl MemoryText {
-    pub fn of<'a>(memory: &Memory, name: impl Fn(&Sight) -> &'a str) -> MemoryText {
-        let sight = |sight: &Sight| SightText {
-            backend: name(sight).to_string(),
+    pub fn of<'a>(memory: &Memory, name: impl Fn(BackendId) -> &'a str) -> MemoryText {
+        let sight = |&(id, sight): &(BackendId, Sight)| SightText {
+            backend: name(id).to_string(),
             heard: sight.heard.map(|(at, report)| (at.us(), report.connections, report.load)),
             weight_heard: sight.weight_heard,
             strikes: sight.strikes,
             ejections: sight.ejections,
-            ejected_until_us: sight.ejected_until.us(),
+            owed: sight.owed,
             cold_turn: sight.cold_turn,
         };
         MemoryText {
@@ -66,17 +67,21 @@
         }
     }
 
-    pub fn memory(&self, mut id: impl FnMut(&str) -> thistlecroft::ids::BackendId) -> Memory {
-        let sights = self.sights.iter().map(|sight| Sight {
-            id: id(&sight.backend),
-            heard: sight
-                .heard
-                .map(|(at, connections, load)| (Moment::from_us(at), Report { connections, load })),
-            weight_heard: sight.weight_heard,
-            strikes: sight.strikes,
-            ejections: sight.ejections,
-            ejected_until: Moment::from_us(sight.ejected_until_us),
-            cold_turn: sight.cold_turn,
+    pub fn memory(&self, mut id: impl FnMut(&str) -> BackendId) -> Memory {
+        let sights = self.sights.iter().map(|sight| {
+            (
+                id(&sight.backend),
+                Sight {
+                    heard: sight
+                        .heard
+                        .map(|(at, connections, load)| (Moment::from_us(at), Report { connections, load })),
+                    weight_heard: sight.weight_heard,
+                    strikes: sight.strikes,
+                    ejections: sight.ejections,
+                    owed: sight.owed,
+                    cold_turn: sight.cold_turn,
+                },
+            )
         });
         let set_up = Span::from_us(self.set_up_us);
         Memory { sights: sights.collect(), set_up, stood: self.stood, left_alone: self.left_alone }
@@ -168,11 +173,11 @@
             weight_heard: 0.8,
             strikes: 1,
             ejections: 2,
-            ejected_until_us: 11,
+            owed: 11,
             cold_turn: Some((5, 1)),
         });
         let memory = MemoryText { sights: sights.to_vec(), set_up_us: 12, stood: 1.5, left_alone: 2.5 };
-        let back = memory.memory(|_| thistlecroft::ids::BackendId(4));
+        let back = memory.memory(|_| BackendId(4));
         assert_eq!(MemoryText::of(&back, |_| "b"), memory);
         let words = [
             Word::Hello { version: VERSION, relay: "n3".into() },
--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -618,7 +618,7 @@
 }
 
 fn memory(relay: &Relay, book: &Book) -> Word {
-    Word::Memory(MemoryText::of(&relay.memory(), |sight| book.name(sight.id)))
+    Word::Memory(MemoryText::of(&relay.memory(), |id| book.name(id)))
 }
 
 /// The end of a pipe that turns readable when one of these signals comes.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -41,7 +41,8 @@
 const SETTLED: Span = Span::from_ms(2_000); // relief moves nobody sooner: no report holds his load yet
 const STRIKES: u32 = 2; // failures in a row that eject: a single one may be chance
 const MOST_OUT: usize = 2; // one backend in so many may be ejected at a time
-const EJECT: Span = Span::from_ms(4_000); // the first time, doubling: longer than a short pause
+const OWED: u32 = 2; // probes answered in a row bring a backend back; each time twice as many
+const TRIAL: u64 = 20; // sessions, of which one tries what is out where nothing may be probed
 const NOTED: f64 = 1.0 / 3.0; // of the shortest target: later messages are noted, and show a hot backend
 const NOTE_AGE: Span = Span::from_ms(2_000); // notes on late messages come once a second
 const SILENT: Span = Span::from_ms(1_000); // no line back for so long: a pause is over by then
@@ -93,20 +94,13 @@
     listing: Listing,
     open: u32,
     groups: BTreeMap<u64, u32>,
-    heard: Option<(Moment, Report)>,
-    /// The listed weight when it was heard of.
-    weight_heard: f64,
+    sight: Sight,
     /// Own placements that its report may not hold yet.
     placed: VecDeque<Moment>,
-    strikes: u32,
-    ejections: u32,
-    ejected_until: Moment,
     message_delay: Option<(Moment, Span)>,
     /// Since when its messages have been late, and if its reports have told of room meanwhile.
     late_since: Option<Moment>,
     untrue: bool,
-    /// The last turn in which this relay used it cold, and how often.
-    cold_turn: Option<(u64, u32)>,
     /// When it was last taken out by hand and when it was put back.
     returned: Option<(Moment, Moment)>,
     relieved: Moment,
@@ -253,11 +247,7 @@
 
     /// What the next process of this relay is to know.
     pub fn memory(&self) -> Memory {
-        let of = |(&id, at): (&BackendId, &Backend)| {
-            let Backend { heard, weight_heard, strikes, ejections, ejected_until, cold_turn, .. } = *at;
-            Sight { id, heard, weight_heard, strikes, ejections, ejected_until, cold_turn }
-        };
-        let sights = self.backends.iter().map(of).collect();
+        let sights = self.backends.iter().map(|(&id, at)| (id, at.sight)).collect();
         Memory { sights, set_up: self.set_up, stood: self.stood, left_alone: self.left_alone }
     }
 
@@ -269,15 +259,12 @@
             self.lanes.beside(None);
         }
         (self.set_up, self.stood, self.left_alone) = (memory.set_up, memory.stood, memory.left_alone);
-        for sight in &memory.sights {
-            let Some(backend) = self.backends.get_mut(&sight.id) else { continue };
-            if backend.heard.map(|(at, _)| at) < sight.heard.map(|(at, _)| at) {
-                (backend.heard, backend.weight_heard) = (sight.heard, sight.weight_heard);
-            }
-            backend.strikes = backend.strikes.max(sight.strikes);
-            backend.ejections = backend.ejections.max(sight.ejections);
-            backend.ejected_until = backend.ejected_until.max(sight.ejected_until);
-            backend.cold_turn = backend.cold_turn.max(sight.cold_turn);
+        for (id, told) in &memory.sights {
+            let Some(Backend { sight, .. }) = self.backends.get_mut(id) else { continue };
+            let newer = sight.heard.map(|(at, _)| at) >= told.heard.map(|(at, _)| at);
+            let last = if newer { *sight } else { *told };
+            let (strikes, owed) = (sight.strikes.max(told.strikes), sight.owed.max(told.owed));
+            *sight = Sight { strikes, owed, cold_turn: sight.cold_turn.max(told.cold_turn), ..last };
         }
     }
 
@@ -335,7 +322,9 @@
         if let Some(key) = key {
             self.client(key, now).clears_at = Some(now + row.cool_down);
         }
-        self.backends.entry(dial.backend).and_modify(|at| (at.strikes, at.ejections) = (0, 0));
+        self.backends
+            .entry(dial.backend)
+            .and_modify(|at| (at.sight.strikes, at.sight.ejections, at.sight.owed) = (0, 0, 0));
         self.learn_set_up(now.since(dial.sent));
         self.lanes.took(&row, now.since(dial.sent));
         self.save_for_probes(now, front);
@@ -366,7 +355,7 @@
                 }
                 self.heard(now, dial.backend, report);
                 if !matches!(verdict, Verdict::Ok | Verdict::Withdrawn | Verdict::NeverSent) {
-                    self.strike(now, dial.backend, verdict);
+                    self.strike(dial.backend, verdict);
                 }
                 if verdict == Verdict::Timeout {
                     self.learn_set_up(now.since(dial.sent) * 2.0);
@@ -457,11 +446,12 @@
 
     pub fn probed(&mut self, now: Moment, id: BackendId, verdict: Verdict, report: Report) {
         if verdict != Verdict::Ok {
-            return self.strike(now, id, verdict);
+            return self.strike(id, verdict);
         }
         self.heard(now, id, report);
-        if let Some(backend) = self.backends.get_mut(&id).filter(|backend| backend.ejected_until <= now) {
-            backend.strikes = 0;
+        if let Some(backend) = self.backends.get_mut(&id) {
+            backend.sight.owed = backend.sight.owed.saturating_sub(1);
+            backend.sight.strikes = if backend.sight.owed > 0 { backend.sight.strikes } else { 0 };
         }
     }
 
@@ -480,7 +470,7 @@
             (backend.late_since, backend.untrue) = (None, false);
         }
         // Its last report may be seconds old, and relief waits for a fresh one.
-        let stale = backend.heard.is_none_or(|(at, _)| now.since(at) >= REPORT_LAG);
+        let stale = backend.sight.heard.is_none_or(|(at, _)| now.since(at) >= REPORT_LAG);
         let ready = backend.listing.standing == Standing::Ready && !self.banned.contains_key(&dial.backend);
         if may_probe && stale && ready && backend.late_for(shortest, now) {
             front.probe(dial.backend);
@@ -492,14 +482,14 @@
     pub fn overdue(&mut self, now: Moment, id: SessionId, waited: Span, front: &mut dyn Front) {
         self.delay_noted(now, id, waited, front);
         let Some(&Session { state: State::Ready(dial, _), .. }) = self.sessions.get(&id) else { return };
-        if self.backends.get(&dial.backend).is_some_and(|at| at.ejected_until > now) {
+        if self.backends.get(&dial.backend).is_some_and(|at| at.sight.owed > 0) {
             // Two signs that agree. Whoever else stands there would find out only by a line of his own.
             let there =
                 |one: &Session| matches!(one.state, State::Ready(at, _) if at.backend == dial.backend);
             let all = self.sessions.iter().filter(|(_, one)| there(one)).map(|(&id, _)| id);
             all.collect::<Vec<_>>().into_iter().for_each(|id| self.send_away(id, front));
         } else if waited >= SILENT {
-            self.strike(now, dial.backend, Verdict::Timeout);
+            self.strike(dial.backend, Verdict::Timeout);
             self.send_away(id, front);
         }
     }
@@ -609,7 +599,7 @@
         let turn = self.cold_turn(now, at);
         if let Some(backend) = self.backends.get_mut(&at) {
             backend.placed.push_back(now);
-            backend.cold_turn = turn.map(|(turn, used)| (turn, used + 1));
+            backend.sight.cold_turn = turn.map(|(turn, used)| (turn, used + 1));
         }
         front.dial(id, at, give_up);
         Some(Dial { number, backend: at, sent: now })
@@ -740,28 +730,29 @@
         let told = report.connections.or(report.load).is_some();
         let shortest = self.deployment.shortest_target;
         let Some(backend) = self.backends.get_mut(&id).filter(|_| told) else { return };
-        backend.heard = Some((now, report));
+        backend.sight.heard = Some((now, report));
         // A report may be older than the lateness; one that is not and tells of room is not true.
         let late_since = backend.late_since.filter(|_| backend.late_for(shortest * NOTED, now));
         if late_since.is_some_and(|at| now.since(at) > REPORT_LAG * 2.0) {
             backend.untrue = report.load.is_some_and(|load| load < HOT);
         }
-        backend.weight_heard = backend.listing.weight;
+        backend.sight.weight_heard = backend.listing.weight;
         backend.placed.retain(|&at| at + REPORT_LAG > now);
     }
 
-    /// A backend that fails dials or probes in a row takes no part for a while, longer each time, since a
-    /// backend that hangs or fails fast still answers its probes and looks the least loaded of all.
-    fn strike(&mut self, now: Moment, id: BackendId, verdict: Verdict) {
+    /// A backend that fails dials or probes in a row takes no part until it has answered, more often each time, as
+    /// a backend that hangs or fails fast still answers its probes and looks the least loaded of all.
+    fn strike(&mut self, id: BackendId, verdict: Verdict) {
         let ready = self.ready_ones().count();
-        let out = self.ready_ones().filter(|(_, backend)| backend.ejected_until > now).count();
+        let out = self.ready_ones().filter(|(_, backend)| backend.sight.owed > 0).count();
         let Some(backend) = self.backends.get_mut(&id) else { return };
-        backend.strikes += 1;
+        backend.sight.strikes += 1;
         // Failures all over the fleet have a cause that no backend can be blamed for, ours or one they share.
         let blamed = (out + 1) * MOST_OUT < ready.max(MOST_OUT + 1);
-        if verdict != Verdict::Full && backend.strikes >= STRIKES && backend.ejected_until <= now && blamed {
-            backend.ejected_until = now + EJECT * f64::from(1 << backend.ejections.min(3));
-            backend.ejections += 1;
+        if verdict != Verdict::Full && backend.sight.strikes >= STRIKES && (backend.sight.owed > 0 || blamed)
+        {
+            backend.sight.ejections += u32::from(backend.sight.owed == 0);
+            backend.sight.owed = OWED << (backend.sight.ejections - 1).min(3);
         }
     }
 
@@ -810,8 +801,8 @@
         for (&at, backend) in &mut self.backends {
             let behind = backend.late_for(shortest, now);
             // Late and not to be heard: nothing that is sent there comes through, the backend's fault or not.
-            let lost = behind && backend.strikes > 0;
-            let report = backend.heard.filter(|&(heard, _)| {
+            let lost = behind && backend.sight.strikes > 0;
+            let report = backend.sight.heard.filter(|&(heard, _)| {
                 heard >= backend.relieved + REPORT_LAG && now.since(heard) < REPORT_LAG
             });
             let late = if behind { backend.late(now, shortest, wanes).min(FULL) } else { 0.0 };
@@ -905,7 +896,8 @@
                 able.push(at);
             }
         }
-        let is_in = |at: &BackendId| self.backends[at].ejected_until <= now;
+        let trial = !self.deployment.may_probe && self.chance.below(TRIAL) == 0;
+        let is_in = |at: &BackendId| trial || self.backends[at].sight.owed == 0;
         let healthy: Vec<BackendId> = able.iter().copied().filter(is_in).collect();
         let mut able = if healthy.is_empty() { able } else { healthy };
         if able.len() > 1 {
@@ -1014,7 +1006,7 @@
         let (backend, cold) = (&self.backends[&id], &self.deployment.cold);
         let age = now.since(backend.up_since()?);
         let turn = age.us() / cold.window.us().max(1);
-        let used = backend.cold_turn.filter(|&(at, _)| at == turn).map_or(0, |(_, used)| used);
+        let used = backend.sight.cold_turn.filter(|&(at, _)| at == turn).map_or(0, |(_, used)| used);
         (age < cold.warm_up).then_some((turn, used))
     }
 
@@ -1064,7 +1056,7 @@
 
 impl Backend {
     fn new(listing: Listing) -> Backend {
-        Backend { listing, weight_heard: 1.0, ..Backend::default() }
+        Backend { listing, sight: Sight { weight_heard: 1.0, ..Sight::default() }, ..Backend::default() }
     }
 
     /// Another process under the same id: what was known of the last one misleads.
@@ -1082,14 +1074,14 @@
     fn report(&self, now: Moment) -> Option<Report> {
         // Where the list tells of loads it says more than a report that is no longer fresh.
         let age = if self.listing.weight == 1.0 { POOL_AGE } else { POOL_AGE_LISTED };
-        self.heard.filter(|(at, _)| now.since(*at) < age).map(|(_, report)| report)
+        self.sight.heard.filter(|(at, _)| now.since(*at) < age).map(|(_, report)| report)
     }
 
     /// Its reported load as of now. Where the list lowers a weight with the connections held, it tells what
     /// came and went since the report; not more than twofold, since at a relay's start the list may be far
     /// behind.
     fn told(&self, now: Moment) -> Option<f64> {
-        let change = (self.weight_heard / self.listing.weight).clamp(0.5, 2.0);
+        let change = (self.sight.weight_heard / self.listing.weight).clamp(0.5, 2.0);
         self.report(now).and_then(|report| report.load.or(report.connections)).map(|told| told * change)
     }
 
--- a/src/front.rs
+++ b/src/front.rs
@@ -93,22 +93,24 @@
     pub report: Report,
 }
 
-/// What a relay knows of one backend.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// What a relay has seen of one backend.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Sight {
-    pub id: BackendId,
     pub heard: Option<(Moment, Report)>,
+    /// The listed weight when it was heard of.
     pub weight_heard: f64,
     pub strikes: u32,
     pub ejections: u32,
-    pub ejected_until: Moment,
+    /// Probes that have to be answered in a row before it takes part again.
+    pub owed: u32,
+    /// The last turn in which this relay used it cold, and how often.
     pub cold_turn: Option<(u64, u32)>,
 }
 
 /// What one process of a relay hands to the next.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Memory {
-    pub sights: Vec<Sight>,
+    pub sights: Vec<(BackendId, Sight)>,
     pub set_up: Span,
     /// Seconds that connections stood, and how many left by themselves, of late.
     pub stood: f64,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -276,9 +276,16 @@
         }
         let dialled = (80..140).any(|id| bench.arrive(id, arrival(0, 0, ms(4_800))).unwrap().0 < failing);
         assert_eq!(dialled, still_dialled, "{failing} failing");
+        // No time brings it back, a probe that it answers does, here the fourth at the latest.
         bench.pass(ms(40_000));
+        let still = (80..140).any(|id| bench.arrive(200 + id, arrival(0, 0, ms(4_800))).unwrap().0 < failing);
+        assert_eq!(still, still_dialled, "{failing} failing: 40 s of silence");
+        for _ in 0..4 {
+            (0..failing).for_each(|at| bench.report(at, Some(1.0), Some(0.1)));
+            bench.pass(ms(100));
+        }
         let again = (140..220).any(|id| bench.arrive(id, arrival(0, 0, ms(4_800))).unwrap().0 < failing);
-        assert!(again, "{failing} failing: tried again after a while");
+        assert!(again, "{failing} failing: tried again once it answers");
     }
 }
 
