What room is left goes to whoever makes most of it; crossing connections are left where they are

Checked: pick() has one limit for all; relieve() already sends the least worth for its load first, so the two worked against each other. Acts near full backends only; it could hurt a listener whose load is misjudged from few sessions, and where the worst listener weighs much. Session, its states and Dial are types in a file of their own.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,11 +4,11 @@
 //! part follows the design and under what condition each departure acts. Order of reading: open settings,
 //! state by lifetime, events, dialling, picking.
 use crate::deployment::{Deployment, Effect, Route, Scope};
-use crate::front::{Arrival, Ending, Front, ListScope, Listing, Report, Standing, Verdict};
-use crate::front::{Memory, Sight};
-use crate::ids::{BackendId, SessionId};
+use crate::front::{Arrival, Ending, Front, ListScope, Listing, Memory, Report, Sight, Standing, Verdict};
+use crate::ids::{BackendId, RouteId, SessionId};
 use crate::keys::{Client, Keys};
 use crate::lanes::{Extra, Lanes};
+use crate::session::{Dial, Session, State};
 use crate::units::{Chance, Moment, Span};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -33,10 +33,10 @@
 const OPENING: f64 = 0.5; // of a backend for a group new to it, against spilling groups over the fleet
 const OPENING_COUNT: f64 = 15.0; // the same in connections, where only those are told
 const MET_DOUBT: f64 = 20.0; // a group counts as one session in so many until more is known of it
-const HELD_FOR_HOME: usize = 20; // connections: a relay with fewer knows too little of groups to move any
-const ROOMY: f64 = 0.3; // load below which the own zone takes crossing connections back
 const HOT: f64 = 0.6; // load from which a backend's messages begin to be late
 const FULL: f64 = 0.8; // load from which nothing is placed and some is sent away: it may rise between reports
+const YIELDS: f64 = 0.2; // of a backend, left free by what is worth least for its load
+const LEARNT: f64 = 0.05; // of a route's usual load by each session
 const DRAIN: f64 = 0.5; // load down to which, where work has piled up
 const SETTLED: Span = Span::from_ms(2_000); // relief moves nobody sooner: no report holds his load yet
 const STRIKES: u32 = 2; // failures in a row that eject: a single one may be chance
@@ -51,43 +51,6 @@
 const KEPT: f64 = 0.99; // of what is counted of late, each housekeeping
 const HOUSEKEEPING: Span = Span::from_ms(500); // often enough to act on a report while it is fresh
 
-/// One dial, from its sending to its verdict.
-#[derive(Clone, Copy)]
-struct Dial {
-    number: u32,
-    backend: BackendId,
-    sent: Moment,
-}
-
-#[derive(Clone, Copy, Default)]
-enum State {
-    #[default]
-    New,
-    Held,
-    Dialling(Dial),
-    Ready(Dial, Moment),
-    /// The client has its answer or has left; only the verdict of a dial is waited for.
-    Settled,
-    Over,
-}
-
-/// One session, from its arrival to the last word about it.
-struct Session {
-    arrival: Arrival,
-    row: Arc<Route>,
-    due: Moment,
-    state: State,
-    dials: u32,
-    own_failures: u32,
-    /// The first dial that may have run, where and when.
-    ran: Option<(BackendId, Moment)>,
-    last_tried: Option<BackendId>,
-    /// A second dial that is out beside the one of its state.
-    second: Option<Dial>,
-    /// What its connection asks for, as far as the front tells.
-    load: Option<f64>,
-}
-
 /// One backend, as long as the instance lives.
 #[derive(Default)]
 struct Backend {
@@ -177,6 +140,8 @@
     lately: f64,
     /// How long a set-up takes of late, over all backends.
     set_up: Span,
+    /// The load that a session of each route usually asks for.
+    usual: BTreeMap<RouteId, f64>,
 }
 
 impl Relay {
@@ -197,6 +162,7 @@
     pub fn resettle(&mut self, deployment: Deployment) {
         self.routes = deployment.routes.iter().copied().map(Arc::new).collect();
         self.lanes.limit(deployment.ration);
+        self.usual.clear(); // rows may stand for other listeners now
         self.deployment = deployment;
     }
 
@@ -456,7 +422,21 @@
     }
 
     pub fn load_noted(&mut self, id: SessionId, load: f64) {
-        self.sessions.entry(id).and_modify(|session| session.load = Some(load));
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        if session.load.replace(load).is_none() {
+            let usual = self.usual.entry(session.arrival.route).or_insert(load);
+            *usual += (load - *usual) * LEARNT;
+        }
+    }
+
+    /// The load from which none of a route is placed: the less worth it is for the load that it usually asks for,
+    /// beside the best route, the sooner, so that what room is left goes to whoever makes most of it.
+    fn full(&self, route: RouteId) -> f64 {
+        let utility = |at: &RouteId| self.routes.get(usize::from(at.0)).map_or(0.0, |row| row.utility);
+        let worth = |(at, usual): (&RouteId, &f64)| utility(at) / usual.max(1e-9);
+        let best = self.usual.iter().map(worth).fold(f64::MIN_POSITIVE, f64::max);
+        let own = self.usual.get_key_value(&route).map_or(best, worth);
+        FULL - YIELDS * (1.0 - (own / best).cbrt())
     }
 
     pub fn delay_noted(&mut self, now: Moment, id: SessionId, delay: Span, front: &mut dyn Front) {
@@ -509,7 +489,6 @@
                     self.met.values_mut().for_each(|met| *met *= KEPT);
                     self.met.retain(|_, met| *met > 0.1);
                     self.relieve(now, front);
-                    self.bring_home(now, front);
                     self.clients.forget_old(now);
                     self.plan(now + HOUSEKEEPING, Errand::Housekeeping, front);
                 }
@@ -749,10 +728,10 @@
         backend.sight.strikes += 1;
         // Failures all over the fleet have a cause that no backend can be blamed for, ours or one they share.
         let blamed = (out + 1) * MOST_OUT < ready.max(MOST_OUT + 1);
-        if verdict != Verdict::Full && backend.sight.strikes >= STRIKES && (backend.sight.owed > 0 || blamed)
-        {
-            backend.sight.ejections += u32::from(backend.sight.owed == 0);
-            backend.sight.owed = OWED << (backend.sight.ejections - 1).min(3);
+        let Sight { strikes, ejections, owed, .. } = &mut backend.sight;
+        if verdict != Verdict::Full && *strikes >= STRIKES && (*owed > 0 || blamed) {
+            *ejections += u32::from(*owed == 0);
+            *owed = OWED << (*ejections).clamp(1, 4) >> 1;
         }
     }
 
@@ -839,28 +818,6 @@
         }
     }
 
-    /// Where crossing zones costs more than a move, connections that cross come back one at a time while the
-    /// own zone has room; more at once would fill it on old reports, and swamp whatever set-ups share.
-    fn bring_home(&mut self, now: Moment, front: &mut dyn Front) {
-        let (home, held) = (self.deployment.zone, self.sessions.len());
-        if held < HELD_FOR_HOME || self.deployment.crossing_price <= self.deployment.move_price {
-            return;
-        }
-        let mut crossing: Vec<SessionId> = Vec::new();
-        for (&id, session) in &self.sessions {
-            let State::Ready(dial, since) = session.state else { continue };
-            let at = self.backends.get(&dial.backend);
-            if now.since(since) >= session.row.cool_down && at.is_some_and(|at| at.listing.zone != home) {
-                crossing.push(id);
-            }
-        }
-        let Some(&id) = self.any_of(&crossing) else { return };
-        let Some(at) = self.pick(now, id) else { return };
-        if self.backends[&at].listing.zone == home && self.load(now, at, self.pool(now)) < ROOMY {
-            self.send_away(id, front);
-        }
-    }
-
     fn send_away(&mut self, id: SessionId, front: &mut dyn Front) {
         front.send_away(id);
         self.turn(id, State::Settled, front);
@@ -882,7 +839,7 @@
     /// Where a session goes: the less loaded of two entries of the pool.
     fn pick(&mut self, now: Moment, id: SessionId) -> Option<BackendId> {
         let session = &self.sessions[&id];
-        let (group, last, ran) = (session.arrival.group, session.last_tried, session.ran);
+        let (Arrival { group, route, .. }, last, ran) = (session.arrival, session.last_tried, session.ran);
         let (effect, pool) = (session.row.effect, self.pool(now));
         let first = ran.map(|(first, _)| self.backends[&first].listing);
         let mut able: Vec<BackendId> = Vec::new();
@@ -911,6 +868,7 @@
         }
         let loads: Vec<f64> = able.iter().map(|&at| self.load(now, at, pool)).collect();
         let fleet = loads.iter().sum::<f64>() / loads.len() as f64;
+        let full = self.full(route);
         let weigh = |(place, at): (usize, BackendId)| {
             let backend = &self.backends[&at];
             // Of hundreds of relays one knows next to nothing of where a group is held: most likely with the
@@ -927,8 +885,8 @@
             // what finds no room anywhere is refused instead. Where little room is left a group gets no new
             // backend on a guess; but while the fleet has room, to refuse it would be one.
             let rank = match pool.tells_share {
-                true if load >= HOT && (room || told + opening < FULL) => 2,
-                true if load >= HOT && (told >= FULL || fleet >= HOT) => return None,
+                true if load >= HOT && (room || told + opening < full) => 2,
+                true if load >= HOT && (told >= full || fleet >= HOT) => return None,
                 true if load >= HOT => 3,
                 _ => u32::from(far),
             };
@@ -1046,14 +1004,6 @@
     }
 }
 
-impl Session {
-    fn new(arrival: Arrival, row: Arc<Route>, now: Moment) -> Session {
-        let (state, due) = (State::New, now + arrival.dial_timeout);
-        let (ran, last_tried, second, load) = (None, None, None, None);
-        Session { arrival, row, due, state, dials: 0, own_failures: 0, ran, last_tried, second, load }
-    }
-}
-
 impl Backend {
     fn new(listing: Listing) -> Backend {
         Backend { listing, sight: Sight { weight_heard: 1.0, ..Sight::default() }, ..Backend::default() }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod ids;
 pub mod keys;
 pub mod lanes;
+mod session;
 pub mod units;
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -2,9 +2,9 @@
 mod helper;
 
 use helper::{Asked, Bench, arrival, deployment, ms, rows};
-use thistlecroft::deployment::{Deployment, Effect};
-use thistlecroft::front::{Report, Verdict};
-use thistlecroft::ids::{BackendId, SessionId};
+use thistlecroft::deployment::{Deployment, Effect, Route};
+use thistlecroft::front::{Arrival, Report, Verdict};
+use thistlecroft::ids::{BackendId, RouteId, SessionId};
 use thistlecroft::units::Span;
 
 /// Four backends, ten connections at each, all heard of; nothing is shared between connections.
@@ -106,3 +106,31 @@
         bench.pass(Span::ZERO);
     }
 }
+
+/// Two listeners: one is worth three a second and asks for a quarter of the load of the other, which is worth one.
+#[test]
+fn what_room_is_left_goes_to_whoever_makes_most_of_it() {
+    // The load of all backends, and if either is placed.
+    for (load, rich, poor) in
+        [(0.40, true, true), (0.62, true, true), (0.72, true, false), (0.85, false, false)]
+    {
+        let plain = Deployment { groups: false, ..deployment(Effect::Repeatable) };
+        let row = plain.routes[0];
+        let routes = vec![Route { utility: 3.0, ..row }, Route { utility: 1.0, ..row }];
+        let mut bench = Bench::new(Deployment { routes, ..plain }, &rows(6));
+        let of =
+            |id: u32| Arrival { route: RouteId((id % 2) as u16), ..arrival(u64::from(id) + 1, 0, ms(4_800)) };
+        for id in 0..40 {
+            bench.arrive(id, of(id));
+            bench.stand(id, 0);
+            bench.relay.load_noted(SessionId(id), if id % 2 == 0 { 1.0 } else { 4.0 });
+        }
+        bench.pass(ms(20_000));
+        (0..6).for_each(|at| bench.report(at, Some(1_000.0), Some(load)));
+        for (id, placed) in [(100, rich), (101, poor)] {
+            let dialled = bench.arrive(id, of(id)).is_some();
+            assert_eq!(dialled, placed, "load {load}, listener {}", id % 2);
+            assert_eq!(bench.answers(id).is_empty(), placed, "who finds no room is answered at once");
+        }
+    }
+}
