A backend that broke all that stood there is cold, list or no list; cold turns a quarter larger

Change: where two or more standing connections broke within half a second and none is left, the backend counts as started then, by the same field as one put back by hand; an older start told later changes nothing, a newer one does. What it reported before is forgotten. The budget of a turn is 1.25 of the estimate in place of 1.0 where groups share work: their cost lowers the estimate more than twofold. What each error costs: a warm box taken for cold refuses for one warm-up at most what its turns can't take; a cold one taken for warm falls over and stays down. One connection that lived through keeps it warm, so a lossy way or shedding of some does not. Also holds against a process killed by hand and a network that cut everything to one box; it could hurt where a way from here resets all and the box is warm: limited to a warm-up.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -67,6 +67,8 @@
     /// When it was last taken out by hand and when it was put back.
     returned: Option<(Moment, Moment)>,
     relieved: Moment,
+    /// Since when standing connections have been breaking, and how many.
+    broken: (Moment, u32),
 }
 
 #[derive(Clone, Copy, Default)]
@@ -188,9 +190,8 @@
         }
     }
 
-    /// A call to discovery failed or the subscription broke. Asking again with full jitter keeps the relays
-    /// from meeting at a discovery that is already behind, and well within the span after which the relay
-    /// would be deemed to know what it never heard.
+    /// A call to discovery failed or the subscription broke. Full jitter keeps the relays from meeting there, well
+    /// within the span after which they would be deemed to know what they never heard.
     pub fn list_failed(&mut self, now: Moment, front: &mut dyn Front) {
         let Some(within) = self.deployment.ask_within else { return };
         let wait = self.jitter(self.failed_calls, BASE, CAP).min(within * 0.5);
@@ -198,8 +199,7 @@
         self.plan(now + wait, Errand::Subscribe, front);
     }
 
-    /// An operator takes a backend out, or puts it back. It was restarted meanwhile, whether or not the list
-    /// says so yet: nothing that was known of it holds, least of all that it failed.
+    /// An operator takes a backend out, or puts it back, restarted: nothing that was known of it holds.
     pub fn ban(&mut self, now: Moment, id: BackendId, out: bool) {
         if out {
             self.banned.entry(id).or_insert(now);
@@ -341,6 +341,7 @@
                     // Looked up first: that clears the count if the connection has stood long enough.
                     self.client(key, now).clears_at = None;
                 }
+                self.broke(now, dial.backend, verdict == Verdict::Reset);
                 if !answered {
                     return self.finish(id, None, front);
                 }
@@ -351,6 +352,20 @@
         self.turn(id, State::Over, front);
     }
 
+    /// A standing connection ended. Where all of several broke at once the backend went down with them, and starts
+    /// cold whenever it is back, whether or not a list ever tells; one that lived through it says otherwise.
+    fn broke(&mut self, now: Moment, id: BackendId, reset: bool) {
+        let Some(backend) = self.backends.get_mut(&id).filter(|_| reset) else { return };
+        if now.since(backend.broken.0) > HOUSEKEEPING {
+            backend.broken = (now, 0);
+        }
+        backend.broken.1 += 1;
+        if backend.open <= 1 && backend.broken.1 >= STRIKES {
+            backend.renew(backend.listing);
+            backend.returned = Some((now, now));
+        }
+    }
+
     /// The client has left, or the front has ended the session.
     pub fn left(&mut self, id: SessionId, front: &mut dyn Front) {
         let Some(&Session { state, .. }) = self.sessions.get(&id) else { return };
@@ -378,8 +393,8 @@
         self.until.map_or(session.due, |until| until.min(session.due))
     }
 
-    /// The process is to end. All at once would have the clients come back together: they go in even steps,
-    /// late ones, since the next relay may itself have just been stopped. No dial may last beyond them.
+    /// The process is to end. Clients go in even steps, late ones, since the next relay may itself have just been
+    /// stopped. No dial may last beyond them.
     pub fn stopping(&mut self, now: Moment, front: &mut dyn Front) {
         let tenth = self.deployment.stop_within * 0.1;
         self.until = Some(now + tenth * 8.0);
@@ -624,9 +639,8 @@
         }
     }
 
-    /// If what is left of the limits on further dials has one for this session: of the first half everyone, of
-    /// the second the more the greater its utility and the more of its time is left, since one that comes again
-    /// late or for little takes it from those that follow.
+    /// If the limits on further dials have one for this session: of the first half everyone, of the second the
+    /// more the greater its utility and the more of its time is left.
     fn is_granted(&mut self, now: Moment, id: SessionId) -> bool {
         let session = &self.sessions[&id];
         let (row, left) = (session.row.clone(), self.due(session).since(now));
@@ -668,8 +682,7 @@
         self.turn(id, State::Over, front);
     }
 
-    /// Where set-ups slow down everywhere, giving up early only sends the same work again to whatever is
-    /// crowded.
+    /// Where set-ups slow down everywhere, giving up early only sends the same work again to what is crowded.
     fn learn_set_up(&mut self, took: Span) {
         self.set_up = self.set_up * 0.5 + took * 0.5;
     }
@@ -719,8 +732,8 @@
         backend.placed.retain(|&at| at + REPORT_LAG > now);
     }
 
-    /// A backend that fails dials or probes in a row takes no part until it has answered, more often each time, as
-    /// a backend that hangs or fails fast still answers its probes and looks the least loaded of all.
+    /// A backend that fails in a row takes no part until it has answered, more often each time: one that hangs or
+    /// fails fast still answers probes and looks the least loaded of all.
     fn strike(&mut self, id: BackendId, verdict: Verdict) {
         let ready = self.ready_ones().count();
         let out = self.ready_ones().filter(|(_, backend)| backend.sight.owed > 0).count();
@@ -735,8 +748,7 @@
         }
     }
 
-    /// Each session pays for so many probes: hundreds of relays that each hear of all backends as often as a
-    /// few did would spend more on probes than the service earns, and keep the backends busy answering.
+    /// Each session pays for so many probes: those of hundreds of relays would cost more than the service earns.
     fn save_for_probes(&mut self, now: Moment, front: &mut dyn Front) {
         let each = PROBES_WORTH / self.deployment.probe_price.max(f64::MIN_POSITIVE);
         let most = self.ready_ones().count().max(1) as f64 * (SPENT_OVER.secs() / HEAR_EVERY.secs());
@@ -973,11 +985,10 @@
         let (listing, cold) = (self.backends[&id].listing, &self.deployment.cold);
         let age = self.backends[&id].up_since().map_or(cold.warm_up, |at| now.since(at));
         let share = cold.start_share + (1.0 - cold.start_share) * age.secs() / cold.warm_up.secs();
-        // Any window overlaps two turns: half for either. Where groups share work, what they cost lowers the
-        // estimate by about as much, and the rule does not count it. As many relays have the turn as the
-        // budget holds connections; and where each meets fewer sessions than there are cold backends, so many
-        // more as their few sessions go to others of them.
-        let part = if self.deployment.groups { 1.0 } else { 0.5 };
+        // Any window overlaps two turns: half for either. What groups cost lowers the estimate by more than that,
+        // and the rule does not count it. As many relays have the turn as the budget holds connections; where
+        // each meets fewer sessions than there are cold backends, more, as they go to others of them.
+        let part = if self.deployment.groups { 1.25 } else { 0.5 };
         let budget = part * cold.factor * share * self.warm_rate(pool) * cold.window.secs();
         let relays = u64::from(self.deployment.relays);
         let spread = (pool.cold / self.lately.max(1.0)).clamp(1.0, SPREAD);
@@ -987,11 +998,9 @@
         place < slots && f64::from(used) < each.floor() && !self.beside
     }
 
-    /// New connections a second that would fill a warm backend of middling size: as many as it holds when
-    /// full times the rate at which they leave by themselves, or that fills it over its warm-up if that is
-    /// less. A rush of clients that come back shows in neither. One departure is taken as seen at first: a
-    /// relay that holds one connection sees none leave for longer than a warm-up lasts, and by a rate of none
-    /// all relays but one keep off.
+    /// New connections a second that would fill a warm backend of middling size: as many as it holds when full
+    /// times the rate at which they leave by themselves, or that fills it over its warm-up if that is less. One
+    /// departure is taken as seen at first: by a rate of none all relays that hold few but one keep off.
     fn warm_rate(&self, pool: Pool) -> f64 {
         let leave = self.leave_rate(pool.counted).min(1.0 / self.deployment.cold.warm_up.secs());
         if pool.each <= 0.0 { 0.0 } else { leave / pool.each }
