--- /dev/null
+++ b/tests/paths.rs
@@ -0,0 +1,201 @@
+//! What a model fleet shows of backends that fail by turns and of ways that are bad from one relay only: dials wasted, and
+//! the load that healthy backends bear. Stepped clock, no simulator.
+mod helper;
+
+use helper::{Asked, Bench, arrival, deployment, ms, rows};
+use thistlecroft::deployment::{Deployment, Effect};
+use thistlecroft::front::{Report, Verdict};
+use thistlecroft::ids::{BackendId, SessionId};
+use thistlecroft::units::{Chance, Moment, Span};
+
+const STEP: Span = Span::from_ms(100);
+/// A dial that nobody answers, a probe likewise.
+const UNANSWERED: Span = Span::from_ms(300);
+/// Connections that fill one backend.
+const FULL: f64 = 40.0;
+
+/// How a way or a backend is at a moment, for one relay.
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    Well,
+    /// Takes dials and messages and answers none; probes pass.
+    Hangs,
+    /// Nothing that is sent comes through.
+    Lost,
+}
+
+#[derive(Default)]
+struct Tally {
+    dials: usize,
+    wasted: usize,
+    refused: usize,
+    /// Seconds of connections, and those spent where messages go unanswered.
+    stood: f64,
+    unserved: f64,
+    worst_load: f64,
+}
+
+struct Play {
+    relays: Vec<Bench>,
+    chance: Chance,
+    next: u32,
+    /// Relay, session, dial, backend, when it went out.
+    out: Vec<(usize, u32, u32, u32, Moment)>,
+    /// Relay, session, dial, backend, when its client leaves.
+    standing: Vec<(usize, u32, u32, u32, Moment)>,
+    read: Vec<usize>,
+}
+
+impl Play {
+    fn new(relays: u32, backends: u32) -> Play {
+        let of = Deployment { groups: false, relays, ..deployment(Effect::Repeatable) };
+        let one = |me| Bench::seeded(Deployment { me, ..of.clone() }, u64::from(me) + 1, &rows(backends));
+        let (relays, read): (Vec<Bench>, _) = ((0..relays).map(one).collect(), vec![0; relays as usize]);
+        Play { relays, chance: Chance::from_seed(3), next: 0, out: Vec::new(), standing: Vec::new(), read }
+    }
+
+    fn now(&self) -> Moment {
+        self.relays[0].now
+    }
+
+    /// Sessions arrive at that rate for so long, each standing for twenty seconds; `way`: of relay, backend and time.
+    fn run(&mut self, length: Span, a_second: f64, way: impl Fn(usize, u32, Span) -> Way) -> Tally {
+        let (start, mut tally) = (self.now(), Tally::default());
+        let mut arrivals = 0.0;
+        while self.now() < start + length {
+            let since = self.now().since(start);
+            let mut held = [0.0; 64];
+            self.standing.iter().for_each(|&(.., at, _)| held[at as usize] += 1.0 / FULL);
+            for me in 0..self.relays.len() {
+                self.relays[me].pass(STEP);
+                self.carry_out(me, since, &held, &way, &mut tally);
+                let healthy = (0..64).filter(|&at| way(me, at, since) == Way::Well);
+                tally.worst_load = healthy.map(|at| held[at as usize]).fold(tally.worst_load, f64::max);
+            }
+            arrivals += a_second * STEP.secs();
+            while arrivals >= 1.0 {
+                arrivals -= 1.0;
+                let me = self.chance.below(self.relays.len() as u64) as usize;
+                self.relays[me].arrive(self.next, arrival(u64::from(self.next) + 1, 0, ms(3_200)));
+                self.next += 1;
+            }
+            self.settle(since, &way, &mut tally);
+        }
+        tally
+    }
+
+    /// What the relay asked for since: dials go out, probes are answered or not, connections are sent away.
+    fn carry_out(
+        &mut self,
+        me: usize,
+        since: Span,
+        held: &[f64],
+        way: &impl Fn(usize, u32, Span) -> Way,
+        tally: &mut Tally,
+    ) {
+        while let Some(&asked) = self.relays[me].book.asked.get(self.read[me]) {
+            self.read[me] += 1;
+            let relay = &mut self.relays[me];
+            match asked {
+                Asked::Dial(id, at, _) => {
+                    tally.dials += 1;
+                    let number = relay.dials(id).len() as u32 - 1;
+                    self.out.push((me, id, number, at, relay.now));
+                }
+                Asked::Probe(at) if way(me, at, since) == Way::Lost => {
+                    relay.relay.probed(relay.now, BackendId(at), Verdict::Timeout, Report::default());
+                }
+                Asked::Probe(at) => relay.report(at, Some(held[at as usize] * FULL), Some(held[at as usize])),
+                Asked::Refuse(..) => tally.refused += 1,
+                Asked::SendAway(id) => {
+                    let (left, stay) =
+                        self.standing.drain(..).partition(|&(of, session, ..)| of == me && session == id);
+                    self.standing = stay;
+                    let left: Vec<(usize, u32, u32, u32, Moment)> = left;
+                    left.iter().for_each(|&(_, id, dial, ..)| relay.end(id, dial, Verdict::Withdrawn, true));
+                    // Its client comes again.
+                    relay.arrive(self.next, arrival(u64::from(self.next) + 1, 0, ms(3_200)));
+                    self.next += 1;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn settle(&mut self, since: Span, way: &impl Fn(usize, u32, Span) -> Way, tally: &mut Tally) {
+        let now = self.now();
+        let mut still = Vec::new();
+        for (me, id, dial, at, sent) in std::mem::take(&mut self.out) {
+            let relay = &mut self.relays[me];
+            if way(me, at, since) == Way::Well {
+                relay.stand(id, dial);
+                self.standing.push((me, id, dial, at, now + ms(20_000)));
+            } else if now.since(sent) >= UNANSWERED {
+                tally.wasted += 1;
+                relay.end(id, dial, Verdict::Timeout, false);
+            } else {
+                still.push((me, id, dial, at, sent));
+            }
+        }
+        self.out = still;
+        let (over, standing): (Vec<_>, _) = self.standing.drain(..).partition(|&(.., until)| until <= now);
+        self.standing = standing;
+        over.iter().for_each(|&(me, id, dial, ..)| self.relays[me].end(id, dial, Verdict::Ok, true));
+        let whole = now.us() % 1_000_000 < STEP.us();
+        let mut noted = std::collections::BTreeSet::new();
+        for &(me, id, _, at, _) in &self.standing {
+            tally.stood += STEP.secs();
+            if way(me, at, since) != Way::Well {
+                tally.unserved += STEP.secs();
+            }
+            // Once a second on one connection of each relay, and once more when messages are in time again.
+            if whole && noted.insert((me, at)) {
+                let delay = if way(me, at, since) == Way::Well { ms(5) } else { ms(800) };
+                let relay = &mut self.relays[me];
+                relay.relay.delay_noted(relay.now, SessionId(id), delay, &mut relay.book);
+            }
+        }
+    }
+}
+
+/// Four of twelve backends hang by turns of 8 s, three of them bad, each at times of its own; probes pass all the while.
+#[test]
+fn backends_that_fail_by_turns_waste_few_dials_and_the_others_bear_it() {
+    let mut play = Play::new(4, 12);
+    let calm = play.run(ms(30_000), 11.0, |_, _, _| Way::Well);
+    assert_eq!((calm.wasted, calm.refused), (0, 0));
+    let hangs = |_: usize, at: u32, since: Span| {
+        let turn = (since.us() / 1_000 + u64::from(at) * 1_700) % 8_000;
+        if at < 4 && turn < 3_000 { Way::Hangs } else { Way::Well }
+    };
+    let turns = play.run(ms(40_000), 11.0, hangs);
+    // By chance one dial in eight meets a bad turn (a third of the backends, three eighths of the time).
+    let (wasted, unserved) = (turns.wasted as f64 / turns.dials as f64, turns.unserved / turns.stood);
+    assert!(wasted < 0.05, "{} of {} dials wasted", turns.wasted, turns.dials);
+    assert!(unserved < 0.105, "{unserved:.3} of the time unserved");
+    assert!(turns.worst_load < 0.85, "a healthy backend at {:.2}", turns.worst_load);
+    assert!(turns.refused * 20 < turns.dials, "{} refused", turns.refused);
+    // They are used again: a minute later the four bear their part.
+    play.run(ms(60_000), 11.0, |_, _, _| Way::Well);
+    let theirs = play.standing.iter().filter(|&&(.., at, _)| at < 4).count();
+    assert!(theirs * 6 > play.standing.len(), "{theirs} of {} stand there", play.standing.len());
+}
+
+/// Half of the backends can't be reached from two of four relays and serve the two others as ever.
+#[test]
+fn ways_that_are_bad_from_here_only_are_left_and_the_backends_serve_the_others() {
+    let mut play = Play::new(4, 12);
+    play.run(ms(30_000), 11.0, |_, _, _| Way::Well);
+    let bad = |me: usize, at: u32, _: Span| if me < 2 && at < 6 { Way::Lost } else { Way::Well };
+    let days = play.run(ms(40_000), 11.0, bad);
+    let (wasted, unserved) = (days.wasted as f64 / days.dials as f64, days.unserved / days.stood);
+    assert!(wasted < 0.03, "{} of {} dials wasted", days.wasted, days.dials);
+    assert!(unserved < 0.03, "{unserved:.3} of the time unserved");
+    assert!(days.worst_load < 0.85, "a healthy backend at {:.2}", days.worst_load);
+    assert!(days.refused * 12 < days.dials, "{} refused", days.refused);
+    let from = |relays: std::ops::Range<usize>| {
+        play.standing.iter().filter(|&&(me, _, _, at, _)| relays.contains(&me) && at < 6).count()
+    };
+    let (affected, others) = (from(0..2), from(2..4));
+    assert!(affected == 0 && others > 20, "{affected} and {others} stand at the six");
+}
