Leave what is late and unheard only while there is room; crossing connections come home again

Cause: in a burst that fills the fleet all are late, some dials time out, and relays sent all away to where there was no room. Pool and Errand are types in session.rs.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,7 +8,7 @@
 use crate::ids::{BackendId, RouteId, SessionId};
 use crate::keys::{Client, Keys};
 use crate::lanes::{Extra, Lanes};
-use crate::session::{Dial, Session, State};
+use crate::session::{Dial, Errand, Pool, Session, State};
 use crate::units::{Chance, Moment, Span};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -33,6 +33,8 @@
 const OPENING: f64 = 0.5; // of a backend for a group new to it, against spilling groups over the fleet
 const OPENING_COUNT: f64 = 15.0; // the same in connections, where only those are told
 const MET_DOUBT: f64 = 20.0; // a group counts as one session in so many until more is known of it
+const HELD_FOR_HOME: usize = 20; // connections: a relay with fewer knows too little of groups to move any
+const ROOMY: f64 = 0.3; // load below which the own zone takes crossing connections back
 const HOT: f64 = 0.6; // load from which a backend's messages begin to be late
 const FULL: f64 = 0.8; // load from which nothing is placed and some is sent away: it may rise between reports
 const YIELDS: f64 = 0.2; // of a backend, left free by what is worth least for its load
@@ -71,24 +73,6 @@
     broken: (Moment, u32),
 }
 
-#[derive(Clone, Copy, Default)]
-struct Pool {
-    load: f64,
-    /// Of the loads, as if all weights were one.
-    mean: f64,
-    /// What one connection adds to a backend of middling size.
-    each: f64,
-    /// It follows from what backends report.
-    counted: bool,
-    /// Backends that are cold now.
-    cold: f64,
-    /// Loads are shares of what a backend can do, not connections.
-    tells_share: bool,
-    /// The part of the connections that leave within a second, and of what they were seen to cause.
-    wanes: f64,
-    empty: bool,
-}
-
 /// A backend that a session may go to.
 #[derive(Clone, Copy)]
 struct Entry {
@@ -98,18 +82,6 @@
     rank: u32,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Errand {
-    Probe,
-    Housekeeping,
-    Subscribe,
-    Redial(SessionId),
-    /// The dial of that number may have taken long enough for a second one.
-    Second(SessionId, u32),
-    /// So many steps are left to send away all that stands.
-    Leave(usize),
-}
-
 /// One instance, from its start to its end.
 #[derive(Default)]
 pub struct Relay {
@@ -504,6 +476,7 @@
                     self.met.values_mut().for_each(|met| *met *= KEPT);
                     self.met.retain(|_, met| *met > 0.1);
                     self.relieve(now, front);
+                    self.bring_home(now, front);
                     self.clients.forget_old(now);
                     self.plan(now + HOUSEKEEPING, Errand::Housekeeping, front);
                 }
@@ -788,15 +761,16 @@
     fn relieve(&mut self, now: Moment, front: &mut dyn Front) {
         let shortest = self.deployment.shortest_target;
         let mut over: BTreeMap<BackendId, f64> = BTreeMap::new();
-        let wanes = self.leave_rate(true);
+        let pool = self.pool(now);
         for (&at, backend) in &mut self.backends {
             let behind = backend.late_for(shortest, now);
-            // Late and not to be heard: nothing that is sent there comes through, the backend's fault or not.
-            let lost = behind && backend.sight.strikes > 0;
+            // Late and not to be heard: nothing that is sent there comes through, the backend's fault or not. Where
+            // there is no room elsewhere the move would only be a refusal.
+            let lost = behind && backend.sight.strikes > 0 && pool.load < FULL;
             let report = backend.sight.heard.filter(|&(heard, _)| {
                 heard >= backend.relieved + REPORT_LAG && now.since(heard) < REPORT_LAG
             });
-            let late = if behind { backend.late(now, shortest, wanes).min(FULL) } else { 0.0 };
+            let late = if behind { backend.late(now, shortest, pool.wanes).min(FULL) } else { 0.0 };
             let load = report.and_then(|(_, report)| report.load).map(|load| load.max(late));
             let limit = if behind { HOT } else { FULL };
             if let Some(load) = load.filter(|&load| load > limit && !lost) {
@@ -830,6 +804,28 @@
         }
     }
 
+    /// Where crossing zones costs more than a move, connections that cross come back one at a time while the
+    /// own zone has room; more at once would fill it on old reports, and swamp whatever set-ups share.
+    fn bring_home(&mut self, now: Moment, front: &mut dyn Front) {
+        let (home, held) = (self.deployment.zone, self.sessions.len());
+        if held < HELD_FOR_HOME || self.deployment.crossing_price <= self.deployment.move_price {
+            return;
+        }
+        let mut crossing: Vec<SessionId> = Vec::new();
+        for (&id, session) in &self.sessions {
+            let State::Ready(dial, since) = session.state else { continue };
+            let at = self.backends.get(&dial.backend);
+            if now.since(since) >= session.row.cool_down && at.is_some_and(|at| at.listing.zone != home) {
+                crossing.push(id);
+            }
+        }
+        let Some(&id) = self.any_of(&crossing) else { return };
+        let Some(at) = self.pick(now, id) else { return };
+        if self.backends[&at].listing.zone == home && self.load(now, at, self.pool(now)) < ROOMY {
+            self.send_away(id, front);
+        }
+    }
+
     fn send_away(&mut self, id: SessionId, front: &mut dyn Front) {
         front.send_away(id);
         self.turn(id, State::Settled, front);
--- a/src/session.rs
+++ b/src/session.rs
@@ -1,7 +1,8 @@
-//! One session as the decisions keep it: its states, and what belongs to it as long as it lasts. Types only.
+//! What the decisions keep: one session with its states and what belongs to it as long as it lasts, what reports of
+//! late say of the fleet, and what is to be done at a moment to come. Types only.
 use crate::deployment::Route;
 use crate::front::Arrival;
-use crate::ids::BackendId;
+use crate::ids::{BackendId, SessionId};
 use crate::units::Moment;
 use std::sync::Arc;
 
@@ -42,6 +43,38 @@
     pub load: Option<f64>,
 }
 
+/// What the reports of late say of the fleet.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Pool {
+    pub load: f64,
+    /// Of the loads, as if all weights were one.
+    pub mean: f64,
+    /// What one connection adds to a backend of middling size.
+    pub each: f64,
+    /// It follows from what backends report.
+    pub counted: bool,
+    /// Backends that are cold now.
+    pub cold: f64,
+    /// Loads are shares of what a backend can do, not connections.
+    pub tells_share: bool,
+    /// The part of the connections that leave within a second, and of what they were seen to cause.
+    pub wanes: f64,
+    pub empty: bool,
+}
+
+/// What is to be done at a moment to come.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Errand {
+    Probe,
+    Housekeeping,
+    Subscribe,
+    Redial(SessionId),
+    /// The dial of that number may have taken long enough for a second one.
+    Second(SessionId, u32),
+    /// So many steps are left to send away all that stands.
+    Leave(usize),
+}
+
 impl Session {
     pub fn new(arrival: Arrival, row: Arc<Route>, now: Moment) -> Session {
         let (state, due) = (State::New, now + arrival.dial_timeout);
