A report of more than a backend can do is not believed while its messages are in time

Change: two reports in a row of a load over 1, with own connections there and none of them late, count as 0.6. Only where the settings say that slow messages are noted. Also holds against a stuck report from a past overload; it could hurt in the second before a note comes.

--- a/facts/src/lib.rs
+++ b/facts/src/lib.rs
@@ -285,6 +285,7 @@
         tick: Span::from_us(facts.tick_us),
         routes: routes.collect(),
         shortest_target: Span::from_us(shortest),
+        notes: facts.extra.tells_delay,
         cold: ColdStart {
             start_share: rules.start_capacity,
             warm_up: Span::from_us(rules.cold_us),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -66,6 +66,8 @@
     /// Since when its messages have been late, and if its reports have told of room meanwhile.
     late_since: Option<Moment>,
     untrue: bool,
+    /// Reports in a row of more than it can do, while messages were in time.
+    loud: u32,
     /// When it was last taken out by hand and when it was put back.
     returned: Option<(Moment, Moment)>,
     relieved: Moment,
@@ -132,7 +134,7 @@
         relay
     }
 
-    /// Other settings and another table of routes, for the sessions that come from now on.
+    /// Other settings and routes, for the sessions that come from now on.
     pub fn resettle(&mut self, deployment: Deployment) {
         self.routes = deployment.routes.iter().copied().map(Arc::new).collect();
         self.lanes.limit(deployment.ration);
@@ -162,7 +164,7 @@
         }
     }
 
-    /// A call to discovery failed or the subscription broke. Full jitter keeps the relays from meeting there, well
+    /// A call to discovery failed or the subscription broke. Full jitter keeps relays from meeting, well
     /// within the span after which they would be deemed to know what they never heard.
     pub fn list_failed(&mut self, now: Moment, front: &mut dyn Front) {
         let Some(within) = self.deployment.ask_within else { return };
@@ -189,8 +191,7 @@
         Memory { sights, set_up: self.set_up, stood: self.stood, left_alone: self.left_alone }
     }
 
-    /// What the process before knew. `beside`: it still serves, and turns at cold backends are its alone:
-    /// to the rules both are one relay.
+    /// What the process before knew. `beside`: it still serves, and turns at cold backends are its alone.
     pub fn recall(&mut self, memory: &Memory, beside: bool) {
         if beside {
             self.beside = true;
@@ -222,8 +223,7 @@
     /// A connection that already runs through this relay as it starts.
     pub fn inherit(&mut self, now: Moment, id: SessionId, at: BackendId, of: Arrival, front: &mut dyn Front) {
         self.enter(now, id, of);
-        // It has stood for longer than this instance; a fresh cool-down would shield an overload at start
-        // from relief.
+        // It has stood for longer; a fresh cool-down would shield an overload at start from relief.
         let long_ago = now - self.sessions[&id].row.cool_down;
         self.sessions.entry(id).and_modify(|session| session.dials = 1);
         let dial = Dial { number: 0, backend: at, sent: long_ago };
@@ -324,8 +324,8 @@
         self.turn(id, State::Over, front);
     }
 
-    /// A standing connection ended. Where all of several broke at once the backend went down with them, and starts
-    /// cold whenever it is back, whether or not a list ever tells; one that lived through it says otherwise.
+    /// A standing connection ended. Where all of several broke at once the backend went down with them and is
+    /// cold when it is back, whether or not a list ever tells; one that lived through it says otherwise.
     fn broke(&mut self, now: Moment, id: BackendId, reset: bool) {
         let Some(backend) = self.backends.get_mut(&id).filter(|_| reset) else { return };
         if now.since(backend.broken.0) > HOUSEKEEPING {
@@ -365,8 +365,8 @@
         self.until.map_or(session.due, |until| until.min(session.due))
     }
 
-    /// The process is to end. Clients go in even steps, late ones, since the next relay may itself have just been
-    /// stopped. No dial may last beyond them.
+    /// The process is to end. Clients go in even steps, late ones, since the next relay may just have been
+    /// stopped itself. No dial may last beyond them.
     pub fn stopping(&mut self, now: Moment, front: &mut dyn Front) {
         let tenth = self.deployment.stop_within * 0.1;
         self.until = Some(now + tenth * 8.0);
@@ -416,8 +416,8 @@
         }
     }
 
-    /// The load from which none of a route is placed: the less worth it is for the load that it usually asks for,
-    /// beside the best route, the sooner, so that what room is left goes to whoever makes most of it.
+    /// The load from which none of a route is placed: the sooner the less it is worth for the load it usually
+    /// asks for, beside the best route, so that room goes to whoever makes most of it.
     fn full(&self, route: RouteId) -> f64 {
         let utility = |at: &RouteId| self.routes.get(usize::from(at.0)).map_or(0.0, |row| row.utility);
         let worth = |(at, usual): (&RouteId, &f64)| utility(at) / usual.max(1e-9);
@@ -444,8 +444,7 @@
         }
     }
 
-    /// No line has come back on a connection for so long, on sockets: a backend that vanished or hangs says
-    /// nothing, ends nothing, and its clients would wait for as long as it does.
+    /// No line has come back for so long, on sockets: a backend that vanished or hangs ends nothing.
     pub fn overdue(&mut self, now: Moment, id: SessionId, waited: Span, front: &mut dyn Front) {
         self.delay_noted(now, id, waited, front);
         let Some(&Session { state: State::Ready(dial, _), .. }) = self.sessions.get(&id) else { return };
@@ -612,8 +611,8 @@
         }
     }
 
-    /// If the limits on further dials have one for this session: of the first half everyone, of the second the
-    /// more the greater its utility and the more of its time is left.
+    /// If the limits on further dials have one for this session: of the first half everyone, of the second
+    /// the more the greater its utility and the more of its time is left.
     fn is_granted(&mut self, now: Moment, id: SessionId) -> bool {
         let session = &self.sessions[&id];
         let (row, left) = (session.row.clone(), self.due(session).since(now));
@@ -697,16 +696,22 @@
         let Some(backend) = self.backends.get_mut(&id).filter(|_| told) else { return };
         backend.sight.heard = Some((now, report));
         // A report may be older than the lateness; one that is not and tells of room is not true.
-        let late_since = backend.late_since.filter(|_| backend.late_for(shortest * NOTED, now));
-        if late_since.is_some_and(|at| now.since(at) > REPORT_LAG * 2.0) {
+        let late = backend.late_for(shortest * NOTED, now);
+        if late && backend.late_since.is_some_and(|at| now.since(at) > REPORT_LAG * 2.0) {
             backend.untrue = report.load.is_some_and(|load| load < HOT);
         }
+        // Nor is one that tells of more than a backend can do while own messages there are in time.
+        let in_time = self.deployment.notes && backend.open > 0 && !late;
+        backend.loud = if in_time && report.load > Some(1.0) { backend.loud + 1 } else { 0 };
+        if backend.loud >= STRIKES {
+            backend.sight.heard = Some((now, Report { load: Some(HOT), ..report }));
+        }
         backend.sight.weight_heard = backend.listing.weight;
         backend.placed.retain(|&at| at + REPORT_LAG > now);
     }
 
-    /// A backend that fails in a row takes no part until it has answered, more often each time: one that hangs or
-    /// fails fast still answers probes and looks the least loaded of all.
+    /// A backend that fails in a row takes no part until it has answered, more often each time: one that
+    /// hangs or fails fast still answers probes and looks the least loaded of all.
     fn strike(&mut self, id: BackendId, verdict: Verdict) {
         let ready = self.ready_ones().count();
         let out = self.ready_ones().filter(|(_, backend)| backend.sight.owed > 0).count();
@@ -721,7 +726,7 @@
         }
     }
 
-    /// Each session pays for so many probes: those of hundreds of relays would cost more than the service earns.
+    /// Each session pays for so many probes: those of hundreds of relays would cost more than service earns.
     fn save_for_probes(&mut self, now: Moment, front: &mut dyn Front) {
         let each = PROBES_WORTH / self.deployment.probe_price.max(f64::MIN_POSITIVE);
         let most = self.ready_ones().count().max(1) as f64 * (SPENT_OVER.secs() / HEAR_EVERY.secs());
@@ -756,16 +761,14 @@
     }
 
     /// Backends driven past what they can do serve none of their messages in time: this relay sends away its
-    /// part of what is too much, the least utility for its load first. One report justifies one such step, so
-    /// that a wrong judgement costs little and clients don't go round in circles.
+    /// part of what is too much, least utility for its load first, a small step a report.
     fn relieve(&mut self, now: Moment, front: &mut dyn Front) {
         let shortest = self.deployment.shortest_target;
         let mut over: BTreeMap<BackendId, f64> = BTreeMap::new();
         let pool = self.pool(now);
         for (&at, backend) in &mut self.backends {
             let behind = backend.late_for(shortest, now);
-            // Late and not to be heard: nothing that is sent there comes through, the backend's fault or not. Where
-            // there is no room elsewhere the move would only be a refusal.
+            // Nothing that is sent there comes through; but without room elsewhere a move is a refusal.
             let lost = behind && backend.sight.strikes > 0 && pool.load < FULL;
             let report = backend.sight.heard.filter(|&(heard, _)| {
                 heard >= backend.relieved + REPORT_LAG && now.since(heard) < REPORT_LAG
@@ -804,8 +807,8 @@
         }
     }
 
-    /// Where crossing zones costs more than a move, connections that cross come back one at a time while the
-    /// own zone has room; more at once would fill it on old reports, and swamp whatever set-ups share.
+    /// Where crossing costs more than a move, connections that cross come back one at a time while their
+    /// zone has room; more at once would fill it on old reports.
     fn bring_home(&mut self, now: Moment, front: &mut dyn Front) {
         let (home, held) = (self.deployment.zone, self.sessions.len());
         if held < HELD_FOR_HOME || self.deployment.crossing_price <= self.deployment.move_price {
@@ -981,7 +984,7 @@
         let (listing, cold) = (self.backends[&id].listing, &self.deployment.cold);
         let age = self.backends[&id].up_since().map_or(cold.warm_up, |at| now.since(at));
         let share = cold.start_share + (1.0 - cold.start_share) * age.secs() / cold.warm_up.secs();
-        // Any window overlaps two turns: half for either. What groups cost lowers the estimate by more than that,
+        // Any window overlaps two turns: half for either. What groups cost lowers the estimate by more,
         // and the rule does not count it. As many relays have the turn as the budget holds connections; where
         // each meets fewer sessions than there are cold backends, more, as they go to others of them.
         let part = if self.deployment.groups { 1.25 } else { 0.5 };
@@ -994,8 +997,8 @@
         place < slots && f64::from(used) < each.floor() && !self.beside
     }
 
-    /// New connections a second that would fill a warm backend of middling size: as many as it holds when full
-    /// times the rate at which they leave by themselves, or that fills it over its warm-up if that is less. One
+    /// New connections a second that would fill a warm backend of middling size: as many as it holds when
+    /// full times the rate at which they leave, or that fills it over its warm-up if that is less. One
     /// departure is taken as seen at first: by a rate of none all relays that hold few but one keep off.
     fn warm_rate(&self, pool: Pool) -> f64 {
         let leave = self.leave_rate(pool.counted).min(1.0 / self.deployment.cold.warm_up.secs());
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -88,6 +88,8 @@
     pub routes: Vec<Route>,
     /// How long a message may take on a connection that stands, of all listeners; zero where none is told.
     pub shortest_target: Span,
+    /// Messages that take long are noted.
+    pub notes: bool,
     pub cold: ColdStart,
     pub ration: Option<Ration>,
     /// The list comes only when asked for, and must be asked for within this span.
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -174,3 +174,30 @@
         assert_eq!(placed < 3, cold, "{what}: {placed} of 8 placed there");
     }
 }
+
+#[test]
+fn a_report_of_more_than_a_backend_can_do_is_not_believed_while_messages_are_in_time() {
+    // If notes are sent, the load that it reports, the delay noted, own connections there, and if it is drawn while
+    // the others are nearly full.
+    let cases = [
+        (true, 3.0, 5, true, true),
+        (true, 0.9, 5, true, false),
+        (true, 3.0, 400, true, false),
+        (true, 3.0, 5, false, false),
+        (false, 3.0, 5, true, false),
+    ];
+    for (notes, load, delay, own, drawn) in cases {
+        let plain = Deployment { groups: false, notes, ..deployment(Effect::Repeatable) };
+        let mut bench = Bench::new(plain, &rows(4));
+        (0..40).filter(|id| own || id % 4 != 0).for_each(|id| bench.inherit(id, id % 4));
+        bench.pass(ms(20_000));
+        for _ in 0..3 {
+            note(&mut bench, 0, delay);
+            (1..4).for_each(|at| bench.report(at, Some(100.0), Some(0.75)));
+            bench.report(0, Some(100.0), Some(load));
+            bench.pass(ms(100));
+        }
+        let what = format!("notes {notes}, load {load}, delay {delay}, own connections {own}");
+        assert_eq!(placed_at(&mut bench, 0, 100..106) > 0, drawn, "{what}");
+    }
+}
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -79,6 +79,7 @@
         tick: ms(2),
         routes: vec![row],
         shortest_target: ms(50),
+        notes: true,
         cold: ColdStart { start_share: 0.25, warm_up: ms(10_000), factor: 4.0, window: ms(2_000) },
         ration: None,
         ask_within: None,
