--- a/facts/src/lib.rs
+++ b/facts/src/lib.rs
@@ -383,6 +383,13 @@
             (r#","extraFree":2,"extraWindowUs":9"#, ration(2.0, 0.0, 9)),
             (r#","extraWindowUs":5000000"#, None),
         ];
+        // Until the later one binds, the stricter of both does; one alone binds as it is.
+        let both = |before: usize, after: usize| {
+            let site = |at: usize| read(with(taken[at].0).as_bytes()).unwrap();
+            site(before).until(&site(after)).deployment.ration
+        };
+        assert_eq!([both(0, 1), both(1, 0)], [taken[1].1; 2]);
+        assert_eq!([both(1, 3), both(3, 1)], [ration(2.0, 0.0, 5_000_000); 2]);
         for (more, expected) in taken {
             let site = read(with(more).as_bytes()).unwrap_or_else(|fault| panic!("{more}: {fault}"));
             assert_eq!(site.deployment.ration, expected, "{more}");
