--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -6,7 +6,9 @@
 //! What the stand-ins work out (`model`, `traffic`, `listing`, `referee`) is free of I/O.
 pub mod clock;
 pub mod crowd;
+pub mod link;
 pub mod listing;
+pub mod mesh;
 pub mod model;
 pub mod post;
 pub mod referee;
--- /dev/null
+++ b/fleet/src/link.rs
@@ -0,0 +1,31 @@
+//! What becomes of a datagram between two relays, in one direction. No I/O.
+use thistlecroft::units::{Chance, Span};
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Bend {
+    /// The part that is lost.
+    pub loss: f64,
+    pub delay: Span,
+    /// Added, drawn evenly from nothing up to this; greater than the time between two datagrams, it reorders them.
+    pub spread: Span,
+    /// The part that comes twice.
+    pub doubled: f64,
+    /// Bytes a second that pass; what is above is lost. 0: no limit.
+    pub rate: u64,
+}
+
+impl Bend {
+    pub const CUT: Bend = Bend { loss: 1.0, delay: Span::ZERO, spread: Span::ZERO, doubled: 0.0, rate: 0 };
+
+    /// After how long it arrives, once, twice or never.
+    pub fn passes(&self, chance: &mut Chance) -> Vec<Span> {
+        let copies = if chance.float() < self.doubled { 2 } else { 1 };
+        let mut after = Vec::new();
+        for _ in 0..copies {
+            if chance.float() >= self.loss {
+                after.push(self.delay + self.spread * chance.float());
+            }
+        }
+        after
+    }
+}
--- /dev/null
+++ b/peers/src/node.rs
@@ -0,0 +1,884 @@
+//! One process among its peers: datagrams and time in, datagrams and events out. Each `wake` and each `hear` does bounded
+//! work but for a fleet's size, and nothing here waits.
+use crate::facts::{FactRow, Facts, Key, Kind};
+use crate::gossip::{About, Gossip};
+use crate::identity::{Identity, Row, Standing};
+use crate::pieces::{Content, Pieces};
+use crate::roll::{Member, Merged, Roll};
+use crate::wire::{Body, Datagram, MOST, Seal, Stray};
+use crate::{Pace, Terms};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use thistlecroft::units::{Chance, Moment, Span};
+
+/// The worst own health; every time that others are given is stretched by it plus one.
+const SICKEST: u32 = 8;
+/// Others who are asked to ping one that does not answer.
+const HELPERS: usize = 3;
+/// News goes to so many at once, so many times a period.
+const GOSSIP_TO: usize = 3;
+const GOSSIP_EVERY: f64 = 0.5;
+/// In periods: all that is known is compared with one other; a seed or one of the gone is looked for again.
+const COMPARE_EVERY: f64 = 20.0;
+const SEEK_EVERY: f64 = 5.0;
+/// Pings made for others at once.
+const ERRANDS: usize = 32;
+/// The part of a second's bytes that only probes and answers may take.
+const RESERVED: f64 = 0.25;
+/// What rides on a datagram is cut to fit; so much is left for its own fields at least.
+const ROOM: usize = MOST - 200;
+/// Bytes that one row or fact is taken for when a datagram is filled, over its names and values.
+const ROW_COST: usize = 34;
+
+/// What has come about that others act on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A process stands otherwise than before.
+    Stands {
+        id: Identity,
+        standing: Standing,
+    },
+    /// This process was suspected, or taken for gone, and says that it is here.
+    Refuted {
+        incarnation: u32,
+    },
+    /// A fact is new or changed, or was forgotten.
+    Fact {
+        kind: Kind,
+        subject: Vec<u8>,
+        owner: Identity,
+    },
+    Carried {
+        from: Identity,
+        channel: u8,
+        bytes: Vec<u8>,
+    },
+    /// Datagrams of another format come from there: said once an address and format.
+    OtherFormat {
+        from: SocketAddr,
+        format: u8,
+    },
+    /// This process stood still for so long.
+    StoodStill {
+        by: Span,
+    },
+}
+
+/// What came and went since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub sent: u64,
+    pub sent_bytes: u64,
+    pub heard: u64,
+    pub heard_bytes: u64,
+    /// Refused: of a size that none has, of another format, foreign or changed, not to be understood, seen before.
+    pub odd_size: u64,
+    pub other_format: u64,
+    pub foreign: u64,
+    pub malformed: u64,
+    pub repeated: u64,
+    /// Not sent, for the rate.
+    pub held_back: u64,
+    pub probes: u64,
+    pub probes_failed: u64,
+    pub suspected: u64,
+    pub refuted: u64,
+}
+
+/// A process as it stands here.
+#[derive(Clone, Debug)]
+pub struct View<'a> {
+    pub id: &'a Identity,
+    pub at: SocketAddr,
+    pub standing: Standing,
+    pub incarnation: u32,
+    pub since: Moment,
+    pub heard: Option<Moment>,
+}
+
+#[derive(Clone, Debug)]
+struct Probe {
+    number: u32,
+    target: Identity,
+    asks_others: Moment,
+    ends: Moment,
+    helpers: u32,
+    nacks: u32,
+    asked: bool,
+    answered: bool,
+}
+
+/// A ping made for another.
+#[derive(Clone, Debug)]
+struct Errand {
+    of: Identity,
+    at: SocketAddr,
+    probe: u32,
+    until: Moment,
+}
+
+#[derive(Clone, Debug)]
+pub struct Node {
+    me: Identity,
+    at: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    seal: Seal,
+    pace: Pace,
+    rate: u32,
+    chance: Chance,
+    incarnation: u32,
+    serial: u64,
+    health: u32,
+    left: bool,
+    roll: Roll,
+    gossip: Gossip,
+    facts: Facts,
+    pieces: Pieces,
+    probe: Option<Probe>,
+    errands: BTreeMap<u32, Errand>,
+    numbers: u32,
+    /// Whom to probe in turn; dealt anew when all had theirs.
+    round: Vec<Identity>,
+    next_probe: Moment,
+    next_gossip: Moment,
+    next_compare: Moment,
+    next_seek: Moment,
+    /// Bytes that may be sent now, and as of when.
+    allowance: f64,
+    allowed_at: Moment,
+    woken: Moment,
+    formats: Vec<(SocketAddr, u8)>,
+    out: Vec<(SocketAddr, Vec<u8>)>,
+    events: Vec<Event>,
+    pub counts: Counts,
+}
+
+impl Node {
+    /// `at`: where others reach it. `seeds`: where some of the fleet may be found; its own address among them is passed over.
+    pub fn new(
+        me: Identity,
+        at: SocketAddr,
+        seeds: Vec<SocketAddr>,
+        terms: &Terms,
+        seed: u64,
+        now: Moment,
+    ) -> Node {
+        let mut chance = Chance::from_seed(seed);
+        // Relays started at once do not go on in step.
+        let first = now + terms.pace.period * chance.float();
+        Node {
+            me,
+            at,
+            seeds: seeds.into_iter().filter(|seed| *seed != at).collect(),
+            seal: Seal::new(&terms.secret, &terms.fleet),
+            pace: terms.pace,
+            rate: terms.rate,
+            chance,
+            incarnation: 0,
+            serial: 0,
+            health: 0,
+            left: false,
+            roll: Roll::default(),
+            gossip: Gossip::default(),
+            facts: Facts::new(terms.pace.period),
+            pieces: Pieces::default(),
+            probe: None,
+            errands: BTreeMap::new(),
+            numbers: 0,
+            round: Vec::new(),
+            next_probe: first,
+            next_gossip: first,
+            next_compare: first + terms.pace.period * COMPARE_EVERY,
+            next_seek: now,
+            allowance: f64::from(terms.rate),
+            allowed_at: now,
+            woken: now,
+            formats: Vec::new(),
+            out: Vec::new(),
+            events: Vec::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    // ---- what is read ----
+
+    pub fn me(&self) -> &Identity {
+        &self.me
+    }
+
+    pub fn facts(&self) -> &Facts {
+        &self.facts
+    }
+
+    /// 0 is well; each step stretches by one more the time that others are given.
+    pub fn health(&self) -> u32 {
+        self.health
+    }
+
+    pub fn incarnation(&self) -> u32 {
+        self.incarnation
+    }
+
+    pub fn members(&self) -> impl Iterator<Item = View<'_>> {
+        self.roll.members().map(|(id, member)| View {
+            id,
+            at: member.at,
+            standing: member.standing,
+            incarnation: member.incarnation,
+            since: member.since,
+            heard: member.heard,
+        })
+    }
+
+    pub fn standing(&self, id: &Identity) -> Option<Standing> {
+        self.roll.get(id).map(|member| member.standing)
+    }
+
+    /// Relays that could not be heard lately, as a fact's reader is told: suspected or gone, and not known by a newer run.
+    pub fn unheard(&self) -> usize {
+        let here = |name: &str| {
+            self.roll.members().any(|(id, one)| id.name == name && one.standing == Standing::Here)
+        };
+        let missing = |(id, member): &(&Identity, &Member)| {
+            matches!(member.standing, Standing::Suspected | Standing::Gone)
+                && id.name != self.me.name
+                && !here(&id.name)
+        };
+        self.roll.members().filter(missing).count()
+    }
+
+    /// This process and those that may yet answer.
+    pub fn size(&self) -> usize {
+        self.roll.live_count() + 1
+    }
+
+    pub fn due(&self) -> Moment {
+        let mut due = self.next_probe.min(self.next_seek).min(self.next_compare);
+        if !self.gossip.is_empty() {
+            due = due.min(self.next_gossip);
+        }
+        if let Some(probe) = &self.probe {
+            due = due.min(if probe.asked { probe.ends } else { probe.asks_others });
+        }
+        let errands = self.errands.values().map(|errand| errand.until);
+        let rest = errands.chain(self.roll.next_overdue()).chain(self.pieces.due());
+        rest.fold(due, Moment::min)
+    }
+
+    pub fn take_out(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
+        std::mem::take(&mut self.out)
+    }
+
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    // ---- what is said ----
+
+    /// Tells the fleet something; false where there is no room for it.
+    pub fn say(&mut self, kind: Kind, subject: &[u8], value: &[u8], now: Moment) -> bool {
+        let said = self.facts.say(&self.me, kind, subject, value, now);
+        if said {
+            self.gossip.add(About::Fact(Key { kind, subject: subject.to_vec(), owner: self.me.clone() }));
+        }
+        said
+    }
+
+    /// Says it no more: forgotten here at once, by others when it has not been said again for its kind's time.
+    pub fn withdraw(&mut self, kind: Kind, subject: &[u8]) {
+        self.facts.withdraw(&self.me, kind, subject);
+    }
+
+    /// Bytes to one process for the parts above; false where it is not known, or the rate is used up.
+    pub fn carry(&mut self, to: &Identity, channel: u8, bytes: Vec<u8>, now: Moment) -> bool {
+        let Some(at) = self.roll.get(to).map(|member| member.at) else { return false };
+        self.send(at, Some(to), Body::Carried { channel, bytes }, true, now)
+    }
+
+    /// Leaves in good order: all that are here are told, and nothing is sent after.
+    pub fn leave(&mut self, now: Moment) {
+        if self.left {
+            return;
+        }
+        let row = Row {
+            id: self.me.clone(),
+            at: self.at,
+            incarnation: self.incarnation,
+            standing: Standing::Left,
+            accuser: None,
+        };
+        let mut all: Vec<SocketAddr> = self.roll.live().map(|(_, member)| member.at).collect();
+        // Few are enough, and news of it goes on from them.
+        while all.len() > HELPERS * 4 {
+            all.swap_remove(self.chance.below(all.len() as u64) as usize);
+        }
+        for at in all {
+            let datagram = self.datagram(Body::News, vec![row.clone()], Vec::new());
+            self.put(at, &datagram, true, now);
+        }
+        self.left = true;
+    }
+
+    // ---- what comes ----
+
+    /// A datagram. What is none of this fleet's is counted and costs no more than its hash.
+    pub fn hear(&mut self, bytes: &[u8], source: SocketAddr, now: Moment) {
+        let datagram = match self.seal.open(bytes) {
+            Ok(datagram) => datagram,
+            Err(stray) => return self.stray(stray, source),
+        };
+        if datagram.from == self.me {
+            return;
+        }
+        let from = datagram.from.clone();
+        let own = Row {
+            id: from.clone(),
+            at: datagram.at,
+            incarnation: datagram.incarnation,
+            standing: Standing::Here,
+            accuser: None,
+        };
+        if !self.roll.heard(&from, datagram.serial, now) {
+            self.counts.repeated += 1;
+            return;
+        }
+        self.counts.heard += 1;
+        self.counts.heard_bytes += bytes.len() as u64;
+        if self.left {
+            return;
+        }
+        let leaves = datagram.rows.iter().any(|row| row.id == from && row.standing == Standing::Left);
+        if !leaves {
+            self.merge(&own, now);
+        }
+        // Of one that was not known before; of others it is known by now.
+        self.roll.heard(&from, datagram.serial, now);
+        for row in &datagram.rows {
+            self.merge(row, now);
+        }
+        for fact in &datagram.facts {
+            self.merge_fact(fact, now);
+        }
+        self.body(datagram.body, &from, datagram.at, now);
+    }
+
+    fn stray(&mut self, stray: Stray, source: SocketAddr) {
+        match stray {
+            Stray::Size => self.counts.odd_size += 1,
+            Stray::Foreign => self.counts.foreign += 1,
+            Stray::Malformed => self.counts.malformed += 1,
+            Stray::Format(format) => {
+                self.counts.other_format += 1;
+                if self.formats.len() < ERRANDS && !self.formats.contains(&(source, format)) {
+                    self.formats.push((source, format));
+                    self.events.push(Event::OtherFormat { from: source, format });
+                }
+            }
+        }
+    }
+
+    fn body(&mut self, body: Body, from: &Identity, at: SocketAddr, now: Moment) {
+        match body {
+            Body::Ping { probe, to } if to == self.me => {
+                self.send(at, Some(from), Body::Ack { probe }, true, now);
+            }
+            Body::Ping { probe, .. } => {
+                self.send(at, Some(from), Body::NotMe { probe }, true, now);
+            }
+            Body::PingFor { probe, target, at: of } => self.errand(probe, target, of, from, at, now),
+            Body::Ack { probe } => self.acked(probe, from, now),
+            Body::Nack { probe } => {
+                if let Some(own) = self.probe.as_mut().filter(|own| own.number == probe) {
+                    own.nacks += 1;
+                }
+            }
+            Body::NotMe { probe } => self.not_me(probe, from, at, now),
+            Body::News | Body::Same => {}
+            Body::Compare { digest } => {
+                let same = digest == self.digest();
+                if same {
+                    self.send(at, Some(from), Body::Same, false, now);
+                } else {
+                    self.send_all(at, from, true, now);
+                }
+            }
+            Body::Piece { exchange, number, of, back } => {
+                let wait = self.pace.period;
+                let first = self.pieces.came(from, exchange, number, of, wait, now);
+                if first && back {
+                    self.send_all(at, from, false, now);
+                }
+            }
+            Body::Missing { exchange, numbers } => {
+                for number in numbers {
+                    let Some((content, of)) = self.pieces.again(from, exchange, number) else { continue };
+                    let content = content.clone();
+                    let body = Body::Piece { exchange, number, of, back: false };
+                    let datagram = self.datagram(body, content.rows, content.facts);
+                    self.put(at, &datagram, false, now);
+                }
+            }
+            Body::Carried { channel, bytes } => {
+                self.events.push(Event::Carried { from: from.clone(), channel, bytes });
+            }
+        }
+    }
+
+    fn errand(
+        &mut self,
+        probe: u32,
+        target: Identity,
+        of: SocketAddr,
+        from: &Identity,
+        at: SocketAddr,
+        now: Moment,
+    ) {
+        if self.errands.len() >= ERRANDS {
+            return;
+        }
+        self.numbers = self.numbers.wrapping_add(1);
+        let until = now + self.pace.answer_within();
+        self.errands.insert(self.numbers, Errand { of: from.clone(), at, probe, until });
+        let body = Body::Ping { probe: self.numbers, to: target.clone() };
+        self.send(of, Some(&target), body, true, now);
+    }
+
+    fn acked(&mut self, number: u32, from: &Identity, now: Moment) {
+        if let Some(errand) = self.errands.remove(&number) {
+            let (at, probe) = (errand.at, errand.probe);
+            self.send(at, Some(&errand.of), Body::Ack { probe }, true, now);
+            return;
+        }
+        // From the target itself or from one who was asked: either saw it answer.
+        let Some(probe) = self.probe.as_mut().filter(|probe| probe.number == number) else { return };
+        if !probe.answered {
+            probe.answered = true;
+            log_health(&mut self.health, -1);
+            let _ = from;
+        }
+    }
+
+    /// The address leads to another process now: the one that was there has ended.
+    fn not_me(&mut self, number: u32, from: &Identity, at: SocketAddr, now: Moment) {
+        let target = match (&self.probe, self.errands.get(&number)) {
+            (Some(probe), _) if probe.number == number => probe.target.clone(),
+            _ => return,
+        };
+        let Some(member) = self.roll.get(&target) else { return };
+        if member.at != at || target == *from || member.standing >= Standing::Gone {
+            return;
+        }
+        let (incarnation, standing) = (member.incarnation, Standing::Left);
+        let row = Row { id: target, at, incarnation, standing, accuser: None };
+        self.merge(&row, now);
+        self.probe = None;
+    }
+
+    fn merge(&mut self, row: &Row, now: Moment) {
+        if row.id == self.me {
+            return self.about_me(row, now);
+        }
+        match self.roll.merge(row, &self.pace, now) {
+            Merged::Nothing => {}
+            Merged::News => self.gossip.add(About::Member(row.id.clone())),
+            Merged::Turned => {
+                self.counts.suspected += u64::from(row.standing == Standing::Suspected);
+                self.gossip.add(About::Member(row.id.clone()));
+                self.events.push(Event::Stands { id: row.id.clone(), standing: row.standing });
+            }
+        }
+    }
+
+    /// Refutes what others think, by an incarnation above theirs.
+    fn about_me(&mut self, row: &Row, now: Moment) {
+        if row.standing == Standing::Here || row.incarnation < self.incarnation || self.left {
+            return;
+        }
+        self.incarnation = row.incarnation + 1;
+        self.counts.refuted += 1;
+        log_health(&mut self.health, 1);
+        self.events.push(Event::Refuted { incarnation: self.incarnation });
+        self.gossip.add(About::Member(self.me.clone()));
+        self.next_gossip = now;
+    }
+
+    fn merge_fact(&mut self, fact: &FactRow, now: Moment) {
+        // Its own facts nobody knows better; one that was withdrawn is not taken back.
+        if fact.owner == self.me || !self.facts.merge(fact, now) {
+            return;
+        }
+        let (kind, subject, owner) = (fact.kind, fact.subject.clone(), fact.owner.clone());
+        self.gossip.add(About::Fact(Key { kind, subject: subject.clone(), owner: owner.clone() }));
+        self.events.push(Event::Fact { kind, subject, owner });
+    }
+
+    // ---- what time brings ----
+
+    /// All that is due. Called later than it asked for, it blames nobody: what came meanwhile was not heard.
+    pub fn wake(&mut self, now: Moment) {
+        let late = now.since(self.due().max(self.woken));
+        if late > self.pace.period * 0.5 {
+            self.stood_still(late, now);
+        }
+        self.woken = now;
+        if self.left {
+            return;
+        }
+        self.probing(now);
+        for id in self.roll.overdue(now) {
+            let Some(mut row) = self.roll.row(&id) else { continue };
+            (row.standing, row.accuser) = (Standing::Gone, Some(self.me.clone()));
+            self.merge(&row, now);
+        }
+        let over: Vec<u32> =
+            self.errands.iter().filter(|(_, errand)| errand.until <= now).map(|(id, _)| *id).collect();
+        for id in over {
+            if let Some(errand) = self.errands.remove(&id) {
+                let probe = errand.probe;
+                self.send(errand.at, Some(&errand.of), Body::Nack { probe }, true, now);
+            }
+        }
+        for (from, exchange, numbers) in self.pieces.ask(self.pace.period, now) {
+            if let Some(at) = self.roll.get(&from).map(|member| member.at) {
+                self.send(at, Some(&from), Body::Missing { exchange, numbers }, false, now);
+            }
+        }
+        self.seek(now);
+        self.housekeep(now);
+        if !self.gossip.is_empty() && now >= self.next_gossip {
+            self.next_gossip = now + self.pace.period * GOSSIP_EVERY;
+            for id in self.some(GOSSIP_TO, None) {
+                if self.gossip.is_empty() {
+                    break;
+                }
+                let Some(at) = self.roll.get(&id).map(|member| member.at) else { continue };
+                self.send(at, Some(&id), Body::News, false, now);
+            }
+        }
+    }
+
+    fn stood_still(&mut self, late: Span, now: Moment) {
+        self.events.push(Event::StoodStill { by: late });
+        log_health(&mut self.health, 1);
+        self.roll.put_off(late);
+        self.probe = None;
+        self.errands.clear();
+        self.next_probe = now + self.pace.period * 0.5;
+    }
+
+    fn probing(&mut self, now: Moment) {
+        if let Some(probe) = &self.probe {
+            if probe.answered {
+                self.probe = None;
+            } else if probe.ends <= now {
+                self.probe_failed(now);
+            } else if !probe.asked && probe.asks_others <= now {
+                self.ask_others(now);
+            }
+        }
+        if self.probe.is_none() && now >= self.next_probe {
+            let stretch = f64::from(self.health + 1);
+            self.next_probe = now + self.pace.period * stretch;
+            let Some(target) = self.next_of_round() else { return };
+            self.numbers = self.numbers.wrapping_add(1);
+            let number = self.numbers;
+            self.probe = Some(Probe {
+                number,
+                target: target.clone(),
+                asks_others: now + self.pace.answer_within() * stretch,
+                ends: now + self.pace.period * stretch,
+                helpers: 0,
+                nacks: 0,
+                asked: false,
+                answered: false,
+            });
+            self.counts.probes += 1;
+            let Some(at) = self.roll.get(&target).map(|member| member.at) else { return };
+            self.send(at, Some(&target), Body::Ping { probe: number, to: target.clone() }, true, now);
+        }
+    }
+
+    fn next_of_round(&mut self) -> Option<Identity> {
+        for _ in 0..2 {
+            while let Some(id) = self.round.pop() {
+                if self.roll.get(&id).is_some_and(|member| member.standing <= Standing::Suspected) {
+                    return Some(id);
+                }
+            }
+            self.round = self.roll.live().map(|(id, _)| id.clone()).collect();
+            for place in (1..self.round.len()).rev() {
+                let other = self.chance.below(place as u64 + 1) as usize;
+                self.round.swap(place, other);
+            }
+        }
+        None
+    }
+
+    fn ask_others(&mut self, now: Moment) {
+        let Some(probe) = &mut self.probe else { return };
+        probe.asked = true;
+        let (number, target) = (probe.number, probe.target.clone());
+        let Some(of) = self.roll.get(&target).map(|member| member.at) else { return };
+        let helpers = self.some(HELPERS, Some(&target));
+        if let Some(probe) = &mut self.probe {
+            probe.helpers = helpers.len() as u32;
+        }
+        for id in helpers {
+            let Some(at) = self.roll.get(&id).map(|member| member.at) else { continue };
+            let body = Body::PingFor { probe: number, target: target.clone(), at: of };
+            self.send(at, Some(&id), body, true, now);
+        }
+    }
+
+    fn probe_failed(&mut self, now: Moment) {
+        let Some(probe) = self.probe.take() else { return };
+        self.counts.probes_failed += 1;
+        // Those who were asked and did not even say no: it may be this one that is not heard.
+        let unsaid = probe.helpers.saturating_sub(probe.nacks);
+        let step = if probe.helpers == 0 { 1 } else { unsaid as i32 };
+        log_health(&mut self.health, step);
+        let Some(member) = self.roll.get(&probe.target) else { return };
+        if member.standing > Standing::Suspected {
+            return;
+        }
+        let row = Row {
+            id: probe.target,
+            at: member.at,
+            incarnation: member.incarnation,
+            standing: Standing::Suspected,
+            accuser: Some(self.me.clone()),
+        };
+        self.merge(&row, now);
+    }
+
+    /// Some of those that are here, drawn anew each time.
+    fn some(&mut self, count: usize, but: Option<&Identity>) -> Vec<Identity> {
+        let fits =
+            |(id, member): &(&Identity, &Member)| member.standing == Standing::Here && Some(*id) != but;
+        let mut all: Vec<&Identity> = self.roll.members().filter(fits).map(|(id, _)| id).collect();
+        let mut some = Vec::new();
+        while some.len() < count && !all.is_empty() {
+            some.push(all.swap_remove(self.chance.below(all.len() as u64) as usize).clone());
+        }
+        some
+    }
+
+    /// Looks for the fleet at its seeds until somebody is here, and after that for those it has lost: so two halves that
+    /// took each other for gone find one another again.
+    fn seek(&mut self, now: Moment) {
+        if now < self.next_seek {
+            return;
+        }
+        let alone =
+            !self.roll.members().map(|(_, member)| member).any(|member| member.standing == Standing::Here);
+        self.next_seek = now + self.pace.period * if alone { 1.0 } else { SEEK_EVERY };
+        let here = |at: &SocketAddr| {
+            let mut here = self
+                .roll
+                .members()
+                .map(|(_, member)| member)
+                .filter(|member| member.standing == Standing::Here);
+            here.any(|member| member.at == *at)
+        };
+        let gone =
+            self.roll.members().map(|(_, member)| member).filter(|member| member.standing == Standing::Gone);
+        let mut lost: Vec<SocketAddr> =
+            self.seeds.iter().copied().chain(gone.map(|member| member.at)).collect();
+        lost.retain(|at| !here(at));
+        lost.sort_unstable();
+        lost.dedup();
+        let digest = self.digest();
+        let most = if alone { self.seeds.len().max(1) } else { 1 };
+        for _ in 0..most.min(ERRANDS) {
+            if lost.is_empty() {
+                return;
+            }
+            let at = lost.swap_remove(self.chance.below(lost.len() as u64) as usize);
+            // One that is taken for gone is told so, and can say otherwise.
+            let id = self.roll.members().find(|(_, member)| member.at == at).map(|(id, _)| id.clone());
+            self.send(at, id.as_ref(), Body::Compare { digest }, false, now);
+        }
+    }
+
+    fn housekeep(&mut self, now: Moment) {
+        if now < self.next_compare {
+            return;
+        }
+        self.next_compare = now + self.pace.period * (COMPARE_EVERY * (0.5 + self.chance.float()));
+        for id in self.roll.reap(self.pace.dead_kept(), now) {
+            self.gossip.remove(&About::Member(id));
+        }
+        for key in self.facts.forget(now) {
+            let Key { kind, subject, owner } = key.clone();
+            self.gossip.remove(&About::Fact(key));
+            self.events.push(Event::Fact { kind, subject, owner });
+        }
+        for key in self.facts.stale_of(&self.me, now) {
+            self.facts.say_again(&key, now);
+            self.gossip.add(About::Fact(key));
+        }
+        let digest = self.digest();
+        for id in self.some(1, None) {
+            let Some(at) = self.roll.get(&id).map(|member| member.at) else { continue };
+            self.send(at, Some(&id), Body::Compare { digest }, false, now);
+        }
+    }
+
+    // ---- what goes out ----
+
+    /// Of all that two relays have to agree on.
+    fn digest(&self) -> u64 {
+        let own = [(&self.me, self.incarnation, Standing::Here)];
+        let others = self.roll.members().map(|(id, member)| (id, member.incarnation, member.standing));
+        let others = others.filter(|(.., standing)| *standing <= Standing::Suspected);
+        let members = own.into_iter().chain(others).fold(0, |sum, (id, incarnation, standing)| {
+            let mut hasher = blake3::Hasher::new();
+            hasher.update(id.name.as_bytes()).update(&id.run.to_le_bytes());
+            hasher.update(&incarnation.to_le_bytes()).update(&[standing as u8]);
+            sum ^ crate::first_eight(hasher.finalize().as_bytes())
+        });
+        members ^ self.facts.digest()
+    }
+
+    fn own_row(&self) -> Row {
+        let (id, at, incarnation) = (self.me.clone(), self.at, self.incarnation);
+        Row { id, at, incarnation, standing: Standing::Here, accuser: None }
+    }
+
+    fn send_all(&mut self, at: SocketAddr, to: &Identity, back: bool, now: Moment) {
+        let ids: Vec<Identity> = self.roll.members().map(|(id, _)| id.clone()).collect();
+        let keys: Vec<Key> = self.facts.keys().cloned().collect();
+        let mut pieces = vec![Content::default()];
+        let mut room = ROOM;
+        let mut fit = |cost: usize, pieces: &mut Vec<Content>| {
+            if cost > room {
+                pieces.push(Content::default());
+                room = ROOM;
+            }
+            room -= cost;
+        };
+        for id in ids {
+            let Some(row) = self.roll.row(&id) else { continue };
+            fit(row_cost(&row), &mut pieces);
+            pieces.last_mut().expect("there is one").rows.push(row);
+        }
+        for key in keys {
+            let Some(row) = self.facts.row(&key, now) else { continue };
+            fit(fact_cost(&row), &mut pieces);
+            pieces.last_mut().expect("there is one").facts.push(row);
+        }
+        let of = pieces.len() as u16;
+        let exchange = self.pieces.keep(to.clone(), pieces.clone());
+        for (number, content) in (0..).zip(pieces) {
+            let datagram =
+                self.datagram(Body::Piece { exchange, number, of, back }, content.rows, content.facts);
+            self.put(at, &datagram, false, now);
+        }
+    }
+
+    fn datagram(&mut self, body: Body, rows: Vec<Row>, facts: Vec<FactRow>) -> Datagram {
+        self.serial += 1;
+        let (from, at, incarnation, serial) = (self.me.clone(), self.at, self.incarnation, self.serial);
+        Datagram { from, at, incarnation, serial, body, rows, facts }
+    }
+
+    /// With what news fits. The receiver first hears what is thought of itself, so that it can say otherwise.
+    fn send(
+        &mut self,
+        at: SocketAddr,
+        to: Option<&Identity>,
+        body: Body,
+        pressing: bool,
+        now: Moment,
+    ) -> bool {
+        let carried = match &body {
+            Body::Carried { bytes, .. } => bytes.len(),
+            Body::Missing { numbers, .. } => numbers.len() * 3,
+            _ => 0,
+        };
+        let mut room = ROOM.saturating_sub(carried);
+        let (mut rows, mut facts, mut passed) = (Vec::new(), Vec::new(), Vec::new());
+        let of_receiver = to.and_then(|id| self.roll.row(id)).filter(|row| row.standing != Standing::Here);
+        if let Some(row) = of_receiver {
+            room = room.saturating_sub(row_cost(&row));
+            rows.push(row);
+        }
+        self.allow(now);
+        // With little left to send, probes and answers go bare.
+        let lavish = self.allowance > f64::from(self.rate) * RESERVED + MOST as f64;
+        if lavish {
+            for about in self.gossip.iter() {
+                let cost = match about {
+                    About::Member(id) => {
+                        let row = if *id == self.me { Some(self.own_row()) } else { self.roll.row(id) };
+                        let Some(row) = row else { continue };
+                        let cost = row_cost(&row);
+                        if cost <= room {
+                            rows.push(row);
+                        }
+                        cost
+                    }
+                    About::Fact(key) => {
+                        let Some(row) = self.facts.row(key, now) else { continue };
+                        let cost = fact_cost(&row);
+                        if cost <= room {
+                            facts.push(row);
+                        }
+                        cost
+                    }
+                };
+                if cost > room {
+                    break;
+                }
+                room -= cost;
+                passed.push(about.clone());
+            }
+        }
+        let datagram = self.datagram(body, rows, facts);
+        let gone = self.put(at, &datagram, pressing, now);
+        if gone {
+            let size = self.size();
+            self.gossip.sent(&passed, size);
+        }
+        gone
+    }
+
+    fn allow(&mut self, now: Moment) {
+        let rate = f64::from(self.rate);
+        self.allowance = (self.allowance + rate * now.since(self.allowed_at).secs()).min(rate);
+        self.allowed_at = now;
+    }
+
+    fn put(&mut self, at: SocketAddr, datagram: &Datagram, pressing: bool, now: Moment) -> bool {
+        if self.left {
+            return false;
+        }
+        let Some(bytes) = self.seal.close(datagram) else {
+            self.counts.held_back += 1;
+            return false;
+        };
+        self.allow(now);
+        let kept = if pressing { 0.0 } else { f64::from(self.rate) * RESERVED };
+        if self.allowance < bytes.len() as f64 + kept {
+            self.counts.held_back += 1;
+            return false;
+        }
+        self.allowance -= bytes.len() as f64;
+        self.counts.sent += 1;
+        self.counts.sent_bytes += bytes.len() as u64;
+        self.out.push((at, bytes));
+        true
+    }
+}
+
+fn row_cost(row: &Row) -> usize {
+    ROW_COST + row.id.name.len() + row.accuser.as_ref().map_or(0, |id| id.name.len() + 11)
+}
+
+fn fact_cost(row: &FactRow) -> usize {
+    ROW_COST + row.owner.name.len() + row.subject.len() + row.value.len()
+}
+
+fn log_health(health: &mut u32, by: i32) {
+    *health = health.saturating_add_signed(by).min(SICKEST);
+}
--- /dev/null
+++ b/peers/src/roll.rs
@@ -0,0 +1,196 @@
+//! Who is here, suspected, gone: opinions merged as SWIM has it, with Lifeguard's suspicions, whose time shortens the more
+//! accuse.
+use crate::Pace;
+use crate::identity::{Identity, Row, Standing};
+use crate::wire::Window;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use thistlecroft::units::{Moment, Span};
+
+/// Accusers beside the first that shorten a suspicion to its least.
+const ENOUGH: usize = 3;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Suspicion {
+    began: Moment,
+    accusers: BTreeSet<Identity>,
+    least: Span,
+    most: Span,
+}
+
+impl Suspicion {
+    /// `most` with one accuser, `least` with as many as are enough, by the logarithm in between.
+    pub fn until(&self) -> Moment {
+        let others = self.accusers.len().saturating_sub(1) as f64;
+        let part = (others + 1.0).ln() / (ENOUGH as f64 + 1.0).ln();
+        self.began + (self.most - (self.most - self.least) * part).max(self.least)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub at: SocketAddr,
+    pub incarnation: u32,
+    pub standing: Standing,
+    /// Since when it stands so here.
+    pub since: Moment,
+    /// When it was last heard from directly.
+    pub heard: Option<Moment>,
+    pub suspicion: Option<Suspicion>,
+    pub window: Window,
+}
+
+/// What an opinion came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Merged {
+    Nothing,
+    /// It is to be passed on.
+    News,
+    /// And it stands otherwise than before.
+    Turned,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Roll {
+    members: BTreeMap<Identity, Member>,
+    /// Of them those that are here or suspected, counted; and those that are suspected.
+    live: usize,
+    suspects: BTreeSet<Identity>,
+}
+
+impl Roll {
+    pub fn members(&self) -> impl Iterator<Item = (&Identity, &Member)> {
+        self.members.iter()
+    }
+
+    pub fn get(&self, id: &Identity) -> Option<&Member> {
+        self.members.get(id)
+    }
+
+    /// A datagram of it has come; false for one that came before.
+    pub fn heard(&mut self, id: &Identity, serial: u64, now: Moment) -> bool {
+        let Some(member) = self.members.get_mut(id) else { return true };
+        let fresh = member.window.take(serial);
+        if fresh {
+            member.heard = Some(now);
+        }
+        fresh
+    }
+
+    pub fn live_count(&self) -> usize {
+        self.live
+    }
+
+    /// Those that may be counted on to answer, or may yet.
+    pub fn live(&self) -> impl Iterator<Item = (&Identity, &Member)> {
+        self.members.iter().filter(|(_, member)| member.standing <= Standing::Suspected)
+    }
+
+    pub fn row(&self, id: &Identity) -> Option<Row> {
+        let member = self.members.get(id)?;
+        let accuser = member.suspicion.as_ref().and_then(|one| one.accusers.first().cloned());
+        let (at, incarnation, standing) = (member.at, member.incarnation, member.standing);
+        Some(Row { id: id.clone(), at, incarnation, standing, accuser })
+    }
+
+    /// An opinion about another process. The one function in which a member changes its standing.
+    pub fn merge(&mut self, row: &Row, pace: &Pace, now: Moment) -> Merged {
+        let live = |member: Option<&Member>| member.is_some_and(|one| one.standing <= Standing::Suspected);
+        let was = live(self.members.get(&row.id));
+        let merged = self.merged(row, self.live + 1, pace, now);
+        let member = self.members.get(&row.id);
+        self.live = self.live + usize::from(live(member)) - usize::from(was);
+        if member.is_some_and(|member| member.suspicion.is_some()) {
+            self.suspects.insert(row.id.clone());
+        } else {
+            self.suspects.remove(&row.id);
+        }
+        merged
+    }
+
+    fn merged(&mut self, row: &Row, size: usize, pace: &Pace, now: Moment) -> Merged {
+        let Some(member) = self.members.get_mut(&row.id) else {
+            let mut member = Member {
+                at: row.at,
+                incarnation: row.incarnation,
+                standing: row.standing,
+                since: now,
+                heard: None,
+                suspicion: None,
+                window: Window::default(),
+            };
+            if row.standing == Standing::Suspected {
+                member.suspicion = Some(suspicion(row, size, pace, now));
+            }
+            self.members.insert(row.id.clone(), member);
+            return Merged::Turned;
+        };
+        let (old, new) = ((member.incarnation, member.standing), (row.incarnation, row.standing));
+        // Who has left does not come back, whatever is still under way; who was thought gone may, by saying so.
+        if member.standing == Standing::Left {
+            return Merged::Nothing;
+        }
+        if row.standing == Standing::Left {
+            (member.incarnation, member.standing) = (row.incarnation.max(member.incarnation), Standing::Left);
+            (member.since, member.suspicion) = (now, None);
+            return Merged::Turned;
+        }
+        if new == old {
+            return match (&mut member.suspicion, &row.accuser) {
+                (Some(suspicion), Some(accuser)) if suspicion.accusers.len() <= ENOUGH => {
+                    if suspicion.accusers.insert(accuser.clone()) { Merged::News } else { Merged::Nothing }
+                }
+                _ => Merged::Nothing,
+            };
+        }
+        if new < old {
+            return Merged::Nothing;
+        }
+        if row.incarnation > member.incarnation {
+            member.at = row.at;
+        }
+        member.incarnation = row.incarnation;
+        let turned = member.standing != row.standing;
+        let resuspected = row.standing == Standing::Suspected;
+        member.suspicion = resuspected.then(|| suspicion(row, size, pace, now));
+        if turned {
+            (member.standing, member.since) = (row.standing, now);
+        }
+        if turned { Merged::Turned } else { Merged::News }
+    }
+
+    /// Whose time to answer for itself is over.
+    pub fn overdue(&self, now: Moment) -> Vec<Identity> {
+        let over = |id: &&Identity| self.suspicion(id).is_some_and(|one| one.until() <= now);
+        self.suspects.iter().filter(over).cloned().collect()
+    }
+
+    pub fn next_overdue(&self) -> Option<Moment> {
+        self.suspects.iter().filter_map(|id| self.suspicion(id)).map(Suspicion::until).min()
+    }
+
+    fn suspicion(&self, id: &Identity) -> Option<&Suspicion> {
+        self.members.get(id)?.suspicion.as_ref()
+    }
+
+    /// This process stood still for so long, in which it could not have heard a refutation.
+    pub fn put_off(&mut self, by: Span) {
+        for member in self.members.values_mut() {
+            member.suspicion.iter_mut().for_each(|one| one.began = one.began + by);
+        }
+    }
+
+    /// Rows of the dead are kept so that what is still under way does not bring them back.
+    pub fn reap(&mut self, kept: Span, now: Moment) -> Vec<Identity> {
+        let over = |member: &Member| member.standing >= Standing::Gone && now.since(member.since) >= kept;
+        let gone = self.members.iter().filter(|(_, member)| over(member)).map(|(id, _)| id.clone());
+        let gone: Vec<Identity> = gone.collect();
+        gone.iter().for_each(|id| drop(self.members.remove(id)));
+        gone
+    }
+}
+
+fn suspicion(row: &Row, size: usize, pace: &Pace, now: Moment) -> Suspicion {
+    let (least, most) = pace.suspicion(size);
+    Suspicion { began: now, accusers: row.accuser.iter().cloned().collect(), least, most }
+}
--- /dev/null
+++ b/peers/tests/mesh.rs
@@ -0,0 +1,326 @@
+//! Membership over simulated links: deaths, cuts, pauses, losses, growth, and what the bounds say of them.
+use std::collections::BTreeSet;
+use thistlecroft::units::{Moment, Span};
+use thistlecroft_fleet::mesh::{Bend, Host, Mesh};
+use thistlecroft_peers::wire::{Body, Datagram, MOST, Seal, Stray, Window};
+use thistlecroft_peers::{Identity, Kind, Node, Pace, Standing, Terms};
+
+const PERIOD: Span = Span::from_ms(200);
+
+fn terms() -> Terms {
+    let pace = Pace { period: PERIOD };
+    Terms { fleet: "test".into(), secret: b"of the test".to_vec(), pace, rate: 32_768 }
+}
+
+fn mesh(count: usize, seed: u64) -> Mesh {
+    let mut mesh = Mesh::new(terms(), None, 3, seed);
+    for number in 0..count {
+        mesh.start(&format!("r{number}"), 1.0);
+    }
+    mesh
+}
+
+fn together(count: usize, seed: u64) -> Mesh {
+    let mut mesh = mesh(count, seed);
+    mesh.run_until(PERIOD * 40.0, Mesh::agree).expect("all see all");
+    mesh
+}
+
+/// All that one process was seen as by the others, in order.
+fn seen_as(mesh: &Mesh, name: &str) -> Vec<Standing> {
+    let turns = mesh.hosts.iter().flat_map(|host| &host.turns);
+    turns.filter(|(_, id, _)| id.name == name).map(|(.., standing)| *standing).collect()
+}
+
+#[test]
+fn started_at_once_with_seeds_that_start_themselves_all_see_all() {
+    for (count, seed) in [(2, 1), (5, 2), (12, 3), (48, 4)] {
+        let took = mesh(count, seed).run_until(PERIOD * 40.0, Mesh::agree);
+        assert!(took.is_some(), "{count} relays");
+    }
+}
+
+#[test]
+fn a_death_is_known_to_all_within_the_stated_time_and_never_before_it_was_suspected() {
+    for (count, seed) in [(3, 1), (5, 2), (12, 3), (24, 4)] {
+        let mut mesh = together(count, seed);
+        mesh.kill(1);
+        let bound = terms().pace.gone_within(count, 0);
+        let dead = mesh.hosts[1].node.me().clone();
+        let gone = |host: &Host| !host.alive || host.node.standing(&dead) == Some(Standing::Gone);
+        let took = mesh.run_until(bound, |mesh| mesh.hosts.iter().all(gone));
+        assert!(took.is_some(), "{count} relays, {bound:?}");
+        let seen = seen_as(&mesh, "r1");
+        assert!(seen.contains(&Standing::Suspected) && seen.contains(&Standing::Gone), "{seen:?}");
+        let others = mesh.hosts.iter().filter(|host| host.alive).flat_map(|host| &host.turns);
+        assert!(others.filter(|(_, id, _)| id.name != "r1").all(|(.., to)| *to == Standing::Here));
+    }
+}
+
+#[test]
+fn one_way_cuts_bridges_and_losses_end_in_the_verdict_that_is_stated() {
+    // What is cut, from whom to whom; and who is gone for the rest at the end.
+    type Cut = fn(&mut Mesh);
+    let cases: &[(&str, Cut, &[&str])] = &[
+        (
+            "hears all, is heard by none",
+            |mesh| {
+                for other in 1..5 {
+                    mesh.links.insert((0, other), Bend::CUT);
+                }
+            },
+            &["r0"],
+        ),
+        (
+            "is heard by all, hears none",
+            |mesh| {
+                for other in 1..5 {
+                    mesh.links.insert((other, 0), Bend::CUT);
+                }
+            },
+            &["r0"],
+        ),
+        (
+            "one direction of one pair",
+            |mesh| {
+                mesh.links.insert((0, 1), Bend::CUT);
+            },
+            &[],
+        ),
+        ("two on either side, one reaches both", |mesh| mesh.cut(&[0, 1], &[3, 4]), &[]),
+        (
+            "a tenth lost, 100 ms late",
+            |mesh| {
+                mesh.bend =
+                    Bend { loss: 0.1, delay: Span::from_ms(40), spread: Span::from_ms(20), ..mesh.bend };
+            },
+            &[],
+        ),
+    ];
+    for (what, cut, gone) in cases {
+        for seed in 1..=4 {
+            let mut mesh = together(5, seed);
+            cut(&mut mesh);
+            mesh.run_for(terms().pace.gone_within(5, 8));
+            let left: BTreeSet<String> = (0..5)
+                .map(|number| format!("r{number}"))
+                .filter(|name| !gone.contains(&name.as_str()))
+                .collect();
+            let rest = mesh.hosts.iter().filter(|host| left.contains(&host.name));
+            // A suspicion that is answered in time is no verdict.
+            for host in rest {
+                let views = host.node.members().filter(|view| view.standing >= Standing::Gone);
+                let found: Vec<&str> = views.map(|view| view.id.name.as_str()).collect();
+                assert_eq!(&found, gone, "{what}, seed {seed}, seen by {}", host.name);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_process_that_stood_still_blames_nobody_and_is_back_after_its_own_refutation() {
+    for (still, gone) in [(Span::from_ms(1_000), false), (Span::from_ms(20_000), true)] {
+        let mut mesh = together(6, 9);
+        mesh.pause(2);
+        mesh.run_for(still);
+        mesh.resume(2);
+        let took = mesh.run_until(PERIOD * 60.0, Mesh::agree);
+        assert!(took.is_some(), "{still:?}");
+        assert_eq!(seen_as(&mesh, "r2").contains(&Standing::Gone), gone, "{still:?}");
+        // Nobody else was ever taken for gone by it, or by anybody.
+        for name in ["r0", "r1", "r3", "r4", "r5"] {
+            assert!(!seen_as(&mesh, name).contains(&Standing::Gone), "{name}, {still:?}");
+        }
+        assert!(!gone || mesh.hosts[2].node.incarnation() > 0);
+    }
+}
+
+#[test]
+fn a_restart_within_the_suspicion_time_is_a_new_process_and_the_old_one_has_left() {
+    let mut mesh = together(5, 3);
+    let old = mesh.hosts[1].node.me().clone();
+    mesh.kill(1);
+    mesh.run_for(PERIOD);
+    mesh.restart(1);
+    let took = mesh.run_until(terms().pace.gone_within(5, 0), |mesh| {
+        mesh.agree()
+            && mesh
+                .hosts
+                .iter()
+                .filter(|host| host.name != "r1")
+                .all(|host| host.node.standing(&old).is_some_and(|standing| standing >= Standing::Gone))
+    });
+    assert!(took.is_some());
+    assert_eq!(mesh.hosts[0].node.unheard(), 0, "a newer run of its name is here");
+}
+
+#[test]
+fn halves_that_took_each_other_for_gone_and_grew_find_one_another_again() {
+    let mut mesh = together(6, 5);
+    mesh.cut(&[0, 1, 2], &[3, 4, 5]);
+    mesh.run_for(PERIOD * 60.0);
+    assert_eq!(mesh.hosts[0].node.unheard(), 3);
+    // One joins on either side meanwhile; each reaches its own side's seeds only.
+    let (left, right) = (mesh.start("r6", 1.0), mesh.start("r7", 1.0));
+    mesh.cut(&[left], &[3, 4, 5, right]);
+    mesh.cut(&[right], &[0, 1, 2]);
+    mesh.run_for(PERIOD * 240.0);
+    assert!(!mesh.agree());
+    mesh.heal();
+    let took = mesh.run_until(PERIOD * 60.0, Mesh::agree);
+    assert!(took.is_some());
+    assert_eq!(mesh.hosts[0].node.unheard(), 0);
+}
+
+#[test]
+fn who_leaves_is_gone_at_once_and_does_not_come_back() {
+    let mut mesh = together(12, 6);
+    mesh.act(4, |host, now| host.node.leave(now));
+    mesh.kill(4);
+    let took = mesh.run_until(PERIOD * 10.0, Mesh::agree).expect("told, not found out");
+    assert!(took <= PERIOD * 10.0);
+    assert!(!seen_as(&mesh, "r4").contains(&Standing::Suspected));
+    mesh.run_for(PERIOD * 40.0);
+    assert!(mesh.agree());
+}
+
+#[test]
+fn a_fact_reaches_all_and_a_lost_one_by_comparing() {
+    let mut mesh = together(24, 7);
+    mesh.bend.loss = 0.2;
+    mesh.act(3, |host, now| assert!(host.node.say(Kind::Ban, b"box-1", b"out", now)));
+    let known = |mesh: &Mesh| {
+        let has = |host: &Host| {
+            host.node.facts().of_kind(Kind::Ban, host.clock(mesh.now)).any(|fact| fact.value == b"out")
+        };
+        mesh.hosts.iter().all(has)
+    };
+    let took = mesh.run_until(PERIOD * 20.0, known).expect("all know");
+    // One who was cut off all that while has it by an exchange; its age is at least what passed.
+    mesh.cut(&[20], &(0..20).chain(21..24).collect::<Vec<_>>());
+    mesh.act(3, |host, now| assert!(host.node.say(Kind::Note, b"n", b"later", now)));
+    mesh.run_for(PERIOD * 30.0);
+    mesh.heal();
+    let has = |mesh: &Mesh| {
+        let host = &mesh.hosts[20];
+        host.node.facts().of_kind(Kind::Note, host.clock(mesh.now)).any(|fact| fact.age >= PERIOD * 30.0)
+    };
+    assert!(mesh.run_until(PERIOD * 60.0, has).is_some(), "after {took:?}");
+}
+
+#[test]
+fn what_is_said_no_more_is_forgotten_everywhere_and_what_is_said_stays() {
+    let mut mesh = together(5, 8);
+    mesh.act(0, |host, now| assert!(host.node.say(Kind::Ejection, b"b", b"1", now)));
+    mesh.act(1, |host, now| assert!(host.node.say(Kind::Ejection, b"c", b"2", now)));
+    mesh.run_for(PERIOD * 10.0);
+    mesh.act(0, |host, _| host.node.withdraw(Kind::Ejection, b"b"));
+    mesh.run_for(PERIOD * 200.0);
+    for host in &mesh.hosts {
+        let now = host.clock(mesh.now);
+        let subjects: Vec<&[u8]> =
+            host.node.facts().of_kind(Kind::Ejection, now).map(|fact| fact.subject).collect();
+        assert_eq!(subjects, [b"c"], "{}", host.name);
+    }
+}
+
+#[test]
+fn a_big_table_comes_in_pieces_and_what_is_lost_is_asked_for_again() {
+    let mut mesh = together(3, 10);
+    for number in 0..200_u32 {
+        let subject = format!("a subject of some length, {number}");
+        let value = [7; 90];
+        mesh.act(0, |host, now| assert!(host.node.say(Kind::Share, subject.as_bytes(), &value, now)));
+    }
+    mesh.bend.loss = 0.3;
+    let late = mesh.start("late", 1.0);
+    let whole = |mesh: &Mesh| mesh.hosts[late].node.facts().len() == 200;
+    assert!(mesh.run_until(PERIOD * 150.0, whole).is_some(), "{}", mesh.hosts[late].node.facts().len());
+}
+
+#[test]
+fn a_relay_never_sends_more_than_its_rate() {
+    let mut mesh = Mesh::new(Terms { rate: 4_096, ..terms() }, None, 3, 11);
+    for number in 0..24 {
+        mesh.start(&format!("r{number}"), 1.0);
+    }
+    let mut most = 0;
+    for _ in 0..20 {
+        let before: Vec<u64> = mesh.hosts.iter().map(|host| host.node.counts.sent_bytes).collect();
+        for number in 0..24 {
+            let text = format!("{:?}", mesh.now);
+            mesh.act(number, |host, now| {
+                host.node.say(Kind::Note, text.as_bytes(), &[1; 90], now);
+            });
+        }
+        mesh.run_for(Span::from_ms(1_000));
+        let sent = mesh.hosts.iter().zip(before).map(|(host, before)| host.node.counts.sent_bytes - before);
+        most = most.max(sent.max().unwrap_or_default());
+    }
+    // What was saved up in a second comes on top once.
+    assert!(most <= 2 * 4_096, "{most} bytes in a second");
+    assert!(mesh.hosts.iter().any(|host| host.node.counts.held_back > 0), "the cap was met");
+}
+
+#[test]
+fn datagrams_of_strangers_are_counted_and_do_nothing_else() {
+    let (now, at) = (Moment::from_us(1_000_000), "127.0.0.1:9".parse().unwrap());
+    let node = |terms: &Terms| Node::new(Identity::new("me", 1), at, Vec::new(), terms, 1, now);
+    let seal = Seal::new(b"of the test", "test");
+    let datagram = Datagram {
+        from: Identity::new("you", 2),
+        at: "127.0.0.1:10".parse().unwrap(),
+        incarnation: 0,
+        serial: 1,
+        body: Body::News,
+        rows: Vec::new(),
+        facts: Vec::new(),
+    };
+    let good = seal.close(&datagram).unwrap();
+    let mut flipped = good.clone();
+    flipped[5] ^= 1;
+    let mut older = good.clone();
+    older[0] = 0;
+    let unnamed = Datagram { from: Identity::new("", 2), ..datagram.clone() };
+    type Count = fn(&Node) -> u64;
+    let cases: &[(&str, Vec<u8>, Count)] = &[
+        ("nothing", Vec::new(), |node| node.counts.odd_size),
+        ("too long", vec![1; MOST + 1], |node| node.counts.odd_size),
+        ("cut off", good[..good.len() - 1].to_vec(), |node| node.counts.foreign),
+        ("changed", flipped, |node| node.counts.foreign),
+        ("an older format", older, |node| node.counts.other_format),
+        ("another fleet", Seal::new(b"of the test", "other").close(&datagram).unwrap(), |node| {
+            node.counts.foreign
+        }),
+        ("another key", Seal::new(b"other", "test").close(&datagram).unwrap(), |node| node.counts.foreign),
+        ("no name", seal.close(&unnamed).unwrap(), |node| node.counts.malformed),
+    ];
+    for (what, bytes, count) in cases {
+        let mut node = node(&terms());
+        node.hear(bytes, at, now);
+        assert_eq!((count(&node), node.counts.heard, node.members().count()), (1, 0, 0), "{what}");
+        assert!(node.take_out().is_empty(), "{what}");
+    }
+    let mut node = node(&terms());
+    for _ in 0..3 {
+        node.hear(&good, at, now);
+    }
+    assert_eq!((node.counts.heard, node.counts.repeated), (1, 2));
+    assert_eq!(seal.open(&good), Ok(datagram));
+    assert_eq!(seal.open(&[0; 40]), Err(Stray::Format(0)));
+    let mut window = Window::default();
+    let serials = [
+        (5, true),
+        (5, false),
+        (3, true),
+        (3, false),
+        (70, true),
+        (6, false),
+        (7, true),
+        (1 << 40, true),
+        (70, false),
+    ];
+    for (serial, taken) in serials {
+        assert_eq!(window.take(serial), taken, "{serial}");
+    }
+}
--- a/src/units.rs
+++ b/src/units.rs
@@ -1,10 +1,10 @@
 //! Points in time and spans, in whole microseconds; two types so that one can't stand for the other. And chance.
 use std::ops::{Add, AddAssign, Mul, Sub};
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Moment(u64);
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Span(u64);
 
 impl Moment {
@@ -99,6 +99,7 @@
 }
 
 /// Chance from a given seed: the same seed, the same course.
+#[derive(Clone, Debug)]
 pub struct Chance(oorandom::Rand64);
 
 impl Chance {
