--- a/charter/src/keys.rs
+++ b/charter/src/keys.rs
@@ -19,6 +19,12 @@
     Hex,
     /// A list of hexadecimal numbers of sixteen digits, or one.
     HexList,
+    /// Text that is not empty.
+    Text,
+    /// An IP address with a port.
+    Address,
+    /// A list of such, or one.
+    Addresses,
     /// A table of its own.
     Table,
 }
@@ -34,6 +40,9 @@
             Kind::Factor => "a number above 0",
             Kind::Hex => "1 to 16 hexadecimal digits",
             Kind::HexList => "sixteen hexadecimal digits, or a list of such",
+            Kind::Text => "text",
+            Kind::Address => "an address with a port such as \"10.0.0.7:7946\"",
+            Kind::Addresses => "an address with a port, or a list of such",
             Kind::Table => "a table",
         }
     }
@@ -63,12 +72,48 @@
 pub const TOP: Section = Section {
     header: "",
     about: "The file holds tables only.",
-    keys: &[key(
-        "route",
-        Kind::Table,
-        "Routes, tried in the order of the file; the first that matches counts.",
-        "none",
-    )],
+    keys: &[
+        key(
+            "route",
+            Kind::Table,
+            "Routes, tried in the order of the file; the first that matches counts.",
+            "none",
+        ),
+        key("peers", Kind::Table, "Relays that know of one another; see below.", "this relay is alone"),
+    ],
+};
+
+pub const PEERS: Section = Section {
+    header: "[peers]",
+    about: "Who the other relays are. Only where the settings allow talk between instances; see `peers.md`.",
+    keys: &[
+        key("fleet", Kind::Name, "The fleet's name; datagrams of another one are refused.", "must be stated"),
+        key("listen", Kind::Address, "Datagrams are received here (UDP).", "must be stated"),
+        key("advertise", Kind::Address, "Others reach this relay here.", "`listen`"),
+        key("key_file", Kind::Text, "A file that holds the fleet's key, 16 bytes or more.", "must be stated"),
+        key(
+            "seeds",
+            Kind::Addresses,
+            "Where some of the fleet may be found; 32 at most.",
+            "none: others name this one",
+        ),
+        key(
+            "period",
+            Kind::Span,
+            "One other relay is probed in each, 50ms to 10s; all times of membership follow it.",
+            "1s",
+        ),
+        key("rate", Kind::Count, "Bytes a second that this relay sends at most, 4096 or more.", "32768"),
+        key(
+            "voters",
+            Kind::Names,
+            "The relays that grant leases, by their names; 7 at most.",
+            "none: there are no leases",
+        ),
+        key("voters_before", Kind::Names, "While voters are changed: those until now.", "none"),
+        key("generation", Kind::Count, "One more with each change of the voters.", "1"),
+        key("lease", Kind::Span, "A lease's time, 500ms to 1m, the same at all relays.", "10s"),
+    ],
 };
 
 pub const ROUTE: Section = Section {
@@ -170,7 +215,7 @@
     ],
 };
 
-pub const SECTIONS: &[Section] = &[TOP, ROUTE, MATCH, SECOND];
+pub const SECTIONS: &[Section] = &[TOP, ROUTE, MATCH, SECOND, PEERS];
 
 /// The known key that is most like another, if any is much like it.
 pub fn nearest<'a>(names: impl Iterator<Item = &'a str>, meant: &str) -> Option<&'a str> {
--- a/charter/src/lib.rs
+++ b/charter/src/lib.rs
@@ -4,17 +4,20 @@
 //! line, column and key. No I/O.
 pub mod keys;
 pub mod page;
+pub mod peers;
 pub mod routing;
 mod rules;
 mod text;
 
+pub use peers::Peering;
 pub use routing::{Circumstances, FrontRow, Lanes, ListenerFacts, OTHERWISE, Origin, Routing, Told};
-pub use text::{Fault, Matching, RouteText, SecondText, Stated};
+pub use text::{Fault, Matching, PeersText, RouteText, SecondText, Stated};
 
 /// A file as read, not yet held against a deployment.
 #[derive(Clone, Debug, Default)]
 pub struct Charter {
     pub routes: Vec<RouteText>,
+    pub peers: Option<PeersText>,
 }
 
 impl Charter {
@@ -24,12 +27,21 @@
         text::parse(file, text)
     }
 
+    /// What it says of peers, with what holds where it does not; none where it says nothing.
+    ///
+    /// # Errors
+    /// All that is wrong with it there.
+    pub fn peering(&self, of: &Circumstances) -> Result<Option<Peering>, Vec<Fault>> {
+        self.peers.as_ref().map(|text| peers::peering(text, of)).transpose()
+    }
+
     /// Rows for a deployment.
     ///
     /// # Errors
     /// All that is wrong with it there: unknown names, and what would break a rule.
     pub fn against(&self, of: &Circumstances, lanes: &mut Lanes) -> Result<Routing, Vec<Fault>> {
         rules::check(self, of)?;
+        self.peering(of)?;
         Ok(Routing::new(self, of, lanes))
     }
 }
--- a/charter/src/routing.rs
+++ b/charter/src/routing.rs
@@ -24,6 +24,8 @@
     pub zone: usize,
     /// The settings allow two dials of a session at once, and one of them to be given up.
     pub two_dials: bool,
+    /// The settings allow relays to talk with one another.
+    pub peers: bool,
     /// Descriptors that sessions may take.
     pub descriptors: usize,
 }
--- a/charter/src/text.rs
+++ b/charter/src/text.rs
@@ -1,8 +1,9 @@
 //! From text to values, each with its place. Nothing here knows a deployment.
 use crate::Charter;
-use crate::keys::{Key, Kind, MATCH, ROUTE, SECOND, Section, TOP, nearest};
+use crate::keys::{Key, Kind, MATCH, PEERS, ROUTE, SECOND, Section, TOP, nearest};
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
 use std::ops::Range;
 use thistlecroft::units::Span;
 use toml::Spanned;
@@ -83,6 +84,23 @@
     pub second_copy: Option<Stated<SecondText>>,
 }
 
+/// Relays that know of one another, as stated.
+#[derive(Clone, Debug)]
+pub struct PeersText {
+    pub place: Place,
+    pub fleet: Stated<String>,
+    pub listen: Stated<SocketAddr>,
+    pub key_file: Stated<String>,
+    pub advertise: Option<Stated<SocketAddr>>,
+    pub seeds: Option<Stated<Vec<SocketAddr>>>,
+    pub period: Option<Stated<Span>>,
+    pub rate: Option<Stated<u32>>,
+    pub voters: Option<Stated<Vec<String>>>,
+    pub voters_before: Option<Stated<Vec<String>>>,
+    pub generation: Option<Stated<u32>>,
+    pub lease: Option<Stated<Span>>,
+}
+
 /// A value as its key's kind has it.
 #[derive(Clone, Debug)]
 enum Value {
@@ -92,6 +110,7 @@
     Number(f64),
     Hex(u64, u32),
     HexList(Vec<u64>),
+    Addresses(Vec<SocketAddr>),
     Table,
 }
 
@@ -122,6 +141,9 @@
             if name.get_ref() == "route" {
                 reader.routes(value, &mut charter);
             }
+            if name.get_ref() == "peers" {
+                charter.peers = reader.peers(value);
+            }
         }
     }
     let mut faults = reader.faults;
@@ -167,6 +189,42 @@
         }
     }
 
+    fn peers(&mut self, value: &Spanned<DeValue>) -> Option<PeersText> {
+        let DeValue::Table(table) = value.get_ref() else {
+            if let DeValue::Array(_) = value.get_ref() {
+                self.fault(value.span(), "peers", "one table headed [peers]".into());
+            }
+            return None;
+        };
+        let mut read = self.table(table, value.span(), &PEERS, "peers");
+        for key in ["fleet", "listen", "key_file"] {
+            if !table.iter().any(|(name, _)| name.get_ref() == key) {
+                self.fault(value.span(), "peers", format!("{key}: it must be stated"));
+            }
+        }
+        let one = |stated: Stated<Vec<String>>| {
+            let value = stated.value.into_iter().next().unwrap_or_default();
+            Stated { value, place: stated.place }
+        };
+        let first = |stated: Stated<Vec<SocketAddr>>| {
+            Some(Stated { value: *stated.value.first()?, place: stated.place })
+        };
+        Some(PeersText {
+            fleet: read.names("fleet").map(one)?,
+            listen: read.addresses("listen").and_then(first)?,
+            key_file: read.names("key_file").map(one)?,
+            advertise: read.addresses("advertise").and_then(first),
+            seeds: read.addresses("seeds"),
+            period: read.span("period"),
+            rate: read.count("rate"),
+            voters: read.names("voters"),
+            voters_before: read.names("voters_before"),
+            generation: read.count("generation"),
+            lease: read.span("lease"),
+            place: read.place,
+        })
+    }
+
     fn route(&mut self, table: &DeTable, at: Range<usize>, number: usize) -> Option<RouteText> {
         let name = table.iter().find(|(key, _)| key.get_ref() == "name").and_then(|(_, value)| {
             let DeValue::String(name) = value.get_ref() else { return None };
@@ -299,6 +357,11 @@
                 |text: &String| (text.len() == 16 && !text.starts_with('+')).then(|| digits(text)).flatten();
             Value::HexList(all.iter().map(sound).collect::<Option<Vec<u64>>>()?)
         }
+        Kind::Text => Value::Names(vec![text(value).filter(|text| !text.is_empty())?]),
+        Kind::Address => Value::Addresses(vec![text(value)?.parse().ok()?]),
+        Kind::Addresses => {
+            Value::Addresses(list(value)?.iter().map(|one| one.parse().ok()).collect::<Option<_>>()?)
+        }
         Kind::Table => match value {
             DeValue::Table(_) | DeValue::Array(_) => Value::Table,
             _ => return None,
@@ -331,6 +394,10 @@
         self.take(name, |value| if let Value::Number(number) = value { Some(number) } else { None })
     }
 
+    fn addresses(&mut self, name: &str) -> Option<Stated<Vec<SocketAddr>>> {
+        self.take(name, |value| if let Value::Addresses(list) = value { Some(list) } else { None })
+    }
+
     fn hex(&mut self, name: &str) -> Option<Stated<(u64, u32)>> {
         self.take(
             name,
--- a/charter/tests/charter.rs
+++ b/charter/tests/charter.rs
@@ -35,6 +35,7 @@
         zones: vec!["ikeja".into(), "lekki".into()],
         zone: 1,
         two_dials: true,
+        peers: true,
         descriptors: 200,
     }
 }
@@ -269,3 +270,44 @@
     let routing = read(&all, &circumstances).unwrap();
     assert!(routing.rows()[routing.find(1, 1, None)].second.is_some(), "{all}");
 }
+
+#[test]
+fn what_a_file_may_say_of_peers() {
+    let table = |lines: &str| {
+        format!("[peers]\nfleet = \"a\"\nlisten = \"10.0.0.1:7946\"\nkey_file = \"k\"\n{lines}")
+    };
+    let peering = |text: &str, of: &Circumstances| {
+        Charter::parse("c.toml", text).and_then(|charter| charter.peering(of))
+    };
+    let plain = peering(&table(""), &of()).unwrap().unwrap();
+    assert_eq!((plain.period, plain.lease, plain.rate), (ms(1_000), ms(10_000), 32_768));
+    assert_eq!((plain.advertise, plain.generation), (plain.listen, 1));
+    assert_eq!(peering("", &of()), Ok(None));
+    // A line that is added, and the fault as line, key and a part of why.
+    let cases = [
+        ("seeds = \"x\"", 5, "peers.seeds", "an address with a port"),
+        ("seeds = [\"10.0.0.1\"]", 5, "peers.seeds", "an address with a port"),
+        ("period = \"10ms\"", 5, "peers.period", "not between 50ms and 10s"),
+        ("lease = \"2m\"", 5, "peers.lease", "not between 500ms and 60s"),
+        ("rate = 100", 5, "peers.rate", "4096 at least"),
+        ("voters = [\"a\", \"b\", \"a\"]", 5, "peers.voters", "a stands twice"),
+        ("voters = [\"a\",\"b\",\"c\",\"d\",\"e\",\"f\",\"g\",\"h\"]", 5, "peers.voters", "7 at most"),
+        ("voters_before = [\"a\"]", 5, "peers.voters_before", "a `generation` above 1"),
+        ("advertise = \"0.0.0.0:7946\"", 5, "peers.advertise", "others can't reach"),
+        ("advertise = \"10.0.0.1:0\"", 5, "peers.advertise", "others can't reach"),
+        ("voter = [\"a\"]", 5, "peers.voter", "is it `voters`?"),
+        ("key_files = \"k\"", 5, "peers.key_files", "is it `key_file`?"),
+    ];
+    for (line, number, key, why) in cases {
+        let faults = peering(&table(line), &of()).expect_err(line);
+        assert_eq!(faults.len(), 1, "{line}: {faults:?}");
+        assert_eq!((faults[0].line, faults[0].key.as_str()), (number, key), "{line}: {}", faults[0]);
+        assert!(faults[0].why.contains(why), "{line}: {}", faults[0]);
+    }
+    let missing = peering("[peers]\nfleet = \"a\"", &of()).unwrap_err();
+    assert_eq!(missing.len(), 2, "{missing:?}");
+    assert!(peering("[[peers]]\n", &of()).unwrap_err()[0].why.contains("one table"));
+    let barred = Circumstances { peers: false, ..of() };
+    let fault = read(&table(""), &barred).unwrap_err();
+    assert!(fault[0].why.contains("permissions.peers"), "{fault:?}");
+}
--- a/command/src/checks.rs
+++ b/command/src/checks.rs
@@ -43,7 +43,7 @@
 enum Sound {
     Configuration(Box<thistlecroft_relay::Posting>),
     Scenario(Box<Scenario>),
-    Charter(Charter, Option<Routing>),
+    Charter(Box<Charter>, Option<Routing>),
 }
 
 fn lines(faults: Vec<Fault>) -> Vec<String> {
@@ -65,7 +65,7 @@
     }
     let charter = Charter::parse(&name, &text).map_err(lines)?;
     let routing = of.map(|of| charter.against(of, lanes)).transpose().map_err(lines)?;
-    Ok(Sound::Charter(charter, routing))
+    Ok(Sound::Charter(Box::new(charter), routing))
 }
 
 /// Every file is looked at; each fault is a line.
--- a/command/tests/command.rs
+++ b/command/tests/command.rs
@@ -449,6 +449,7 @@
         memory_mb: 64,
         sockets: 256,
         two_dials: false,
+        peers: false,
     };
     let orders = Orders {
         admin: None,
--- a/facts/src/lib.rs
+++ b/facts/src/lib.rs
@@ -36,6 +36,8 @@
     pub waits: Vec<Span>,
     /// Connections without work are closed by backends after this.
     pub idle: Span,
+    /// Relays may talk with one another.
+    pub peers: bool,
     /// What backends note of a connection is not its load but the milliseconds that its messages take.
     pub notes_tell_delay: bool,
 }
@@ -207,6 +209,8 @@
     may_cancel: bool,
     #[serde(default)]
     parallel_tries: bool,
+    #[serde(default)]
+    peers: bool,
     probes: bool,
     retry_after: bool,
 }
@@ -309,7 +313,8 @@
     let listeners = facts.listeners.into_iter().map(|row| row.name).collect();
     let idle = Span::from_us(facts.permissions.conn_idle_us);
     let notes_tell_delay = facts.extra.tells_delay && !facts.extra.tells_load;
-    Ok(Site { deployment, places, zones: facts.zones, listeners, waits, idle, notes_tell_delay })
+    let peers = facts.permissions.peers;
+    Ok(Site { deployment, places, zones: facts.zones, listeners, waits, idle, peers, notes_tell_delay })
 }
 
 fn effect_of(row: &ListenerFacts) -> Effect {
--- a/fleet/src/mesh.rs
+++ b/fleet/src/mesh.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use thistlecroft::units::{Chance, Moment, Span};
-use thistlecroft_leases::{Leases, Terms as LeaseTerms, To, Word};
+use thistlecroft_leases::{Leases, Terms as LeaseTerms, Word};
 use thistlecroft_peers::{Event, Identity, Node, Standing, Terms};
 
 pub use crate::link::Bend;
@@ -267,7 +267,7 @@
         }
         if let Some(leases) = &mut host.leases {
             for (to, word) in leases.take_out() {
-                for id in addressed(&host.node, &to) {
+                for id in to.processes(&host.node) {
                     host.node.carry(&id, LEASES, word.written(), own);
                 }
             }
@@ -307,13 +307,3 @@
         }
     }
 }
-
-/// Which processes a word about leases goes to.
-pub fn addressed(node: &Node, to: &To) -> Vec<Identity> {
-    let live = node.members().filter(|view| view.standing <= Standing::Suspected);
-    match to {
-        To::Process(id) => vec![id.clone()],
-        To::Everyone => live.map(|view| view.id.clone()).collect(),
-        To::Voter(name) => live.filter(|view| view.id.name == *name).map(|view| view.id.clone()).collect(),
-    }
-}
--- /dev/null
+++ b/fleet/src/net.rs
@@ -0,0 +1,180 @@
+//! The network between relays, for their datagrams: one address a relay at which the others reach it, and a bend for each
+//! directed pair. A relay's datagrams come from its own socket, so that who speaks to whom is seen here.
+use crate::clock::Stopwatch;
+use crate::link::Bend;
+use crate::stage::{Play, Stage, Works};
+use crate::tape::{RelayNo, Sighting, Tape};
+use polling::{Event, PollMode};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::os::fd::AsFd;
+use thistlecroft::units::{Chance, Moment, Span};
+
+/// Datagrams read at once.
+const DATAGRAMS: usize = 256;
+
+/// Both ends of a relay's way to the others.
+#[derive(Clone, Copy, Debug)]
+pub struct Way {
+    /// Where the others reach it: a socket of this network.
+    pub public: SocketAddr,
+    /// Where it listens itself.
+    pub own: SocketAddr,
+}
+
+pub enum Cue {
+    /// From whom to whom, and how; none is as at first.
+    Bend(Vec<(RelayNo, RelayNo)>, Option<Bend>, &'static str),
+}
+
+/// What passed and what did not, over all links.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NetSums {
+    pub passed: u64,
+    pub bytes: u64,
+    pub lost: u64,
+    /// From nobody that is known here.
+    pub strange: u64,
+}
+
+pub struct Net {
+    sockets: Vec<UdpSocket>,
+    ways: Vec<Way>,
+    by_source: BTreeMap<SocketAddr, usize>,
+    bends: BTreeMap<(usize, usize), Bend>,
+    /// What a link's rate still allows, and as of when.
+    allowed: BTreeMap<(usize, usize), (f64, Moment)>,
+    chance: Chance,
+    sums: NetSums,
+}
+
+pub struct Delivery {
+    from: usize,
+    to: usize,
+    bytes: Vec<u8>,
+}
+
+pub struct Opened {
+    pub stage: Stage<Net>,
+    pub ways: Vec<Way>,
+}
+
+impl Net {
+    /// For so many relays.
+    ///
+    /// # Errors
+    /// Where the system gives no socket or thread.
+    pub fn open(relays: usize, seed: u64, clock: Stopwatch, tape: Tape) -> io::Result<Opened> {
+        let mut sockets = Vec::new();
+        let mut ways = Vec::new();
+        // Held until all are found, so that no two are the same.
+        let mut held = Vec::new();
+        for number in 0..relays {
+            let [.., high, low] = (number as u32 + 1).to_be_bytes();
+            let ip = Ipv4Addr::new(127, 70 + (std::process::id() % 50) as u8, high, low);
+            let (public, own) = (UdpSocket::bind((ip, 0))?, UdpSocket::bind((ip, 0))?);
+            public.set_nonblocking(true)?;
+            ways.push(Way { public: public.local_addr()?, own: own.local_addr()? });
+            sockets.push(public);
+            held.push(own);
+        }
+        drop(held);
+        let by_source = ways.iter().enumerate().map(|(number, way)| (way.own, number)).collect();
+        let of = ways.clone();
+        let stage = Stage::open("net", clock, tape, move |works| {
+            for (number, socket) in sockets.iter().enumerate() {
+                // SAFETY: the sockets live as long as the play, and the poller is dropped with it.
+                unsafe { works.poller.add_with_mode(socket, Event::readable(number), PollMode::Level)? };
+            }
+            Ok(Net {
+                sockets,
+                ways: of,
+                by_source,
+                bends: BTreeMap::new(),
+                allowed: BTreeMap::new(),
+                chance: Chance::from_seed(seed),
+                sums: NetSums::default(),
+            })
+        })?;
+        Ok(Opened { stage, ways })
+    }
+
+    fn allows(&mut self, link: (usize, usize), rate: u64, bytes: usize, now: Moment) -> bool {
+        if rate == 0 {
+            return true;
+        }
+        let rate = rate as f64;
+        let (left, at) = self.allowed.get(&link).copied().unwrap_or((rate, now));
+        let left = (left + rate * now.since(at).secs()).min(rate);
+        let fits = left >= bytes as f64;
+        let left = if fits { left - bytes as f64 } else { left };
+        self.allowed.insert(link, (left, now));
+        fits
+    }
+
+    fn deliver(&mut self, one: &Delivery) {
+        self.sums.passed += 1;
+        self.sums.bytes += one.bytes.len() as u64;
+        // A relay that does not run now does not hear it.
+        let _ = self.sockets[one.from].send_to(&one.bytes, self.ways[one.to].own);
+    }
+}
+
+impl Play for Net {
+    type Alarm = Delivery;
+    type Cue = Cue;
+    type Sums = NetSums;
+
+    fn event(&mut self, to: usize, _writable: bool, works: &mut Works<Delivery>) {
+        let mut bytes = [0; 2_048];
+        for _ in 0..DATAGRAMS {
+            let Some((length, source)) =
+                self.sockets.get(to).and_then(|socket| socket.recv_from(&mut bytes).ok())
+            else {
+                return;
+            };
+            let Some(&from) = self.by_source.get(&source) else {
+                self.sums.strange += 1;
+                continue;
+            };
+            let bend = self.bends.get(&(from, to)).copied().unwrap_or_default();
+            let allowed = self.allows((from, to), bend.rate, length, works.now);
+            let passes = if allowed { bend.passes(&mut self.chance) } else { Vec::new() };
+            self.sums.lost += u64::from(passes.is_empty());
+            for after in passes {
+                let one = Delivery { from, to, bytes: bytes[..length].to_vec() };
+                if after == Span::ZERO {
+                    self.deliver(&one);
+                } else {
+                    works.set(works.now + after, one);
+                }
+            }
+        }
+    }
+
+    fn alarm(&mut self, one: Delivery, _works: &mut Works<Delivery>) {
+        self.deliver(&one);
+    }
+
+    fn cue(&mut self, cue: Cue, works: &mut Works<Delivery>) -> bool {
+        works.now = works.clock.now();
+        let Cue::Bend(links, bend, name) = cue;
+        for (from, to) in links {
+            let link = (usize::from(from.0), usize::from(to.0));
+            match bend {
+                Some(bend) => drop(self.bends.insert(link, bend)),
+                None => drop(self.bends.remove(&link)),
+            }
+            works.note(Sighting::Link { from, to, name, on: bend.is_some() });
+        }
+        true
+    }
+
+    fn sums(self, works: &Works<Delivery>) -> NetSums {
+        for socket in &self.sockets {
+            let _ = works.poller.delete(socket.as_fd());
+        }
+        self.sums
+    }
+}
--- a/fleet/src/post.rs
+++ b/fleet/src/post.rs
@@ -1,5 +1,6 @@
 //! Relays as processes: their configuration, their start, their signals, what they cost, and their end.
 use crate::clock::duration;
+use crate::net::Way;
 use crate::station::{Station, call};
 use rustix::process::{Pid, Resource, Signal, getrlimit, kill_process, setrlimit};
 use serde_json::json;
@@ -48,6 +49,39 @@
     pub sockets: u64,
     /// A session may have two dials out at once.
     pub two_dials: bool,
+    /// Relays may talk with one another.
+    pub peers: bool,
+}
+
+/// What a charter says of peers, but for each relay's own addresses.
+#[derive(Clone, Debug)]
+pub struct PeersTerms {
+    pub period: Span,
+    pub lease: Span,
+    /// The first so many relays grant leases and are the seeds.
+    pub voters: usize,
+    pub key_file: PathBuf,
+}
+
+impl PeersTerms {
+    /// The charter's table for the relay of that way, in a fleet of these.
+    pub fn table(&self, own: &Way, fleet: &[Way]) -> String {
+        let quoted =
+            |all: Vec<String>| all.iter().map(|one| format!("\"{one}\"")).collect::<Vec<_>>().join(", ");
+        let first = || fleet.iter().take(self.voters.max(1));
+        let seeds = quoted(first().map(|way| way.public.to_string()).collect());
+        let voters =
+            quoted((0..self.voters.min(fleet.len())).map(|number| format!("relay-{number}")).collect());
+        let voters = if self.voters == 0 { String::new() } else { format!("voters = [{voters}]\n") };
+        format!(
+            "\n[peers]\nfleet = \"rig\"\nlisten = \"{}\"\nadvertise = \"{}\"\nkey_file = \"{}\"\nseeds = [{seeds}]\n{voters}period = \"{}us\"\nlease = \"{}us\"\n",
+            own.own,
+            own.public,
+            self.key_file.display(),
+            self.period.us(),
+            self.lease.us()
+        )
+    }
 }
 
 /// What one relay is told beside the terms.
@@ -107,7 +141,7 @@
             "permissions": {"connIdleUs": 9_000_000, "dialTimeoutUs": terms.connect_time.us(),
                 "maxDials": terms.most_dials,
                 "maxRetryAfterUs": terms.longest_retry_after.unwrap_or(Span::ZERO).us(),
-                "mayCancel": true, "parallelTries": terms.two_dials, "probes": terms.probes, "retryAfter": terms.longest_retry_after.is_some()},
+                "peers": terms.peers, "mayCancel": true, "parallelTries": terms.two_dials, "probes": terms.probes, "retryAfter": terms.longest_retry_after.is_some()},
             "report": {"fields": ["inflight", "x0"], "how": "pull"},
         },
     });
@@ -206,6 +240,11 @@
         Ok(())
     }
 
+    /// Stands still, or goes on.
+    pub fn still(&self, on: bool) {
+        self.signal(if on { Signal::STOP } else { Signal::CONT });
+    }
+
     pub fn hang_up(&self) {
         self.signal(Signal::HUP);
     }
--- /dev/null
+++ b/fleet/src/rig.rs
@@ -0,0 +1,214 @@
+//! Relays as processes that know of one another, for tests: started, cut off, healed, paused, killed and started again, and
+//! waited for until a stated condition holds, within a bound.
+use crate::clock::{Stopwatch, duration};
+use crate::link::Bend;
+use crate::net::{Cue, Net, Opened as OpenedNet, Way};
+use crate::post::{Orders, PeersTerms, Post, Terms, free_address};
+use crate::station::call;
+use crate::tape::{Reel, RelayNo, Sighting, Tape, tape};
+use crate::traffic::scattered;
+use crate::witness::{Witness, seen_here};
+use crate::yard::{Ground, Opened as OpenedYard, Yard};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use thistlecroft::units::Span;
+
+/// Between two looks at what is waited for.
+const LOOK: Duration = Duration::from_millis(20);
+const CALL: Span = Span::from_ms(1_000);
+
+pub struct Plan {
+    /// The program and its arguments.
+    pub program: Vec<String>,
+    pub terms: Terms,
+    pub ground: Ground,
+    pub period: Span,
+    pub lease: Span,
+    pub voters: usize,
+    pub seed: u64,
+    /// For configurations, charters and logs.
+    pub folder: PathBuf,
+}
+
+/// Dropped, all its relays are killed.
+pub struct Rig {
+    pub clock: Stopwatch,
+    pub tape: Tape,
+    pub reel: Reel,
+    pub yard: OpenedYard,
+    pub net: OpenedNet,
+    plan: Plan,
+    peers: PeersTerms,
+    posts: Vec<Option<Post>>,
+    doors: Vec<SocketAddr>,
+    listens: Vec<SocketAddr>,
+    starts: u64,
+}
+
+impl Rig {
+    /// Everything but the relays.
+    ///
+    /// # Errors
+    /// One line: what could not be set up.
+    pub fn open(plan: Plan) -> Result<Rig, String> {
+        let said = |fault: std::io::Error| fault.to_string();
+        let (tape, reel) = tape();
+        let clock = Stopwatch::start();
+        let count = plan.ground.relays;
+        let yard = Yard::open(plan.ground.clone(), clock, tape.clone()).map_err(said)?;
+        let net = Net::open(count, plan.seed, clock, tape.clone()).map_err(said)?;
+        std::fs::create_dir_all(&plan.folder).map_err(said)?;
+        let key_file = plan.folder.join("peers.key");
+        std::fs::write(&key_file, "a key for the rig alone\n").map_err(said)?;
+        let peers = PeersTerms { period: plan.period, lease: plan.lease, voters: plan.voters, key_file };
+        let addresses = |from: usize| (from..from + count).map(free_address).collect::<Result<Vec<_>, _>>();
+        let (listens, doors) = (addresses(0).map_err(said)?, addresses(count).map_err(said)?);
+        let posts = (0..count).map(|_| None).collect();
+        Ok(Rig { clock, tape, reel, yard, net, plan, peers, posts, doors, listens, starts: 0 })
+    }
+
+    fn note(&self, seen: Sighting) {
+        self.tape.note(self.clock.now(), seen);
+    }
+
+    /// # Errors
+    /// What the relay said, or that it is not ready.
+    pub fn start(&mut self, number: usize) -> Result<(), String> {
+        let ways: Vec<Way> = self.net.ways.clone();
+        let charter = self.peers.table(&ways[number], &ways);
+        self.start_with(number, charter)
+    }
+
+    /// The same by another charter.
+    ///
+    /// # Errors
+    /// As `start`.
+    pub fn start_with(&mut self, number: usize, charter: String) -> Result<(), String> {
+        self.starts += 1;
+        let orders = Orders {
+            name: format!("relay-{number}"),
+            number,
+            relays: self.posts.len(),
+            zone: 0,
+            listen: self.listens[number],
+            discovery: self.yard.agents[number],
+            seed: scattered(self.plan.seed.wrapping_add(self.starts * 1_000 + number as u64)),
+            known: None,
+            charter: Some(charter),
+            admin: Some(self.doors[number]),
+            station: None,
+        };
+        let post = Post::start(&self.plan.program, &self.plan.terms, &orders, &self.plan.folder)?;
+        self.posts[number] = Some(post);
+        self.note(Sighting::RelayStarted { relay: RelayNo(number as u16) });
+        Ok(())
+    }
+
+    /// The charter of a relay, to be changed.
+    pub fn charter(&self, number: usize) -> String {
+        self.peers.table(&self.net.ways[number], &self.net.ways)
+    }
+
+    /// # Errors
+    /// Where the file can't be written.
+    pub fn recharter(&self, number: usize, text: &str) -> std::io::Result<()> {
+        self.posts[number].as_ref().map_or(Ok(()), |post| post.recharter(text))
+    }
+
+    pub fn kill(&mut self, number: usize) {
+        if let Some(mut post) = self.posts[number].take() {
+            self.note(Sighting::RelayKilled { relay: RelayNo(number as u16) });
+            post.kill();
+        }
+    }
+
+    pub fn pause(&mut self, number: usize, on: bool) {
+        let Some(post) = &self.posts[number] else { return };
+        self.note(Sighting::RelayStill { relay: RelayNo(number as u16), on });
+        post.still(on);
+    }
+
+    /// Told to stop; if it ended well within that time.
+    pub fn stop(&mut self, number: usize, within: Span) -> bool {
+        let Some(mut post) = self.posts[number].take() else { return false };
+        self.note(Sighting::RelayToldToStop { relay: RelayNo(number as u16) });
+        post.tell_to_stop();
+        let ended = post.wait(within).is_some_and(|status| status.success());
+        self.note(Sighting::RelayStopped { relay: RelayNo(number as u16) });
+        ended
+    }
+
+    /// Each directed pair between these and those, one direction only.
+    pub fn bend(&self, from: &[usize], to: &[usize], bend: Option<Bend>) {
+        let no = |number: usize| RelayNo(number as u16);
+        let pairs = from.iter().flat_map(|one| to.iter().map(move |other| (no(*one), no(*other))));
+        let links = pairs.filter(|(one, other)| one != other).collect();
+        self.net.stage.cue(Cue::Bend(links, bend, "bent"));
+    }
+
+    /// Both directions.
+    pub fn cut(&self, these: &[usize], those: &[usize]) {
+        self.bend(these, those, Some(Bend::CUT));
+        self.bend(those, these, Some(Bend::CUT));
+    }
+
+    pub fn heal(&self) {
+        let all: Vec<usize> = (0..self.posts.len()).collect();
+        self.bend(&all, &all, None);
+    }
+
+    pub fn door(&self, number: usize) -> SocketAddr {
+        self.doors[number]
+    }
+
+    pub fn witness(&self, number: usize, lease: Option<&'static str>) -> Witness {
+        Witness::open(RelayNo(number as u16), self.doors[number], lease, self.clock, self.tape.clone())
+    }
+
+    /// What a relay's door answers; none where nobody does.
+    pub fn ask(&self, number: usize, line: &str) -> Option<String> {
+        call(self.doors[number], line, CALL).ok()
+    }
+
+    /// What `PEERS` says there.
+    pub fn view(&self, number: usize) -> Option<serde_json::Value> {
+        serde_json::from_str(self.ask(number, "PEERS")?.strip_prefix("200 ")?).ok()
+    }
+
+    /// If a relay sees exactly these here.
+    pub fn sees(&self, number: usize, these: &[usize]) -> bool {
+        let names: BTreeSet<String> = these.iter().map(|one| format!("relay-{one}")).collect();
+        let here = self.ask(number, "PEERS").as_deref().and_then(seen_here);
+        here.is_some_and(|here| here.into_iter().collect::<BTreeSet<_>>() == names)
+    }
+
+    /// If each of these sees these and nobody else.
+    pub fn agree(&self, these: &[usize]) -> bool {
+        these.iter().all(|number| self.sees(*number, these))
+    }
+
+    /// Until that is so; how long it took, or none within the bound.
+    pub fn wait(&self, within: Span, so: impl Fn(&Rig) -> bool) -> Option<Span> {
+        let began = Instant::now();
+        loop {
+            if so(self) {
+                return Some(crate::clock::span(began.elapsed()));
+            }
+            if began.elapsed() > duration(within) {
+                return None;
+            }
+            std::thread::sleep(LOOK);
+        }
+    }
+
+    /// CPU time so far.
+    pub fn cpu(&self, number: usize) -> Option<Span> {
+        self.posts[number].as_ref().and_then(Post::cost).map(|(cpu, _)| cpu)
+    }
+
+    pub fn log(&self, number: usize) -> String {
+        std::fs::read_to_string(self.plan.folder.join(format!("relay-{number}.log"))).unwrap_or_default()
+    }
+}
--- a/fleet/src/tape.rs
+++ b/fleet/src/tape.rs
@@ -212,6 +212,33 @@
     RelayStopped {
         relay: RelayNo,
     },
+    /// The process stands still (SIGSTOP), or goes on.
+    RelayStill {
+        relay: RelayNo,
+        on: bool,
+    },
+    /// What is between two relays, in one direction, is bent, or as it was.
+    Link {
+        from: RelayNo,
+        to: RelayNo,
+        name: &'static str,
+        on: bool,
+    },
+    /// At its door a relay said that it holds a lease: asked then, for so long from then.
+    LeaseSaid {
+        relay: RelayNo,
+        subject: &'static str,
+        epoch: u64,
+        #[serde(serialize_with = "at_ms")]
+        asked: Moment,
+        #[serde(serialize_with = "at_ms")]
+        until: Moment,
+    },
+    /// Whom a relay said at its door that it sees here, itself among them.
+    Sees {
+        relay: RelayNo,
+        here: Vec<String>,
+    },
     RelayCost {
         relay: RelayNo,
         #[serde(serialize_with = "ms")]
--- /dev/null
+++ b/fleet/src/together.rs
@@ -0,0 +1,291 @@
+//! What all relays together may do, judged from boxes, clients and those who asked at the relays' doors; never from what the
+//! relays log of themselves. Beside the four rules, which each keeps alone. No I/O.
+use crate::tape::{BoxNo, Entry, RelayNo, Reply, Sighting, Tag};
+use std::collections::{BTreeMap, BTreeSet};
+use thistlecroft::units::{Moment, Span};
+
+/// Sightings of two threads may stand in the wrong order by so much.
+const BLUR: Span = Span::from_ms(50);
+/// Over this a rate is looked at.
+const SECOND: Span = Span::from_ms(1_000);
+
+/// What is agreed; what is not stated is not judged. Leases and whose session it is always are.
+#[derive(Clone, Debug, Default)]
+pub struct Pact {
+    /// Sessions up at once over all relays, and for how long at most more may be.
+    pub at_once: Option<(usize, Span)>,
+    /// Dials in any second at all boxes.
+    pub dials_a_second: Option<usize>,
+    /// A ban by hand at one relay holds at all others after this.
+    pub bans_within: Option<Span>,
+    /// A session of a lost relay may be taken over, once.
+    pub takes_over: bool,
+    /// At the end each relay that runs sees all that run and nobody else.
+    pub agree: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    OneHolder,
+    EpochsGrow,
+    OneRelayASession,
+    TakenOverOnce,
+    OneBoxASession,
+    SumAtOnce,
+    SumASecond,
+    BansEverywhere,
+    ViewsAgree,
+}
+
+impl Rule {
+    pub fn word(self) -> &'static str {
+        match self {
+            Rule::OneHolder => "one holder of a lease",
+            Rule::EpochsGrow => "epochs grow",
+            Rule::OneRelayASession => "one relay a session",
+            Rule::TakenOverOnce => "taken over once",
+            Rule::OneBoxASession => "one box a session",
+            Rule::SumAtOnce => "sessions at once over all",
+            Rule::SumASecond => "dials a second over all",
+            Rule::BansEverywhere => "bans hold everywhere",
+            Rule::ViewsAgree => "views agree",
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Breach {
+    pub rule: Rule,
+    pub at: Moment,
+    pub what: String,
+}
+
+/// All breaches in the order of time.
+pub fn judge_together(entries: &[Entry], pact: &Pact) -> Vec<Breach> {
+    let mut found = leases(entries);
+    found.extend(sessions(entries, pact));
+    found.extend(sums(entries, pact));
+    found.extend(bans(entries, pact));
+    found.extend(views(entries, pact));
+    found.sort_by_key(|breach| breach.at);
+    found
+}
+
+struct Said {
+    relay: RelayNo,
+    epoch: u64,
+    asked: Moment,
+    heard: Moment,
+    until: Moment,
+}
+
+/// When it looked lies between its asking and its answer: it held from the answer, at the latest, until what it said was left
+/// from the asking, at the least. Where these leave nothing, nothing is known.
+fn leases(entries: &[Entry]) -> Vec<Breach> {
+    let mut by_subject: BTreeMap<&str, Vec<Said>> = BTreeMap::new();
+    for Entry { at, seen } in entries {
+        if let Sighting::LeaseSaid { relay, subject, epoch, asked, until } = seen {
+            let said = Said { relay: *relay, epoch: *epoch, asked: *asked, heard: *at, until: *until };
+            by_subject.entry(subject).or_default().push(said);
+        }
+    }
+    // From then on a relay does not act: it gave back what it held, or is no more.
+    let mut stops: BTreeMap<RelayNo, Vec<Moment>> = BTreeMap::new();
+    for Entry { at, seen } in entries {
+        if let Sighting::RelayToldToStop { relay } | Sighting::RelayKilled { relay } = seen {
+            stops.entry(*relay).or_default().push(*at);
+        }
+    }
+    let mut found = Vec::new();
+    for (subject, mut all) in by_subject {
+        for said in &mut all {
+            let stops = stops.get(&said.relay).into_iter().flatten();
+            let stop = stops.filter(|stop| **stop >= said.asked).min();
+            said.until = stop.map_or(said.until, |stop| said.until.min(*stop));
+        }
+        all.sort_by_key(|said| said.heard);
+        // By relay the last that is known of it, and of each epoch whose it is.
+        let mut last: BTreeMap<RelayNo, (Moment, Moment)> = BTreeMap::new();
+        let mut owners: BTreeMap<u64, RelayNo> = BTreeMap::new();
+        let mut highest: Vec<(Moment, u64)> = Vec::new();
+        for said in &all {
+            let breach = |rule, what| Breach { rule, at: said.heard, what };
+            let beside = last.iter().find(|(relay, (from, until))| {
+                **relay != said.relay && *from < said.until && said.heard < *until && said.heard < said.until
+            });
+            if let Some((other, _)) = beside {
+                let what = format!("relays {} and {} hold \"{subject}\" at once", other.0, said.relay.0);
+                found.push(breach(Rule::OneHolder, what));
+            }
+            let owner = *owners.entry(said.epoch).or_insert(said.relay);
+            if owner != said.relay {
+                let what = format!(
+                    "relays {} and {} both hold \"{subject}\" by epoch {}",
+                    owner.0, said.relay.0, said.epoch
+                );
+                found.push(breach(Rule::EpochsGrow, what));
+            }
+            let before = highest.iter().rev().find(|(heard, _)| *heard < said.asked);
+            if let Some((_, before)) = before.filter(|(_, before)| *before > said.epoch) {
+                let what = format!("\"{subject}\" is held by epoch {} after {before}", said.epoch);
+                found.push(breach(Rule::EpochsGrow, what));
+            }
+            let top = highest.last().map_or(0, |(_, top)| *top).max(said.epoch);
+            highest.push((said.heard, top));
+            if said.heard < said.until {
+                let (from, until) = last.get(&said.relay).copied().unwrap_or((said.heard, said.until));
+                let joins = said.heard <= until;
+                let from = if joins { from } else { said.heard };
+                last.insert(said.relay, (from, until.max(said.until)));
+            }
+        }
+    }
+    found
+}
+
+fn sessions(entries: &[Entry], pact: &Pact) -> Vec<Breach> {
+    let mut relay_of: BTreeMap<Tag, RelayNo> = BTreeMap::new();
+    let mut killed: BTreeMap<RelayNo, Moment> = BTreeMap::new();
+    let mut taken: BTreeMap<Tag, usize> = BTreeMap::new();
+    let mut up: BTreeMap<Tag, BTreeSet<BoxNo>> = BTreeMap::new();
+    let mut found = Vec::new();
+    for Entry { at, seen } in entries {
+        match seen {
+            Sighting::Asked { session, relay: Some(relay), .. } => {
+                relay_of.insert(*session, *relay);
+                // One that took a client after its kill is another process.
+                killed.remove(relay);
+            }
+            Sighting::RelayKilled { relay } => drop(killed.insert(*relay, *at)),
+            Sighting::DialCame { session, at: of, first } => {
+                let Some(relay) = relay_of.get(session) else { continue };
+                let Some(dead) = killed.get(relay).filter(|dead| *first > **dead + BLUR) else { continue };
+                let count = taken.entry(*session).or_default();
+                *count += 1;
+                let after = first.since(*dead).us() / 1_000;
+                let what = format!(
+                    "box {} is dialled for a session of relay {}, dead for {after} ms",
+                    of.0, relay.0
+                );
+                if !pact.takes_over {
+                    found.push(Breach { rule: Rule::OneRelayASession, at: *at, what });
+                } else if *count > 1 {
+                    found.push(Breach { rule: Rule::TakenOverOnce, at: *at, what: format!("{what}, again") });
+                }
+            }
+            Sighting::DialReplied { session, at: of, reply: Reply::Up } => {
+                let boxes = up.entry(*session).or_default();
+                boxes.insert(*of);
+                if boxes.len() > 1 {
+                    let numbers: Vec<String> = boxes.iter().map(|of| of.0.to_string()).collect();
+                    let what = format!("boxes {} hold one session", numbers.join(" and "));
+                    found.push(Breach { rule: Rule::OneBoxASession, at: *at, what });
+                }
+            }
+            Sighting::DialGone { session, at: of } | Sighting::BoxEnded { session, at: of } => {
+                up.entry(*session).or_default().remove(of);
+            }
+            Sighting::BoxStopped { at: of } => {
+                for boxes in up.values_mut() {
+                    boxes.remove(of);
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+fn sums(entries: &[Entry], pact: &Pact) -> Vec<Breach> {
+    let mut found = Vec::new();
+    let mut standing: BTreeSet<Tag> = BTreeSet::new();
+    let mut over: Option<Moment> = None;
+    let mut dials: Vec<Moment> = Vec::new();
+    for Entry { at, seen } in entries {
+        match seen {
+            Sighting::Answered { session, answer: crate::tape::Answer::Up } => {
+                standing.insert(*session);
+            }
+            Sighting::Moved { session } | Sighting::Ended { session } | Sighting::CutOff { session } => {
+                standing.remove(session);
+            }
+            Sighting::DialCame { first, .. } => dials.push(*first),
+            _ => {}
+        }
+        if let Some((most, allowed)) = pact.at_once {
+            if standing.len() <= most {
+                over = None;
+            } else if at.since(*over.get_or_insert(*at)) > allowed {
+                let what = format!("{} sessions are up, {most} may be", standing.len());
+                found.push(Breach { rule: Rule::SumAtOnce, at: *at, what });
+                over = Some(*at);
+            }
+        }
+    }
+    if let Some(most) = pact.dials_a_second {
+        dials.sort_unstable();
+        for (place, at) in dials.iter().enumerate() {
+            let from = dials.partition_point(|other| *other + SECOND <= *at);
+            let count = place + 1 - from;
+            if count > most {
+                let what = format!("{count} dials in a second, {most} may be");
+                found.push(Breach { rule: Rule::SumASecond, at: *at, what });
+            }
+        }
+    }
+    found
+}
+
+fn bans(entries: &[Entry], pact: &Pact) -> Vec<Breach> {
+    let Some(within) = pact.bans_within else { return Vec::new() };
+    let mut out: BTreeMap<BoxNo, Moment> = BTreeMap::new();
+    let mut found = Vec::new();
+    for Entry { at, seen } in entries {
+        match seen {
+            Sighting::ByHand { at: of, out: true, .. } => drop(out.entry(*of).or_insert(*at)),
+            Sighting::ByHand { at: of, out: false, .. } => drop(out.remove(of)),
+            Sighting::DialCame { at: of, first, .. } => {
+                let Some(since) = out.get(of).filter(|since| *first > **since + within + BLUR) else {
+                    continue;
+                };
+                let after = first.since(*since).us() / 1_000;
+                let what = format!("box {} is dialled {after} ms after its ban", of.0);
+                found.push(Breach { rule: Rule::BansEverywhere, at: *at, what });
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+/// By what each relay that runs said last.
+fn views(entries: &[Entry], pact: &Pact) -> Vec<Breach> {
+    if !pact.agree {
+        return Vec::new();
+    }
+    let mut running: BTreeSet<RelayNo> = BTreeSet::new();
+    let mut sees: BTreeMap<RelayNo, (Moment, &Vec<String>)> = BTreeMap::new();
+    for Entry { at, seen } in entries {
+        match seen {
+            Sighting::RelayStarted { relay } => drop(running.insert(*relay)),
+            Sighting::RelayKilled { relay } | Sighting::RelayStopped { relay } => drop(running.remove(relay)),
+            Sighting::Sees { relay, here } => drop(sees.insert(*relay, (*at, here))),
+            _ => {}
+        }
+    }
+    let all: BTreeSet<String> = running.iter().map(|relay| format!("relay-{}", relay.0)).collect();
+    let wrong = running.iter().filter_map(|relay| {
+        let (at, here) = sees.get(relay).copied()?;
+        let here: BTreeSet<String> = here.iter().cloned().collect();
+        (here != all).then(|| {
+            let what = format!(
+                "relay {} sees {} of {} relays at the end",
+                relay.0,
+                here.intersection(&all).count(),
+                all.len()
+            );
+            Breach { rule: Rule::ViewsAgree, at, what }
+        })
+    });
+    wrong.collect()
+}
--- /dev/null
+++ b/fleet/src/witness.rs
@@ -0,0 +1,92 @@
+//! One who asks a relay again and again what it thinks of the others and whether it holds a lease, from a thread of its own:
+//! a relay that stands still keeps only its own witness waiting.
+use crate::clock::Stopwatch;
+use crate::station::call;
+use crate::tape::{RelayNo, Sighting, Tape};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+use thistlecroft::units::Span;
+
+/// Between two askings, and how many of them go by between two of the views.
+const EVERY: Duration = Duration::from_millis(40);
+const VIEWS: usize = 6;
+const WAIT: Span = Span::from_ms(1_000);
+
+/// Dropped, it asks no more.
+pub struct Witness {
+    over: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Witness {
+    /// `lease`: the subject that it asks for, if any.
+    pub fn open(
+        relay: RelayNo,
+        door: SocketAddr,
+        lease: Option<&'static str>,
+        clock: Stopwatch,
+        tape: Tape,
+    ) -> Witness {
+        let over = Arc::new(AtomicBool::new(false));
+        let until = over.clone();
+        let thread = std::thread::spawn(move || {
+            let mut round = 0;
+            while !until.load(Ordering::Relaxed) {
+                round += 1;
+                if let Some(subject) = lease {
+                    let asked = clock.now();
+                    let said = call(door, &format!("LEASE {subject}"), WAIT).ok();
+                    let held = said.as_deref().and_then(held);
+                    if let Some((epoch, left)) = held {
+                        tape.note(
+                            clock.now(),
+                            Sighting::LeaseSaid { relay, subject, epoch, asked, until: asked + left },
+                        );
+                    }
+                }
+                if round % VIEWS == 0
+                    && let Ok(said) = call(door, "PEERS", WAIT)
+                    && let Some(here) = seen_here(&said)
+                {
+                    tape.note(clock.now(), Sighting::Sees { relay, here });
+                }
+                std::thread::park_timeout(EVERY);
+            }
+        });
+        Witness { over, thread: Some(thread) }
+    }
+}
+
+impl Drop for Witness {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            thread.thread().unpark();
+            let _ = thread.join();
+        }
+    }
+}
+
+/// `200 held EPOCH MS`
+pub fn held(said: &str) -> Option<(u64, Span)> {
+    let mut words = said.strip_prefix("200 held ")?.split(' ');
+    let epoch = words.next()?.parse().ok()?;
+    Some((epoch, Span::from_ms(words.next()?.parse().ok()?)))
+}
+
+/// The names that a relay sees here, its own among them, in order.
+pub fn seen_here(said: &str) -> Option<Vec<String>> {
+    let view: serde_json::Value = serde_json::from_str(said.strip_prefix("200 ")?).ok()?;
+    let here = view["peers"].as_array()?.iter().filter(|peer| peer["standing"] == "here");
+    let mut here: Vec<String> = here
+        .filter_map(|peer| peer["name"].as_str())
+        .chain(view["name"].as_str())
+        .map(String::from)
+        .collect();
+    here.sort();
+    here.dedup();
+    Some(here)
+}
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -24,6 +24,9 @@
     pub traffic: TrafficText,
     #[serde(rename = "listener")]
     pub listeners: Vec<Spanned<ListenerText>>,
+    /// What all relays together may do, beside the rules that each keeps alone.
+    #[serde(default)]
+    pub together: TogetherText,
     #[serde(default, rename = "fault")]
     pub faults: Vec<Spanned<FaultText>>,
     /// What is run beside the relays as they are.
@@ -113,6 +116,28 @@
     pub charters: Vec<String>,
     /// The platform holds the clients' sockets and operators have a door at each relay: for faults `upgrade` and `ban`.
     pub operators: bool,
+    /// Of these the last ones, which start by a fault `relay-joins`.
+    pub later: usize,
+    /// They know of one another, over links that can be bent.
+    pub peers: bool,
+    /// The first so many grant leases; a witness asks all of them for one.
+    pub voters: usize,
+    pub period: Time,
+    pub lease: Time,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct TogetherText {
+    /// Sessions up at once over all relays...
+    pub at_once: Option<usize>,
+    /// ...and for how long at most there may be more.
+    pub over_for: Option<Time>,
+    pub dials_a_second: Option<usize>,
+    /// A ban by hand at one relay holds at all others after this.
+    pub bans_within: Option<Time>,
+    /// At the end all relays that run see each other and nobody else.
+    pub agree: bool,
 }
 
 impl Default for Relays {
@@ -130,6 +155,11 @@
             two_dials: false,
             charters: Vec::new(),
             operators: false,
+            later: 0,
+            peers: false,
+            voters: 3,
+            period: Time::ms(200),
+            lease: Time::ms(2_000),
         }
     }
 }
@@ -259,6 +289,18 @@
     pub pause: Option<Time>,
     /// One that dies is back after this.
     pub back: Option<Time>,
+    /// Relays from which and to which links are bent.
+    pub from: Option<Which>,
+    pub to: Option<Which>,
+    /// The part of datagrams that is lost; all where nothing is said of a link.
+    pub loss: Option<f64>,
+    pub delay: Option<Time>,
+    /// Added to the delay, from nothing up to this.
+    pub spread: Option<Time>,
+    /// The part that comes twice.
+    pub doubled: Option<f64>,
+    /// Bytes a second that a link lets through.
+    pub rate: Option<u64>,
     pub clients: Option<usize>,
     /// Spread over this time.
     pub over: Option<Time>,
@@ -399,6 +441,12 @@
         if self.relays.count == 0 || self.relays.count > 200 {
             return fails("relays", "count", "between 1 and 200");
         }
+        if self.relays.later >= self.relays.count {
+            return fails("relays", "later", "at least one relay is there from the start");
+        }
+        if self.relays.peers && self.relays.voters > 7.min(self.relays.count - self.relays.later) {
+            return fails("relays", "voters", "7 at most, of those that are there from the start");
+        }
         if self.relays.sockets < 64 {
             return fails("relays", "sockets", "a relay needs 64 at least");
         }
--- a/leases/src/lib.rs
+++ b/leases/src/lib.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use thistlecroft::units::{Chance, Moment, Span};
-use thistlecroft_peers::Identity;
+use thistlecroft_peers::{Identity, Node, Standing, View};
 use voter::Voter;
 
 /// How far from true a clock's speed may be, as a part of it.
@@ -141,6 +141,23 @@
     Everyone,
 }
 
+impl To {
+    /// The processes it goes to. Two of one name may be there in an upgrade: both hear it.
+    pub fn processes(&self, node: &Node) -> Vec<Identity> {
+        let named = |view: &View| match self {
+            To::Voter(name) => view.id.name == *name,
+            _ => true,
+        };
+        match self {
+            To::Process(id) => vec![id.clone()],
+            _ => {
+                let live = node.members().filter(|view| view.standing <= Standing::Suspected);
+                live.filter(named).map(|view| view.id.clone()).collect()
+            }
+        }
+    }
+}
+
 /// A process's part in it, as a voter if it is one, and for what it wants itself.
 #[derive(Clone, Debug)]
 pub struct Leases {
--- a/relay/src/admin.rs
+++ b/relay/src/admin.rs
@@ -1,5 +1,7 @@
 //! What operators may ask of a running relay, and how they are answered: one line to a call, one line back. No I/O.
 
+const NO_SUCH: &str = "no such call: READY, DISABLE ID, ENABLE ID, PEERS, LEASE SUBJECT, RELEASE SUBJECT, NOTE SUBJECT VALUE or NOTES";
+
 /// The longest call; ids are far shorter.
 pub const LONGEST: usize = 512;
 
@@ -10,6 +12,14 @@
     /// That backend is out until the call back.
     Disable(String),
     Enable(String),
+    /// What this relay thinks of the others.
+    Peers,
+    /// Whether this relay holds that lease; from the first call on it asks for it.
+    Lease(String),
+    Release(String),
+    /// Tells all relays something, and what has been told.
+    Note(String, String),
+    Notes,
 }
 
 /// What has come of a call so far.
@@ -38,13 +48,22 @@
     let Some(word) = words.next() else { return Heard::Bad("no call") };
     let id = words.next();
     match (word, id, words.next()) {
+        ("NOTE", Some(subject), Some(value)) if words.next().is_none() => {
+            Heard::Call(Call::Note(subject.into(), value.into()))
+        }
         (_, _, Some(_)) => Heard::Bad("too many words"),
         ("READY", None, _) => Heard::Call(Call::Ready),
         ("READY", Some(_), _) => Heard::Bad("READY takes no more words"),
         ("DISABLE" | "ENABLE", None, _) => Heard::Bad("which backend?"),
         ("DISABLE", Some(id), _) => Heard::Call(Call::Disable(id.into())),
         ("ENABLE", Some(id), _) => Heard::Call(Call::Enable(id.into())),
-        _ => Heard::Bad("no such call: READY, DISABLE ID or ENABLE ID"),
+        ("PEERS", None, _) => Heard::Call(Call::Peers),
+        ("NOTES", None, _) => Heard::Call(Call::Notes),
+        ("LEASE" | "RELEASE", None, _) => Heard::Bad("which lease?"),
+        ("LEASE", Some(subject), _) => Heard::Call(Call::Lease(subject.into())),
+        ("RELEASE", Some(subject), _) => Heard::Call(Call::Release(subject.into())),
+        ("NOTE", ..) => Heard::Bad("a subject and a value"),
+        _ => Heard::Bad(NO_SUCH),
     }
 }
 
@@ -104,7 +123,14 @@
             (b"ENABLE\n", false, Heard::Bad("which backend?")),
             (b"ENABLE a b\n", false, Heard::Bad("too many words")),
             (b"READY now\n", false, Heard::Bad("READY takes no more words")),
-            (b"ready\n", false, Heard::Bad("no such call: READY, DISABLE ID or ENABLE ID")),
+            (b"ready\n", false, Heard::Bad(NO_SUCH)),
+            (b"PEERS\n", false, Heard::Call(Call::Peers)),
+            (b"NOTES x\n", false, Heard::Bad(NO_SUCH)),
+            (b"LEASE turn\n", false, Heard::Call(Call::Lease("turn".into()))),
+            (b"RELEASE\n", false, Heard::Bad("which lease?")),
+            (b"NOTE a b\n", false, Heard::Call(Call::Note("a".into(), "b".into()))),
+            (b"NOTE a\n", false, Heard::Bad("a subject and a value")),
+            (b"NOTE a b c\n", false, Heard::Bad("too many words")),
             (b"GET / HTTP/1.1\r\n", false, Heard::Bad("too many words")),
             (b"DISABLE \xff\xfe\n", false, Heard::Bad("not UTF-8")),
             (&long, false, Heard::Bad("a line too long")),
--- a/relay/src/hand.rs
+++ b/relay/src/hand.rs
@@ -4,6 +4,7 @@
 use crate::callers::Callers;
 use crate::discovery::Book;
 use crate::front::News;
+use crate::peers::Peers;
 use crate::shelf::{Fault, Shelf};
 use crate::timers::Alarm;
 use crate::works::Works;
@@ -17,7 +18,7 @@
 const LOCKED_AGAIN: Span = Span::from_ms(5);
 
 /// A call whose answer is worked out; it goes out once the decisions have been told.
-pub type Answer = (u32, Result<&'static str, String>);
+pub type Answer = (u32, Result<String, String>);
 
 pub struct Hand {
     pub callers: Option<Callers>,
@@ -55,17 +56,27 @@
     }
 
     /// Works out the answers to the calls of this turn.
-    pub fn answers(&mut self, readiness: Readiness, book: &mut Book, works: &mut Works) -> Vec<Answer> {
+    pub fn answers(
+        &mut self,
+        readiness: Readiness,
+        peers: &mut Option<Peers>,
+        book: &mut Book,
+        works: &mut Works,
+    ) -> Vec<Answer> {
         let Some(callers) = &mut self.callers else { return Vec::new() };
         let calls = std::mem::take(&mut callers.calls);
         let (mut answers, mut waiting) = (Vec::new(), Vec::new());
         for (caller, call) in calls {
             let done = match &call {
-                Call::Ready => Some(readiness.told().map(|()| "ready").map_err(str::to_string)),
+                Call::Ready => Some(readiness.told().map(|()| "ready".into()).map_err(str::to_string)),
                 // While one waits all behind it do: their order is the operators'.
                 _ if !waiting.is_empty() => None,
                 Call::Disable(id) => self.change(id, true, book, works),
                 Call::Enable(id) => self.change(id, false, book, works),
+                asked => Some(match peers {
+                    Some(peers) => peers.answer(asked, works),
+                    None => Err("peers are not switched on ([peers] in the charter)".into()),
+                }),
             };
             match done {
                 Some(done) => answers.push((caller, done)),
@@ -88,7 +99,7 @@
         out: bool,
         book: &mut Book,
         works: &mut Works,
-    ) -> Option<Result<&'static str, String>> {
+    ) -> Option<Result<String, String>> {
         let Some(backend) = book.named(id) else {
             return Some(Err(format!("no backend {id} was ever listed here")));
         };
@@ -111,19 +122,20 @@
             log::info!("{id} is {} by hand", if out { "out" } else { "back" });
             works.news.push_back(News::Banned(backend, out));
         }
-        Some(Ok(match (out, changed) {
+        let done = match (out, changed) {
             (true, true) => "out",
             (true, false) => "already out",
             (false, true) => "back",
             (false, false) => "was not out",
-        }))
+        };
+        Some(Ok(done.into()))
     }
 
     /// Written after the decisions have been told.
     pub fn answer(&mut self, answers: Vec<Answer>, works: &mut Works) {
         let Some(callers) = &mut self.callers else { return };
         for (caller, done) in answers {
-            callers.answer(caller, done.as_ref().map(|word| *word).map_err(String::as_str), works);
+            callers.answer(caller, done.as_deref().map_err(String::as_str), works);
         }
     }
 
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod hand;
 mod lines;
 mod pacing;
+mod peers;
 mod protocol;
 mod service;
 mod shelf;
--- /dev/null
+++ b/relay/src/peers.rs
@@ -0,0 +1,294 @@
+//! The other relays: datagrams and timers for `thistlecroft-peers` and `thistlecroft-leases`, which decide. One socket, on the
+//! one loop; a bounded number of datagrams in a turn.
+use crate::admin::Call;
+use crate::sockets::{Owner, Sockets, Watched};
+use crate::timers::Alarm;
+use crate::works::Works;
+use serde_json::json;
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, UdpSocket};
+use std::os::fd::AsRawFd;
+use thistlecroft::units::{Moment, Span};
+use thistlecroft_charter::Peering;
+use thistlecroft_leases::{Electorate, Leases, State, Terms as LeaseTerms, Why, Word};
+use thistlecroft_peers::wire::MOST;
+use thistlecroft_peers::{Event, Identity, Kind, Node, Pace, Standing, Terms};
+
+/// Datagrams read in one turn.
+const DATAGRAMS: usize = 64;
+/// The channel that leases talk on.
+const LEASES: u8 = 1;
+/// A lease that nobody has asked after for so many terms is given back.
+const ASKED_AFTER: f64 = 3.0;
+
+pub struct Peers {
+    watched: Watched,
+    socket: UdpSocket,
+    node: Node,
+    leases: Option<Leases>,
+    peering: Peering,
+    /// The next alarm that is set.
+    alarm: Option<Moment>,
+    send_failures: u64,
+}
+
+impl Peers {
+    /// # Errors
+    /// The address is taken, or the system gives no socket.
+    pub fn start(
+        name: &str,
+        peering: &Peering,
+        key: &[u8],
+        beside: bool,
+        sockets: &mut Sockets,
+        now: Moment,
+    ) -> io::Result<Peers> {
+        let (socket, advertise) = match UdpSocket::bind(peering.listen) {
+            Ok(socket) => (socket, peering.advertise),
+            // Another process of this relay may have it; others learn where this one is.
+            Err(fault) if beside && fault.kind() == ErrorKind::AddrInUse => {
+                let socket = UdpSocket::bind((peering.listen.ip(), 0))?;
+                let at = SocketAddr::new(peering.advertise.ip(), socket.local_addr()?.port());
+                log::info!("peers: {} is taken by the process before, {at} in its place", peering.listen);
+                (socket, at)
+            }
+            Err(fault) => return Err(fault),
+        };
+        socket.set_nonblocking(true)?;
+        let mut watched = sockets.watched(Owner::Peers, socket.as_raw_fd());
+        watched.want(true, false);
+        // Drawn anew at each start, whatever the seed: that is how two processes are told apart.
+        let mut run = [0; 16];
+        getrandom::fill(&mut run).map_err(io::Error::other)?;
+        let [run, seed] = [0, 8].map(|at| u64::from_le_bytes(run[at..at + 8].try_into().expect("eight")));
+        let me = Identity::new(name, run);
+        let terms = Terms {
+            fleet: peering.fleet.clone(),
+            secret: key.to_vec(),
+            pace: Pace { period: peering.period },
+            rate: peering.rate,
+        };
+        let node = Node::new(me.clone(), advertise, peering.seeds.clone(), &terms, seed, now);
+        let leases = (!peering.voters.is_empty()).then(|| Leases::new(me.clone(), lease_terms(peering), now));
+        log::info!("peers: {me} of fleet {} at {advertise}", peering.fleet);
+        Ok(Peers { watched, socket, node, leases, peering: peering.clone(), alarm: None, send_failures: 0 })
+    }
+
+    /// # Errors
+    /// One line: a step from one set of voters to another that is not allowed.
+    pub fn resettle(&mut self, peering: &Peering) -> Result<(), String> {
+        if let Some(leases) = &mut self.leases
+            && !peering.voters.is_empty()
+        {
+            leases.change(lease_terms(peering))?;
+        }
+        let voters = (peering.voters.clone(), peering.voters_before.clone(), peering.generation);
+        let mut known = self.peering.clone();
+        (known.voters, known.voters_before, known.generation) = voters;
+        let switched = self.leases.is_some() == peering.voters.is_empty();
+        if known != *peering || switched {
+            log::warn!("changes of peers but for a change of voters need a restart");
+        }
+        if !switched {
+            self.peering = known;
+        }
+        Ok(())
+    }
+
+    pub fn event(&mut self, works: &mut Works) {
+        let mut bytes = [0; MOST + 1];
+        for _ in 0..DATAGRAMS {
+            match self.socket.recv_from(&mut bytes) {
+                Ok((length, source)) => self.node.hear(&bytes[..length], source, works.now),
+                Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
+                // Nothing more, or an earlier datagram met nobody, which the probes find out.
+                Err(_) => break,
+            }
+        }
+        self.turn(works);
+    }
+
+    pub fn wake(&mut self, works: &mut Works) {
+        let now = works.now;
+        if self.alarm.is_some_and(|at| at <= now) {
+            self.alarm = None;
+        }
+        if self.node.due() <= now {
+            self.node.wake(now);
+        }
+        if let Some(leases) = &mut self.leases
+            && leases.due(now).is_some_and(|due| due <= now)
+        {
+            leases.wake(now);
+        }
+        self.turn(works);
+    }
+
+    /// What they have to say goes out, and the next alarm is set.
+    fn turn(&mut self, works: &mut Works) {
+        let now = works.now;
+        for event in self.node.take_events() {
+            self.told(event, now);
+        }
+        self.send_leases(now);
+        self.send();
+        let due = self.leases.as_ref().and_then(|leases| leases.due(now));
+        let due = due.map_or(self.node.due(), |due| due.min(self.node.due())).max(now + Span::from_ms(1));
+        if self.alarm.is_none_or(|at| due < at) {
+            self.alarm = Some(due);
+            works.alarms.set(due, Alarm::Peers);
+        }
+    }
+
+    fn send_leases(&mut self, now: Moment) {
+        let Some(leases) = &mut self.leases else { return };
+        for (to, word) in leases.take_out() {
+            for id in to.processes(&self.node) {
+                self.node.carry(&id, LEASES, word.written(), now);
+            }
+        }
+    }
+
+    fn send(&mut self) {
+        for (to, bytes) in self.node.take_out() {
+            // A datagram that can't be sent is one that is lost.
+            self.send_failures += u64::from(self.socket.send_to(&bytes, to).is_err());
+        }
+    }
+
+    fn told(&mut self, event: Event, now: Moment) {
+        match event {
+            Event::Stands { id, standing } => log::info!("peers: {id} is {}", standing.word()),
+            Event::Refuted { incarnation } => {
+                log::info!("peers: others thought this relay gone or going; says otherwise ({incarnation})");
+            }
+            Event::OtherFormat { from, format } => {
+                log::warn!("peers: datagrams of format {format} from {from} are not read");
+            }
+            Event::StoodStill { by } => {
+                log::warn!("peers: this process stood still for {} ms", by.us() / 1_000);
+            }
+            Event::Carried { from, channel: LEASES, bytes } => {
+                if let (Some(leases), Some(word)) = (&mut self.leases, Word::read(&bytes)) {
+                    leases.hear(&from, word, now);
+                }
+            }
+            Event::Carried { .. } | Event::Fact { .. } => {}
+        }
+    }
+
+    /// Gives back what it holds, and says that it leaves; nothing is sent after.
+    pub fn leave(&mut self, now: Moment) {
+        if let Some(leases) = &mut self.leases {
+            leases.leave();
+        }
+        self.send_leases(now);
+        self.node.leave(now);
+        self.send();
+        self.watched.want(false, false);
+    }
+
+    /// The answer to an operator's call. A lease is looked at here and now, at the act of saying it.
+    pub fn answer(&mut self, call: &Call, works: &mut Works) -> Result<String, String> {
+        let now = works.now;
+        let done = match call {
+            Call::Peers => Ok(self.view(now).to_string()),
+            Call::Note(subject, value) => {
+                match self.node.say(Kind::Note, subject.as_bytes(), value.as_bytes(), now) {
+                    true => Ok("told".into()),
+                    false => Err("too long, or too many notes of this relay".into()),
+                }
+            }
+            Call::Notes => Ok(self.notes(now).to_string()),
+            Call::Lease(subject) => self.lease(subject, now),
+            Call::Release(subject) => match &mut self.leases {
+                Some(leases) => {
+                    leases.release(subject.as_bytes());
+                    Ok("released".into())
+                }
+                None => Err(NO_VOTERS.into()),
+            },
+            Call::Ready | Call::Disable(_) | Call::Enable(_) => Err("not for peers".into()),
+        };
+        self.turn(works);
+        done
+    }
+
+    fn lease(&mut self, subject: &str, now: Moment) -> Result<String, String> {
+        let term = self.peering.lease;
+        let leases = self.leases.as_mut().ok_or(NO_VOTERS)?;
+        if !leases.want(subject.as_bytes(), now + term * ASKED_AFTER, now) {
+            return Err("too long, or too many leases wanted here".into());
+        }
+        match leases.state(subject.as_bytes(), now) {
+            State::Held(held) => Ok(format!("held {} {}", held.epoch, held.until.since(now).us() / 1_000)),
+            State::Wanted(Some(Why::Held { by })) => Err(format!("held by {by}")),
+            State::Wanted(Some(Why::Silent)) => Err("voters are silent after their start".into()),
+            State::Wanted(Some(Why::Generation { here })) => Err(format!("voters go by generation {here}")),
+            State::Wanted(None) | State::Unwanted => Err("asked for".into()),
+        }
+    }
+
+    fn notes(&self, now: Moment) -> serde_json::Value {
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        let notes = self.node.facts().of_kind(Kind::Note, now).map(|fact| {
+            json!({"subject": text(fact.subject), "value": text(fact.value), "owner": fact.owner.to_string(),
+                "epoch": fact.epoch, "age_ms": fact.age.us() / 1_000})
+        });
+        json!({"unheard": self.node.unheard(), "notes": notes.collect::<Vec<_>>()})
+    }
+
+    /// One line for people and programs.
+    fn view(&self, now: Moment) -> serde_json::Value {
+        let ago = |at: Moment| now.since(at).us() / 1_000;
+        let peers = self.node.members().map(|view| {
+            json!({"id": view.id.to_string(), "name": view.id.name.as_str(), "at": view.at.to_string(),
+                "standing": view.standing.word(), "incarnation": view.incarnation, "since_ms": ago(view.since),
+                "heard_ms": view.heard.map(ago)})
+        });
+        let counts = &self.node.counts;
+        let leases = self.leases.as_ref().map(|leases| {
+            let electorate = &leases.terms().electorate;
+            let held = leases.subjects().filter_map(|subject| {
+                let held = leases.held(subject, now)?;
+                Some(json!({"subject": String::from_utf8_lossy(subject), "epoch": held.epoch,
+                    "left_ms": held.until.since(now).us() / 1_000}))
+            });
+            json!({"vote": leases.vote(now), "generation": electorate.generation, "settled": leases.is_settled(),
+                "held": held.collect::<Vec<_>>()})
+        });
+        json!({"me": self.node.me().to_string(), "name": self.node.me().name.as_str(), "health": self.node.health(),
+            "unheard": self.node.unheard(), "facts": self.node.facts().len(), "peers": peers.collect::<Vec<_>>(),
+            "leases": leases, "counts": {
+                "sent": counts.sent, "sent_bytes": counts.sent_bytes, "heard": counts.heard,
+                "heard_bytes": counts.heard_bytes, "odd_size": counts.odd_size,
+                "other_format": counts.other_format, "foreign": counts.foreign, "malformed": counts.malformed,
+                "repeated": counts.repeated, "held_back": counts.held_back, "probes": counts.probes,
+                "probes_failed": counts.probes_failed, "suspected": counts.suspected,
+                "refuted": counts.refuted, "send_failures": self.send_failures}})
+    }
+
+    pub fn log(&self) {
+        let stand = |standing| self.node.members().filter(|view| view.standing == standing).count();
+        log::info!(
+            "peers: {} here, {} suspected, {} gone; health {}; {:?}",
+            stand(Standing::Here),
+            stand(Standing::Suspected),
+            stand(Standing::Gone),
+            self.node.health(),
+            self.node.counts
+        );
+    }
+}
+
+const NO_VOTERS: &str = "there are no leases (peers.voters in the charter)";
+
+fn lease_terms(peering: &Peering) -> LeaseTerms {
+    let names = |names: &[String]| names.iter().map(|name| name.as_str().into()).collect();
+    let electorate = Electorate {
+        generation: peering.generation,
+        voters: names(&peering.voters),
+        before: names(&peering.voters_before),
+    };
+    LeaseTerms { electorate, term: peering.lease }
+}
--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -10,6 +10,7 @@
 use crate::estate::{Estate, MemoryText, VERSION, Word};
 use crate::front::{Desk, News, Order, hand_in};
 use crate::hand::Hand;
+use crate::peers::Peers;
 use crate::protocol::Names;
 use crate::shelf::Shelf;
 use crate::sockets::{Owner, Sockets, key_of, owner_of};
@@ -88,6 +89,8 @@
     probes: Probes,
     watch: Watch,
     hand: Hand,
+    /// The other relays, where the charter has them.
+    peers: Option<Peers>,
     succession: Succession,
     relay: Relay,
     started: Moment,
@@ -133,6 +136,14 @@
         let admin = posting.admin.map(|to| sockets.listen(Owner::Admin, to).map_err(|fault| at(to, fault)));
         let callers = admin.transpose()?.map(Callers::new);
         let clients_sockets = posting.sockets - callers.as_ref().map_or(0, |_| callers::RESERVE);
+        let peers = match posting.charter.peering {
+            Some((peering, key)) => Some(
+                Peers::start(&posting.name, &peering, &key, passed, &mut sockets, now)
+                    .map_err(|fault| io::Error::other(format!("peers: {}: {fault}", peering.listen)))?,
+            ),
+            None => None,
+        };
+        let clients_sockets = clients_sockets - usize::from(peers.is_some());
         let pool = Pool::new((posting.memory_mb << 20) / BUFFER_PART / SIZE);
         let (alarms, news, counters) = (Alarms::default(), VecDeque::new(), Counters::default());
         let mut works = Works { now, sockets, pool, alarms, news, counters, starved: VecDeque::new() };
@@ -170,6 +181,7 @@
             probes: Probes::new(connect_timeout, site.idle),
             watch,
             hand,
+            peers,
             succession,
             relay,
             started: now,
@@ -189,6 +201,7 @@
             service.works.alarms.set(now + span, Alarm::Opening);
         }
         service.open_door();
+        service.wake_peers();
         Ok(service)
     }
 
@@ -286,6 +299,7 @@
                 self.hear_elder();
             }
             Some(Owner::Heir | Owner::Elder) => {}
+            Some(Owner::Peers) => self.peers.iter_mut().for_each(|peers| peers.event(works)),
             Some(Owner::Caller(id)) => {
                 self.hand.callers.iter_mut().for_each(|callers| callers.event(id, key, works));
             }
@@ -321,10 +335,15 @@
                     self.lose_heir("it does not answer");
                 }
             }
+            Alarm::Peers => self.wake_peers(),
             Alarm::Stop => {}
         }
     }
 
+    fn wake_peers(&mut self) {
+        self.peers.iter_mut().for_each(|peers| peers.wake(&mut self.works));
+    }
+
     fn signalled(&mut self) {
         let mut bytes = [0; 64];
         if matches!(self.signals[COUNT_BYTE].read(&mut bytes), Ok(1..)) {
@@ -334,11 +353,13 @@
                 "{sessions} sessions ({generations}), {out} backends out by hand; {}",
                 self.works.counters
             );
+            self.peers.iter().for_each(Peers::log);
         }
         if matches!(self.signals[STOP_BYTE].read(&mut bytes), Ok(1..)) && self.stopping.is_none() {
             log::info!("told to stop, {} sessions", self.sessions.len());
             self.stopping = Some(self.works.now);
             self.works.news.push_back(News::Stopping);
+            self.peers.iter_mut().for_each(|peers| peers.leave(self.works.now));
             if self.passed {
                 self.sessions.shut_door();
                 self.leave();
@@ -516,6 +537,14 @@
         let both = self.site.until(&site);
         let later = self.bound.routing(&charter, &circumstances(&site, self.sockets))?;
         let between = self.bound.routing(&charter, &circumstances(&both, self.sockets))?;
+        // Refused as a whole where the step from one set of voters to the next is none that is allowed.
+        let peering = charter.peering(&circumstances(&site, self.sockets));
+        let peering = peering.map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>())?;
+        match (&mut self.peers, peering) {
+            (None, None) => {}
+            (Some(peers), Some(peering)) => peers.resettle(&peering).map_err(|fault| vec![fault])?,
+            _ => log::warn!("changes of peers need a restart"),
+        }
         self.settle(both, between);
         self.coming = Some((site, later));
         self.settles_at = self.works.now + SETTINGS_BIND;
@@ -561,7 +590,7 @@
     fn hand_over(&mut self) {
         let now = self.works.now;
         let readiness = self.readiness();
-        let answers = self.hand.answers(readiness, &mut self.watch.book, &mut self.works);
+        let answers = self.hand.answers(readiness, &mut self.peers, &mut self.watch.book, &mut self.works);
         let mut failed = Vec::new();
         while let Some(news) = self.works.news.pop_front() {
             trace::news(&news, &self.watch.book);
--- a/relay/src/sockets.rs
+++ b/relay/src/sockets.rs
@@ -26,6 +26,8 @@
     Post,
     Heir,
     Elder,
+    /// Datagrams of other relays.
+    Peers,
 }
 
 pub struct Sockets {
@@ -69,6 +71,7 @@
         8 => Owner::Post,
         9 => Owner::Heir,
         10 => Owner::Elder,
+        11 => Owner::Peers,
         _ => return None,
     })
 }
@@ -86,6 +89,7 @@
         Owner::Post => (8, 0),
         Owner::Heir => (9, 0),
         Owner::Elder => (10, 0),
+        Owner::Peers => (11, 0),
     };
     kind << 60 | (serial as usize & 0x0fff_ffff) << 32 | id as usize
 }
--- a/relay/src/start.rs
+++ b/relay/src/start.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{BorrowedFd, FromRawFd, RawFd};
 use std::path::PathBuf;
-use thistlecroft_charter::{Charter, Circumstances, Lanes, ListenerFacts, Routing};
+use thistlecroft_charter::{Charter, Circumstances, Lanes, ListenerFacts, Peering, Routing};
 use thistlecroft_facts::{self as facts, Site};
 
 /// Everything a relay is told at its start.
@@ -34,6 +34,8 @@
 pub struct Chartered {
     pub routing: Routing,
     pub bound: Bound,
+    /// With the key that the file named there holds.
+    pub peering: Option<(Peering, Vec<u8>)>,
 }
 
 /// Where a charter is, to be read again, and the numbers that its routes have.
@@ -99,11 +101,27 @@
         self.charter.bound.path = Some(path.to_string());
         let charter = self.charter.bound.charter()?;
         let of = circumstances(&self.site, self.sockets);
+        let peering = charter.peering(&of).map_err(lines)?;
+        let with_key = |peering: Peering| key(&peering.key_file).map(|key| (peering, key));
+        self.charter.peering = peering.map(with_key).transpose().map_err(|fault| vec![fault])?;
         self.charter.routing = self.charter.bound.routing(&charter, &of)?;
         Ok(self)
     }
 }
 
+/// The fleet's key, as the file has it but for white space at its ends.
+fn key(path: &str) -> Result<Vec<u8>, String> {
+    let named = |fault: &dyn std::fmt::Display| format!("peers.key_file: {path}: {fault}");
+    let text = std::fs::read(path).map_err(|fault| named(&fault))?;
+    let key = text.trim_ascii().to_vec();
+    if key.len() < LEAST_KEY {
+        return Err(named(&format!("{} bytes are too few for a key, {LEAST_KEY} needed", key.len())));
+    }
+    Ok(key)
+}
+
+const LEAST_KEY: usize = 16;
+
 /// What a charter is held against under such a configuration.
 pub fn circumstances(site: &Site, sockets: usize) -> Circumstances {
     let rows = site.deployment.routes.iter().zip(&site.waits);
@@ -115,6 +133,7 @@
         zones: site.zones.clone(),
         zone: usize::from(site.deployment.zone.0),
         two_dials: site.deployment.two_dials && site.deployment.may_withdraw,
+        peers: site.peers,
         descriptors: sockets.saturating_sub(RESERVE),
     }
 }
@@ -211,7 +230,7 @@
         known: text.known,
         site,
         origin: Origin { path: None, keys },
-        charter: Chartered { routing, bound },
+        charter: Chartered { routing, bound, peering: None },
         admin: text.admin_addr.as_deref().map(|text| address("admin_addr", text)).transpose()?,
         passed: None,
         folder: None,
--- a/relay/src/tests.rs
+++ b/relay/src/tests.rs
@@ -222,6 +222,7 @@
         zones: Vec::new(),
         zone: 0,
         two_dials: false,
+        peers: false,
         descriptors: 100,
     };
     let routing = Routing::plain(&of);
--- a/relay/src/timers.rs
+++ b/relay/src/timers.rs
@@ -50,6 +50,8 @@
     /// More standing connections may go to the next process; one offered has had no word.
     Offering,
     Offered(u32),
+    /// Something is due among the peers.
+    Peers,
     Stop,
 }
 
--- /dev/null
+++ b/relay/tests/peers.rs
@@ -0,0 +1,319 @@
+//! Several processes of the relay that know of one another, and faults between them: cuts, pauses, kills, restarts, strangers.
+//! Bounds are the stated ones; what is waited for is a condition.
+use std::net::UdpSocket;
+use std::path::PathBuf;
+use thistlecroft::deployment::Effect;
+use thistlecroft::units::Span;
+use thistlecroft_fleet::link::Bend;
+use thistlecroft_fleet::model::{Cold, Make};
+use thistlecroft_fleet::post::{ListenerTerms, Terms};
+use thistlecroft_fleet::rig::{Plan, Rig};
+use thistlecroft_fleet::tape::Sighting;
+use thistlecroft_fleet::together::{Pact, judge_together};
+use thistlecroft_fleet::yard::{BoxPlan, Ground};
+use thistlecroft_peers::Pace;
+
+const PERIOD: Span = Span::from_ms(200);
+const LEASE: Span = Span::from_ms(1_500);
+/// Beside a stated bound, for a machine that is busy with other things.
+const BUSY: Span = Span::from_ms(10_000);
+
+fn gone_within(size: usize) -> Span {
+    Pace { period: PERIOD }.gone_within(size, 1) + BUSY
+}
+
+fn folder(name: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("thistlecroft-peers-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&path);
+    path
+}
+
+fn terms(peers: bool) -> Terms {
+    let ms = Span::from_ms;
+    let listener = ListenerTerms {
+        name: "view".into(),
+        wait: ms(2_000),
+        handshake_target: ms(500),
+        message_target: ms(60),
+        effect: Effect::Repeatable,
+        utility: 1.0,
+    };
+    Terms {
+        zones: vec!["a".into()],
+        listeners: vec![listener],
+        connect_time: ms(250),
+        most_dials: 3,
+        longest_retry_after: Some(ms(2_000)),
+        probes: true,
+        groups: false,
+        tells_load: false,
+        cold_start_share: 0.3,
+        warm_up: ms(9_000),
+        cold_factor: 3.0,
+        cold_window: ms(3_000),
+        memory_mb: 64,
+        sockets: 512,
+        two_dials: false,
+        peers,
+    }
+}
+
+fn rig_with(name: &str, relays: usize, voters: usize, terms: Terms) -> Rig {
+    let ms = Span::from_ms;
+    let cold =
+        Cold { start_share: 0.3, warm_up: ms(9_000), factor: 3.0, window: ms(3_000), turnover: ms(10_000) };
+    let make = Make { capacity: 100.0, most: 100, setup: ms(2), group_fee: 0.0, cold };
+    let ground = Ground {
+        boxes: vec![BoxPlan { make, zone: "a".into(), cell: 0, present: true }],
+        relays,
+        notice: (ms(100), ms(200)),
+        store: None,
+        report_every: ms(500),
+        tells_load: false,
+        seed: 1,
+    };
+    let program = vec![env!("CARGO_BIN_EXE_thistlecroft-relay").to_string()];
+    let folder = folder(name);
+    Rig::open(Plan { program, terms, ground, period: PERIOD, lease: LEASE, voters, seed: 7, folder }).unwrap()
+}
+
+/// So many relays of which the first are started and see each other.
+fn rig(name: &str, relays: usize, started: usize) -> Rig {
+    let mut rig = rig_with(name, relays, 3, terms(true));
+    (0..started).for_each(|number| rig.start(number).unwrap());
+    let all: Vec<usize> = (0..started).collect();
+    rig.wait(PERIOD * 40.0 + BUSY, |rig| rig.agree(&all)).expect("all see all");
+    rig
+}
+
+fn number(view: &serde_json::Value, path: &[&str]) -> u64 {
+    path.iter().fold(view, |at, key| &at[key]).as_u64().unwrap_or_default()
+}
+
+fn count(rig: &Rig, relay: usize, name: &str) -> u64 {
+    rig.view(relay).map_or(0, |view| number(&view, &["counts", name]))
+}
+
+/// Each of these has probed so often more than now: whatever it was to find out it has had the time to.
+fn probed(rig: &Rig, these: &[usize], more: u64) {
+    let of = |rig: &Rig| -> Vec<u64> { these.iter().map(|one| count(rig, *one, "probes")).collect() };
+    let before = of(rig);
+    let done = |rig: &Rig| of(rig).iter().zip(&before).all(|(now, before)| *now >= before + more);
+    rig.wait(PERIOD * (3.0 * more as f64) + BUSY, done).expect("they probe");
+}
+
+#[test]
+fn a_killed_relay_is_gone_for_all_and_its_successor_another_process() {
+    let mut rig = rig("killed", 5, 5);
+    let run = |rig: &Rig| rig.view(1).map(|view| view["me"].to_string());
+    let first = run(&rig);
+    rig.kill(1);
+    rig.wait(gone_within(5), |rig| rig.agree(&[0, 2, 3, 4])).expect("gone for all");
+    assert_eq!(number(&rig.view(0).unwrap(), &["unheard"]), 1);
+    rig.start(1).unwrap();
+    rig.wait(gone_within(5), |rig| rig.agree(&[0, 1, 2, 3, 4])).expect("here again");
+    assert_ne!(run(&rig), first);
+    assert_eq!(number(&rig.view(0).unwrap(), &["unheard"]), 0);
+    // And once more, back before anybody can have noticed.
+    rig.kill(2);
+    rig.start(2).unwrap();
+    let settled = |rig: &Rig| rig.agree(&[0, 1, 2, 3, 4]) && number(&rig.view(0).unwrap(), &["unheard"]) == 0;
+    rig.wait(gone_within(5), settled).expect("two runs of one name are told apart");
+}
+
+#[test]
+fn who_is_told_to_stop_leaves_at_once_and_nobody_suspects_it() {
+    let mut rig = rig("leaves", 5, 5);
+    assert!(rig.stop(4, BUSY));
+    rig.wait(PERIOD * 10.0 + BUSY, |rig| rig.agree(&[0, 1, 2, 3])).expect("told");
+    let suspected: u64 = (0..4).map(|one| count(&rig, one, "suspected")).sum();
+    assert_eq!(suspected, 0);
+}
+
+#[test]
+fn cut_in_one_direction_is_gone_for_the_rest_and_one_that_reaches_both_sides_keeps_all_together() {
+    let rig = rig("cuts", 5, 5);
+    let others = [1, 2, 3, 4];
+    for (from, to) in [([0].as_slice(), others.as_slice()), (&others, &[0])] {
+        rig.bend(from, to, Some(Bend::CUT));
+        rig.wait(gone_within(5), |rig| rig.agree(&others)).expect("gone for the rest");
+        rig.heal();
+        rig.wait(gone_within(5), |rig| rig.agree(&[0, 1, 2, 3, 4])).expect("healed");
+    }
+    rig.cut(&[0, 1], &[3, 4]);
+    probed(&rig, &[0, 1, 2, 3, 4], 40);
+    let gone = |rig: &Rig, one: usize| rig.view(one).is_some_and(|view| number(&view, &["unheard"]) > 0);
+    rig.wait(BUSY, |rig| (0..5).all(|one| !gone(rig, one))).expect("2 reaches both");
+    rig.heal();
+    rig.wait(BUSY, |rig| rig.agree(&[0, 1, 2, 3, 4])).expect("all see all");
+}
+
+#[test]
+fn halves_grow_apart_and_find_one_another_again() {
+    let mut rig = rig("halves", 8, 6);
+    // The seeds are on one side; the other has only itself.
+    rig.cut(&[0, 1, 2, 6], &[3, 4, 5, 7]);
+    rig.start(6).unwrap();
+    rig.wait(gone_within(6), |rig| rig.agree(&[0, 1, 2, 6])).expect("one side, grown");
+    rig.wait(gone_within(6), |rig| rig.agree(&[3, 4, 5])).expect("the other");
+    rig.start(7).unwrap();
+    probed(&rig, &[0, 3], 30);
+    rig.heal();
+    let all: Vec<usize> = (0..8).collect();
+    rig.wait(gone_within(8), |rig| rig.agree(&all)).expect("together again");
+}
+
+#[test]
+fn a_tenth_lost_and_late_is_no_death_and_a_note_still_reaches_all() {
+    let rig = rig("lossy", 6, 6);
+    let all: Vec<usize> = (0..6).collect();
+    let ms = Span::from_ms;
+    rig.bend(&all, &all, Some(Bend { loss: 0.1, delay: ms(20), spread: ms(20), doubled: 0.1, rate: 0 }));
+    assert_eq!(rig.ask(3, "NOTE release 1.4").as_deref(), Some("200 told"));
+    let told = |rig: &Rig| {
+        all.iter().all(|one| {
+            let said = rig.ask(*one, "NOTES").unwrap_or_default();
+            said.contains("\"release\"") && said.contains("\"1.4\"") && said.contains("age_ms")
+        })
+    };
+    rig.wait(PERIOD * 30.0 + BUSY, told).expect("all know");
+    probed(&rig, &all, 60);
+    rig.heal();
+    rig.wait(BUSY, |rig| rig.agree(&all)).expect("all see all");
+    for one in all {
+        let log = rig.log(one);
+        assert!(!log.contains("is gone"), "relay {one}: {log}");
+        assert!(count(&rig, one, "repeated") > 0, "relay {one} had datagrams twice");
+    }
+}
+
+#[test]
+fn a_paused_holder_never_acts_beside_its_successor() {
+    let mut rig = rig("paused", 5, 5);
+    // Two that do not vote want it, so that a majority stays whoever is paused.
+    let holds =
+        |rig: &Rig, one: usize| rig.ask(one, "LEASE turn").is_some_and(|said| said.starts_with("200 held"));
+    rig.wait(LEASE * 4.0 + BUSY, |rig| holds(rig, 3)).expect("held");
+    let witnesses: Vec<_> = [3, 4].map(|one| rig.witness(one, Some("turn"))).into();
+    rig.pause(3, true);
+    rig.wait(LEASE * 4.0 + BUSY, |rig| holds(rig, 4)).expect("the other has it");
+    // It is gone for the rest by then or soon; its own view and lease are as they were.
+    rig.wait(gone_within(5), |rig| rig.agree(&[0, 1, 2, 4])).expect("gone for the rest");
+    rig.pause(3, false);
+    rig.wait(gone_within(5), |rig| rig.agree(&[0, 1, 2, 3, 4])).expect("back");
+    probed(&rig, &[3, 4], 10);
+    drop(witnesses);
+    // The holder leaves in good order, and the one that was paused has it without waiting for a term.
+    assert!(rig.stop(4, BUSY));
+    rig.wait(LEASE * 4.0 + BUSY, |rig| holds(rig, 3)).expect("held again");
+    let entries = rig.reel.into_sorted();
+    let by = |relay: u16| {
+        let says = |seen: &Sighting| matches!(seen, Sighting::LeaseSaid { relay: of, .. } if of.0 == relay);
+        entries.iter().filter(|entry| says(&entry.seen)).count()
+    };
+    assert!(by(4) > 0, "the successor said so");
+    assert_eq!(judge_together(&entries, &Pact::default()), []);
+}
+
+#[test]
+fn the_side_without_a_majority_gets_no_lease_and_voters_that_restart_are_silent_first() {
+    let mut rig = rig("majority", 5, 5);
+    let said = |rig: &Rig, one: usize| rig.ask(one, "LEASE turn").unwrap_or_default();
+    let held = |rig: &Rig, one: usize| said(rig, one).starts_with("200 held");
+    rig.wait(LEASE * 4.0 + BUSY, |rig| held(rig, 0)).expect("held");
+    // One voter with the holder, two on the other side.
+    rig.cut(&[0, 3], &[1, 2, 4]);
+    rig.wait(LEASE * 4.0 + BUSY, |rig| !held(rig, 0)).expect("it stops by its own clock");
+    rig.wait(LEASE * 6.0 + BUSY, |rig| held(rig, 4)).expect("the majority has it");
+    for _ in 0..5 {
+        assert!(!held(&rig, 0) && !held(&rig, 3));
+        probed(&rig, &[0, 3], 2);
+    }
+    rig.heal();
+    rig.wait(gone_within(5), |rig| rig.agree(&[0, 1, 2, 3, 4])).expect("healed");
+    let epoch =
+        |rig: &Rig, one: usize| said(rig, one).split(' ').nth(2).and_then(|word| word.parse::<u64>().ok());
+    rig.wait(BUSY, |rig| epoch(rig, 4).is_some()).expect("held");
+    let before = epoch(&rig, 4).unwrap();
+    assert_eq!(rig.ask(4, "RELEASE turn").as_deref(), Some("200 released"));
+    // Two of three voters forget at once: nothing is granted until the silence is over, and no epoch comes back.
+    (0..2).for_each(|one| rig.kill(one));
+    (0..2).for_each(|one| rig.start(one).unwrap());
+    assert!(!held(&rig, 3));
+    rig.wait(LEASE * 6.0 + BUSY, |rig| held(rig, 3)).expect("held after the silence");
+    assert!(epoch(&rig, 3).unwrap() > before);
+}
+
+#[test]
+fn voters_change_by_two_steps_of_the_charter_and_no_other_way() {
+    let rig = rig("voters", 5, 5);
+    let held =
+        |rig: &Rig, one: usize| rig.ask(one, "LEASE turn").is_some_and(|said| said.starts_with("200 held"));
+    rig.wait(LEASE * 4.0 + BUSY, |rig| held(rig, 4)).expect("held");
+    let old = "voters = [\"relay-0\", \"relay-1\", \"relay-2\"]";
+    let new = "voters = [\"relay-2\", \"relay-3\", \"relay-4\"]";
+    let with = |rig: &Rig, number: usize, lines: &str| rig.charter(number).replace(old, lines);
+    let generation = |rig: &Rig, one: usize| number(&rig.view(one).unwrap(), &["leases", "generation"]);
+    // Straight to the new set: refused with a line, and nothing of it taken.
+    rig.recharter(0, &with(&rig, 0, &format!("{new}\ngeneration = 2"))).unwrap();
+    rig.wait(BUSY, |rig| rig.log(0).contains("voters_before: names the voters until now")).expect("refused");
+    assert_eq!(generation(&rig, 0), 1);
+    let joint = format!("{new}\nvoters_before = [\"relay-0\", \"relay-1\", \"relay-2\"]\ngeneration = 2");
+    for one in 0..5 {
+        rig.recharter(one, &with(&rig, one, &joint)).unwrap();
+    }
+    rig.wait(BUSY, |rig| (0..5).all(|one| generation(rig, one) == 2)).expect("taken up");
+    let settled = |rig: &Rig, one: usize| rig.view(one).unwrap()["leases"]["settled"] == true;
+    rig.wait(BUSY, |rig| (0..5).all(|one| settled(rig, one))).expect("settled");
+    for one in 0..5 {
+        rig.recharter(one, &with(&rig, one, &format!("{new}\ngeneration = 3"))).unwrap();
+    }
+    rig.wait(BUSY, |rig| (0..5).all(|one| generation(rig, one) == 3)).expect("taken up");
+    let mut rig = rig;
+    (0..2).for_each(|one| rig.kill(one));
+    rig.wait(LEASE * 6.0 + BUSY, |rig| held(rig, 4)).expect("the voters before are not needed");
+}
+
+#[test]
+fn strangers_and_a_fleet_at_a_reused_address_are_counted_and_not_seen() {
+    let mut rig = rig("strangers", 5, 5);
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let at = rig.net.ways[0].own;
+    for bytes in [vec![0; 100], vec![1; 100], vec![1; 3], vec![1; 1_400]] {
+        stranger.send_to(&bytes, at).unwrap();
+    }
+    let counted = |rig: &Rig| {
+        let one = |name| count(rig, 0, name);
+        one("other_format") == 1 && one("foreign") == 1 && one("odd_size") == 2
+    };
+    rig.wait(BUSY, counted).expect("each counted by its kind");
+    rig.wait(BUSY, |rig| rig.log(0).contains("datagrams of format 0")).expect("and said");
+    // Another fleet at the address of one that has left.
+    assert!(rig.stop(4, BUSY));
+    let other = rig.charter(4).replace("fleet = \"rig\"", "fleet = \"other\"");
+    rig.start_with(4, other).unwrap();
+    rig.wait(BUSY, |rig| (0..4).any(|one| count(rig, one, "foreign") > 1)).expect("it asks the seeds");
+    probed(&rig, &[0, 1, 2, 3], 10);
+    rig.wait(BUSY, |rig| rig.agree(&[0, 1, 2, 3])).expect("the others are together");
+    assert!(rig.sees(4, &[4]));
+}
+
+#[test]
+fn where_it_may_not_or_can_not_be_it_ends_with_one_line() {
+    let mut rig = rig_with("refused", 2, 1, terms(false));
+    let fault = rig.start(0).unwrap_err();
+    assert!(fault.contains("permissions.peers"), "{fault}");
+    assert_eq!(rig.log(0).lines().count(), 1, "{}", rig.log(0));
+    let mut rig = rig_with("faults", 2, 1, terms(true));
+    let taken = UdpSocket::bind(rig.net.ways[0].own).unwrap();
+    let fault = rig.start(0).unwrap_err();
+    assert!(fault.contains("peers:") && fault.contains("in use"), "{fault}");
+    drop(taken);
+    let without_key = rig.charter(0).replace("peers.key", "no.key");
+    let fault = rig.start_with(0, without_key).unwrap_err();
+    assert!(fault.contains("peers.key_file"), "{fault}");
+    // Switched off it says so, and has no socket for it.
+    rig.start_with(1, "\n".into()).unwrap();
+    assert!(rig.ask(1, "PEERS").unwrap().starts_with("400 peers are not switched on"));
+    UdpSocket::bind(rig.net.ways[1].own).expect("nobody listens there");
+}
