--- a/command/src/main.rs
+++ b/command/src/main.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod experiments;
 mod logs;
+mod peers;
 mod shipped;
 
 use clap::{CommandFactory, Parser, Subcommand};
@@ -46,6 +47,8 @@
         #[arg(long)]
         plain: bool,
     },
+    /// Show what relays that know of one another think of each other.
+    Peers(peers::Asked),
     /// Run and compare experiments.
     #[command(subcommand)]
     Lab(experiments::Verb),
@@ -74,6 +77,7 @@
         Verb::Check(asked) => checks::check(&asked),
         Verb::Charter(verb) => checks::charter(verb),
         Verb::Demo { seed, plain } => demo::run(seed, plain),
+        Verb::Peers(asked) => peers::run(&asked),
         Verb::Lab(verb) => experiments::run(verb),
         Verb::Completions { shell } => {
             clap_complete::generate(shell, &mut Line::command(), "thistlecroft", &mut std::io::stdout());
--- a/command/tests/command.rs
+++ b/command/tests/command.rs
@@ -307,7 +307,7 @@
 #[test]
 fn a_log_in_json_is_one_object_a_line() {
     let folder = folder("log");
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let listener = std::net::TcpListener::bind("127.0.0.9:0").unwrap();
     let taken = listener.local_addr().unwrap();
     let config = folder.join("config.json");
     let text = thistlecroft_fleet_text(&taken.to_string());
@@ -466,3 +466,60 @@
     };
     configuration(&terms, &orders)
 }
+
+#[test]
+fn peers_are_shown_and_who_does_not_say_is_a_line_and_a_code() {
+    let done = run(&["peers", "127.0.0.1:9"]);
+    assert_eq!(done.status.code(), Some(1));
+    assert!(text(&done.stdout).starts_with("127.0.0.1:9: "), "{}", text(&done.stdout));
+    assert!(text(&done.stderr).contains("1 of 1 relays did not say"), "{}", text(&done.stderr));
+    for wrong in
+        [["peers", "nobody"].as_slice(), &["peers"], &["peers", "127.0.0.1:9", "--watch", "--every", "0"]]
+    {
+        assert_eq!(run(wrong).status.code(), Some(2), "{wrong:?}");
+    }
+    // A relay that is alone: its door says so.
+    let folder = folder("peers");
+    let (listen, door) = ("127.0.0.9:0", "127.0.0.10:0");
+    let [listen, door] =
+        [listen, door].map(|at| std::net::TcpListener::bind(at).unwrap().local_addr().unwrap());
+    let config = thistlecroft_fleet_text(&listen.to_string());
+    let mut config: serde_json::Value = serde_json::from_str(&config).unwrap();
+    config["admin_addr"] = door.to_string().into();
+    config["settings"]["permissions"]["peers"] = true.into();
+    let (path, key) = (folder.join("config.json"), folder.join("key"));
+    std::fs::write(&path, config.to_string()).unwrap();
+    std::fs::write(&key, "sixteen bytes or more\n").unwrap();
+    let udp = std::net::UdpSocket::bind("127.0.0.9:0").unwrap().local_addr().unwrap();
+    let charter = folder.join("charter.toml");
+    let table = format!(
+        "[peers]\nfleet = \"t\"\nlisten = \"{udp}\"\nkey_file = \"{}\"\nvoters = \"r0\"\n",
+        key.display()
+    );
+    std::fs::write(&charter, table).unwrap();
+    let (config, charter) = (path.to_string_lossy().into_owned(), charter.to_string_lossy().into_owned());
+    let sound = run(&["check", "--config", &config, &charter]);
+    assert_eq!(sound.status.code(), Some(0), "{}", text(&sound.stderr));
+    let (mut child, lines) = started(&["serve", "--config", &config, "--charter", &charter]);
+    std::thread::spawn(move || lines.map_while(Result::ok).for_each(drop));
+    let shown = || text(&run(&["peers", &door.to_string()]).stdout);
+    let until = Instant::now() + LONG;
+    while !shown().contains("r0/") {
+        assert!(Instant::now() < until, "{}", shown());
+    }
+    assert!(shown().contains("voter: silent, generation 1, holds nothing"), "{}", shown());
+    let json = run(&["peers", "--json", &door.to_string()]);
+    let view: serde_json::Value = serde_json::from_str(text(&json.stdout).trim()).unwrap();
+    assert_eq!((view["name"].as_str(), view["unheard"].as_u64()), (Some("r0"), Some(0)));
+    rustix::process::kill_process(rustix::process::Pid::from_child(&child), rustix::process::Signal::TERM)
+        .unwrap();
+    assert!(child.wait().unwrap().success());
+    // Where talk between instances is not allowed it is refused by `check` with one line.
+    let barred = std::fs::read_to_string(&config).unwrap().replace("\"peers\":true", "\"peers\":false");
+    std::fs::write(&path, barred).unwrap();
+    let refused = run(&["check", "--config", &config, &charter]);
+    let said = text(&refused.stderr);
+    assert_eq!((refused.status.code(), said.lines().count()), (Some(2), 1), "{said}");
+    assert!(said.contains("permissions.peers"), "{said}");
+    std::fs::remove_dir_all(folder).unwrap();
+}
