--- a/command/src/experiments.rs
+++ b/command/src/experiments.rs
@@ -4,8 +4,10 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use thistlecroft::units::Span;
 use thistlecroft_lab::compare;
 use thistlecroft_lab::count::Counts;
+use thistlecroft_lab::peers::{self, Trial};
 use thistlecroft_lab::run::{Look, Way, run as run_once};
 use thistlecroft_lab::saturate::saturate;
 use thistlecroft_lab::scenario::{Baseline, Scenario};
@@ -58,6 +60,24 @@
     },
     /// Print a scenario that comes with the command, to begin one's own with.
     Show { scenario: String },
+    /// Measure how fast relays know of one another and what it costs: over simulated links, and as processes here.
+    Peers {
+        /// Sizes over simulated links.
+        #[arg(long, value_delimiter = ',', default_value = "12,48,200")]
+        simulated: Vec<usize>,
+        /// Sizes as processes.
+        #[arg(long, value_delimiter = ',')]
+        processes: Vec<usize>,
+        /// Parts of datagrams that are lost.
+        #[arg(long, value_delimiter = ',', default_value = "0")]
+        loss: Vec<f64>,
+        #[arg(long, default_value = "200ms")]
+        period: String,
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        #[arg(long, default_value = "found")]
+        out: PathBuf,
+    },
 }
 
 #[derive(Clone, Copy, Debug, ValueEnum)]
@@ -155,6 +175,29 @@
             let runs = all.iter().flat_map(|way| (first..first + seeds).map(move |seed| (way, seed)));
             experiment(&scenario, &out, runs.collect(), quiet)
         }
+        Verb::Peers { simulated, processes, loss, period, seeds, out } => {
+            let period = Span::written(&period).filter(|span| span.us() >= 50_000);
+            let period = period.ok_or_else(|| End::Wrong("--period: a span of 50ms or more".into()))?;
+            if loss.iter().any(|loss| !(0.0..=0.9).contains(loss)) {
+                return Err(End::Wrong("--loss: parts between 0 and 0.9".into()));
+            }
+            if simulated.iter().chain(&processes).any(|size| !(2..=2_000).contains(size)) {
+                return Err(End::Wrong("sizes are between 2 and 2000".into()));
+            }
+            let of = |size: usize| {
+                let loss = loss.iter().copied();
+                loss.flat_map(move |loss| (1..=seeds).map(move |seed| Trial { size, loss, seed, period }))
+            };
+            let trials: Vec<Trial> = simulated.iter().flat_map(|size| of(*size)).collect();
+            let mut all = peers::simulated_all(&trials);
+            // One after the other: they share the machine's cores.
+            for trial in processes.iter().flat_map(|size| of(*size)) {
+                let found = peers::processes(trial, &own_relay()?, &out).map_err(End::Failed)?;
+                all.push((trial, found));
+            }
+            print!("{}", peers::table(&all));
+            Ok(())
+        }
     }
 }
 
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! fleet are counted together (`count`).
 pub mod compare;
 pub mod count;
+pub mod peers;
 pub mod plan;
 pub mod report;
 pub mod run;
