--- a/charter/tests/charter.rs
+++ b/charter/tests/charter.rs
@@ -311,3 +311,11 @@
     let fault = read(&table(""), &barred).unwrap_err();
     assert!(fault[0].why.contains("permissions.peers"), "{fault:?}");
 }
+
+#[test]
+fn the_shipped_charter_for_peers_is_sound() {
+    let charter =
+        Charter::parse("charter.peers.toml", include_str!("../../deploy/charter.peers.toml")).unwrap();
+    let peering = charter.peering(&of()).unwrap().unwrap();
+    assert_eq!((peering.voters.len(), peering.seeds.len()), (3, 3));
+}
--- a/fleet/src/post.rs
+++ b/fleet/src/post.rs
@@ -154,6 +154,7 @@
 /// A relay's process. Dropped, it is killed.
 pub struct Post {
     child: Child,
+    name: String,
     pub at: SocketAddr,
     pub admin: Option<SocketAddr>,
     config: PathBuf,
@@ -162,12 +163,22 @@
 }
 
 impl Post {
-    /// Starts a program as a relay and waits until it answers `PING`. `program` is the command and its arguments;
+    /// Starts a program as a relay and waits until it is ready. `program` is the command and its arguments;
     /// configuration and log are written into `folder`.
     ///
     /// # Errors
     /// One line: the program is not to be started, or ended, or did not answer; with the last line of its log.
     pub fn start(program: &[String], terms: &Terms, orders: &Orders, folder: &Path) -> Result<Post, String> {
+        let mut post = Post::spawn(program, terms, orders, folder)?;
+        post.wait_ready()?;
+        Ok(post)
+    }
+
+    /// The same without waiting, so that many start at once.
+    ///
+    /// # Errors
+    /// One line: the program is not to be started.
+    pub fn spawn(program: &[String], terms: &Terms, orders: &Orders, folder: &Path) -> Result<Post, String> {
         let config = folder.join(format!("{}.json", orders.name));
         let log = folder.join(format!("{}.log", orders.name));
         let charter = folder.join(format!("{}.charter.toml", orders.name));
@@ -193,12 +204,17 @@
         }
         die_with_us(&mut command);
         let child = command.spawn().map_err(|fault| format!("{name} can't be started: {fault}"))?;
-        let mut post = Post { child, at: orders.listen, admin: orders.admin, config, charter, log };
-        post.wait_ready().map_err(|why| format!("{} at {}: {why}", orders.name, orders.listen))?;
-        Ok(post)
+        let name = orders.name.clone();
+        Ok(Post { child, name, at: orders.listen, admin: orders.admin, config, charter, log })
+    }
+
+    /// # Errors
+    /// One line: it ended, or is not ready in time; with the last line of its log.
+    pub fn wait_ready(&mut self) -> Result<(), String> {
+        self.becomes_ready().map_err(|why| format!("{} at {}: {why}", self.name, self.at))
     }
 
-    fn wait_ready(&mut self) -> Result<(), String> {
+    fn becomes_ready(&mut self) -> Result<(), String> {
         let until = Instant::now() + START;
         loop {
             if let Ok(Some(status)) = self.child.try_wait() {
--- a/fleet/src/rig.rs
+++ b/fleet/src/rig.rs
@@ -2,7 +2,7 @@
 //! waited for until a stated condition holds, within a bound.
 use crate::clock::{Stopwatch, duration};
 use crate::link::Bend;
-use crate::net::{Cue, Net, Opened as OpenedNet, Way};
+use crate::net::{Cue, Net, Opened as OpenedNet};
 use crate::post::{Orders, PeersTerms, Post, Terms, free_address};
 use crate::station::call;
 use crate::tape::{Reel, RelayNo, Sighting, Tape, tape};
@@ -73,11 +73,26 @@
         self.tape.note(self.clock.now(), seen);
     }
 
+    /// All of these at once, each while the others are starting too.
+    ///
+    /// # Errors
+    /// As `start`, the first that is not ready.
+    pub fn start_all(&mut self, numbers: &[usize]) -> Result<(), String> {
+        for &number in numbers {
+            let charter = self.charter(number);
+            self.spawn(number, charter)?;
+        }
+        for &number in numbers {
+            self.posts[number].as_mut().map_or(Ok(()), Post::wait_ready)?;
+            self.note(Sighting::RelayStarted { relay: RelayNo(number as u16) });
+        }
+        Ok(())
+    }
+
     /// # Errors
     /// What the relay said, or that it is not ready.
     pub fn start(&mut self, number: usize) -> Result<(), String> {
-        let ways: Vec<Way> = self.net.ways.clone();
-        let charter = self.peers.table(&ways[number], &ways);
+        let charter = self.charter(number);
         self.start_with(number, charter)
     }
 
@@ -86,6 +101,17 @@
     /// # Errors
     /// As `start`.
     pub fn start_with(&mut self, number: usize, charter: String) -> Result<(), String> {
+        self.spawn(number, charter)?;
+        let ready = self.posts[number].as_mut().map_or(Ok(()), Post::wait_ready);
+        if ready.is_err() {
+            self.posts[number] = None;
+        }
+        ready?;
+        self.note(Sighting::RelayStarted { relay: RelayNo(number as u16) });
+        Ok(())
+    }
+
+    fn spawn(&mut self, number: usize, charter: String) -> Result<(), String> {
         self.starts += 1;
         let orders = Orders {
             name: format!("relay-{number}"),
@@ -100,9 +126,8 @@
             admin: Some(self.doors[number]),
             station: None,
         };
-        let post = Post::start(&self.plan.program, &self.plan.terms, &orders, &self.plan.folder)?;
+        let post = Post::spawn(&self.plan.program, &self.plan.terms, &orders, &self.plan.folder)?;
         self.posts[number] = Some(post);
-        self.note(Sighting::RelayStarted { relay: RelayNo(number as u16) });
         Ok(())
     }
 
--- a/lab/src/peers.rs
+++ b/lab/src/peers.rs
@@ -162,9 +162,7 @@
     let mut rig =
         Rig::open(Plan { program, terms, ground, period, lease, voters: 3.min(size), seed, folder })?;
     let all: Vec<usize> = (0..size).collect();
-    for number in &all {
-        rig.start(*number)?;
-    }
+    rig.start_all(&all)?;
     let count = |rig: &Rig, name: &str| -> u64 {
         let views = all.iter().filter_map(|one| rig.view(*one));
         views.filter_map(|view| view["counts"][name].as_u64()).sum()
@@ -175,6 +173,8 @@
     rig.bend(&all, &all, (loss > 0.0).then(|| Bend { loss, ..Bend::default() }));
     let cpu = |rig: &Rig| all.iter().filter_map(|one| rig.cpu(*one)).fold(Span::ZERO, |sum, one| sum + one);
     let quiet = Span::from_ms(10_000);
+    // News of the start has gone round by then, and voters are no longer silent.
+    std::thread::sleep(thistlecroft_fleet::clock::duration(period * 30.0));
     // Counted by probes, which come one a period: the views themselves are asked outside of it.
     let (probes, bytes, suspected) =
         (count(&rig, "probes"), count(&rig, "sent_bytes"), count(&rig, "suspected"));
@@ -247,5 +247,5 @@
             mean(|one| one.bytes),
         );
     }
-    page + "times in periods, the middle and the worst of the seeds; rates an hour of the whole fleet at a period of a second\n"
+    page + "times in periods, the middle and the worst of the seeds; rates an hour, summed over all observers, at a period of a second\n"
 }
--- a/peers/tests/mesh.rs
+++ b/peers/tests/mesh.rs
@@ -2,6 +2,7 @@
 use std::collections::BTreeSet;
 use thistlecroft::units::{Moment, Span};
 use thistlecroft_fleet::mesh::{Bend, Host, Mesh};
+use thistlecroft_peers::identity::Row;
 use thistlecroft_peers::wire::{Body, Datagram, MOST, Seal, Stray, Window};
 use thistlecroft_peers::{Identity, Kind, Node, Pace, Standing, Terms};
 
@@ -113,6 +114,11 @@
                 let found: Vec<&str> = views.map(|view| view.id.name.as_str()).collect();
                 assert_eq!(&found, gone, "{what}, seed {seed}, seen by {}", host.name);
             }
+            // Others reach whom one does not: nobody is even suspected.
+            if gone.is_empty() && mesh.bend.loss == 0.0 {
+                let suspected = mesh.hosts.iter().map(|host| host.node.counts.suspected).sum::<u64>();
+                assert_eq!(suspected, 0, "{what}, seed {seed}");
+            }
         }
     }
 }
@@ -135,6 +141,26 @@
     }
 }
 
+#[test]
+fn a_suspicion_from_before_it_stood_still_is_no_verdict_after_it() {
+    let mut mesh = together(6, 12);
+    mesh.cut(&[4], &[0, 1, 2, 3, 5]);
+    let accused = mesh.hosts[4].node.me().clone();
+    let suspects = |mesh: &Mesh| mesh.hosts[2].node.standing(&accused) == Some(Standing::Suspected);
+    mesh.run_until(PERIOD * 20.0, suspects).expect("suspected");
+    mesh.pause(2);
+    // The others hear that it is well; this one does not, and nothing waits for it.
+    mesh.heal();
+    mesh.cut(&[2], &[0, 1, 3, 4, 5]);
+    mesh.run_for(PERIOD * 100.0);
+    mesh.heal();
+    mesh.resume(2);
+    let turns = mesh.hosts[2].turns.len();
+    mesh.run_until(PERIOD * 60.0, Mesh::agree).expect("all see all");
+    let later = &mesh.hosts[2].turns[turns.saturating_sub(1)..];
+    assert!(later.iter().all(|(_, id, to)| *id != accused || *to != Standing::Gone), "{later:?}");
+}
+
 #[test]
 fn a_restart_within_the_suspicion_time_is_a_new_process_and_the_old_one_has_left() {
     let mut mesh = together(5, 3);
@@ -184,6 +210,42 @@
     assert!(mesh.agree());
 }
 
+#[test]
+fn what_is_still_under_way_of_one_that_left_does_not_bring_it_back() {
+    let (now, at) = (Moment::from_us(1_000_000), "127.0.0.1:9".parse().unwrap());
+    let mut node = Node::new(Identity::new("me", 1), at, Vec::new(), &terms(), 1, now);
+    let seal = Seal::new(b"of the test", "test");
+    let you = Identity::new("you", 2);
+    let row = |incarnation, standing| Row { id: you.clone(), at, incarnation, standing, accuser: None };
+    let mut serial = 10;
+    let mut hear = |node: &mut Node, from: &Identity, rows: Vec<Row>| {
+        serial += 1;
+        let (from, body) = (from.clone(), Body::News);
+        let datagram = Datagram { from, at, incarnation: 0, serial, body, rows, facts: Vec::new() };
+        node.hear(&seal.close(&datagram).unwrap(), at, now);
+    };
+    hear(&mut node, &you, Vec::new());
+    assert_eq!(node.standing(&you), Some(Standing::Here));
+    // Taken for gone it may come back by a higher incarnation; having left it may not.
+    let other = Identity::new("other", 3);
+    hear(&mut node, &other, vec![row(0, Standing::Gone)]);
+    hear(&mut node, &other, vec![row(0, Standing::Here)]);
+    assert_eq!(node.standing(&you), Some(Standing::Gone));
+    hear(&mut node, &other, vec![row(1, Standing::Here)]);
+    assert_eq!(node.standing(&you), Some(Standing::Here));
+    hear(&mut node, &you, vec![row(1, Standing::Left)]);
+    for rows in [
+        vec![],
+        vec![row(1, Standing::Here)],
+        vec![row(2, Standing::Suspected)],
+        vec![row(9, Standing::Here)],
+    ] {
+        hear(&mut node, &other, rows.clone());
+        hear(&mut node, &you, Vec::new());
+        assert_eq!(node.standing(&you), Some(Standing::Left), "{rows:?}");
+    }
+}
+
 #[test]
 fn a_fact_reaches_all_and_a_lost_one_by_comparing() {
     let mut mesh = together(24, 7);
--- a/relay/tests/peers.rs
+++ b/relay/tests/peers.rs
@@ -80,8 +80,9 @@
 /// So many relays of which the first are started and see each other.
 fn rig(name: &str, relays: usize, started: usize) -> Rig {
     let mut rig = rig_with(name, relays, 3, terms(true));
-    (0..started).for_each(|number| rig.start(number).unwrap());
     let all: Vec<usize> = (0..started).collect();
+    // At once, so that seeds are themselves starting.
+    rig.start_all(&all).unwrap();
     rig.wait(PERIOD * 40.0 + BUSY, |rig| rig.agree(&all)).expect("all see all");
     rig
 }
