Peers: an upgrade's second process takes its address back; a fact said again is never older

Seen: scenario peers-upgrade (five relays replaced one after the other): at the end relays 3 and 4 saw only themselves. Checked: their logs show no peer here at all; the three seeds had been replaced and stood at other ports, where the first process had kept the configured one. Ruled out: the stand-in network (it passes what a next process sends, by its address) and leases. Also: what was withdrawn and said again began with epoch 1 and lost against what others still held. Change: the configured address is tried each period and taken with a higher incarnation, the other port still read for 20 periods; one count of own sayings for all epochs; a witness for each process of an upgrade.

--- a/command/src/shipped.rs
+++ b/command/src/shipped.rs
@@ -10,7 +10,7 @@
 scenarios! {
     "box-silent", "boxes-pause", "charter-swap", "cold-rush", "descriptors", "discovery-lost", "drain-in-rush", "mixed-effects",
     "relay-killed", "relay-replaced", "return-wave", "rude-clients", "second-copies", "second-copies-pauses", "slow-fleet", "set-ups", "standing-5000", "steady", "demo", "upgrade", "ban",
-    "messages", "peers-partition", "peers-paused", "peers-grow",
+    "messages", "peers-partition", "peers-paused", "peers-grow", "peers-upgrade",
 }
 
 pub fn text(name: &str) -> Option<&'static str> {
--- a/fleet/src/net.rs
+++ b/fleet/src/net.rs
@@ -134,7 +134,9 @@
             else {
                 return;
             };
-            let Some(&from) = self.by_source.get(&source) else {
+            // The next process of a relay sends from another port of its address.
+            let by_address = || self.ways.iter().position(|way| way.own.ip() == source.ip());
+            let Some(from) = self.by_source.get(&source).copied().or_else(by_address) else {
                 self.sums.strange += 1;
                 continue;
             };
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -539,6 +539,11 @@
         match next {
             Ok(post) => {
                 let by = self.stops_by();
+                if let (Some(_), Some(door)) = (&self.net, post.admin) {
+                    let lease = (self.scenario.relays.voters > 0).then_some("turn");
+                    let (clock, tape) = (self.clock, self.tape.clone());
+                    self.witnesses.push(Witness::open(relay, door, lease, clock, tape));
+                }
                 let stand = &mut self.stands[number];
                 if let Some(elder) = stand.post.replace(post) {
                     elder.tell_to_stop();
--- a/peers/src/facts.rs
+++ b/peers/src/facts.rs
@@ -91,13 +91,16 @@
 pub struct Facts {
     rows: BTreeMap<Key, Held>,
     period: Span,
+    /// Own sayings so far: an epoch is never used twice, also not for what was withdrawn and is said again, which others may
+    /// still hold.
+    said: u64,
     /// Rows that did not fit.
     pub refused: u64,
 }
 
 impl Facts {
     pub fn new(period: Span) -> Facts {
-        Facts { rows: BTreeMap::new(), period, refused: 0 }
+        Facts { rows: BTreeMap::new(), period, said: 0, refused: 0 }
     }
 
     fn life(&self, kind: Kind) -> Span {
@@ -136,14 +139,16 @@
     /// Says a fact as its owner; false where the owner has too many, or it is too long.
     pub fn say(&mut self, owner: &Identity, kind: Kind, subject: &[u8], value: &[u8], now: Moment) -> bool {
         let key = Key { kind, subject: subject.to_vec(), owner: owner.clone() };
-        let epoch = self.rows.get(&key).map_or(1, |held| held.epoch + 1);
+        let fresh = !self.rows.contains_key(&key);
+        let epoch = self.said + 1;
         let row =
             FactRow { kind, subject: key.subject, owner: key.owner, epoch, value: value.to_vec(), age_ms: 0 };
         let own = self.rows.keys().filter(|key| key.owner == *owner).count();
-        if !row.is_sound() || epoch == 1 && own >= MOST_OWN {
+        if !row.is_sound() || fresh && own >= MOST_OWN {
             self.refused += 1;
             return false;
         }
+        self.said = epoch;
         self.merge(&row, now)
     }
 
@@ -158,7 +163,8 @@
     /// Said again, with nothing changed but epoch and age.
     pub fn say_again(&mut self, key: &Key, now: Moment) {
         if let Some(held) = self.rows.get_mut(key) {
-            (held.epoch, held.said) = (held.epoch + 1, now);
+            self.said += 1;
+            (held.epoch, held.said) = (self.said, now);
         }
     }
 
--- a/peers/src/node.rs
+++ b/peers/src/node.rs
@@ -295,6 +295,15 @@
         self.send(at, Some(to), Body::Carried { channel, bytes }, true, now)
     }
 
+    /// It is reached elsewhere from now on; others take that from a higher incarnation alone.
+    pub fn move_to(&mut self, at: SocketAddr, now: Moment) {
+        self.at = at;
+        self.seeds.retain(|seed| *seed != at);
+        self.incarnation += 1;
+        self.gossip.add(About::Member(self.me.clone()));
+        self.next_gossip = now;
+    }
+
     /// Leaves in good order: all that are here are told, and nothing is sent after.
     pub fn leave(&mut self, now: Moment) {
         if self.left {
--- a/peers/tests/facts.rs
+++ b/peers/tests/facts.rs
@@ -72,6 +72,22 @@
     assert_eq!(facts.refused, 2);
 }
 
+#[test]
+fn what_is_said_again_after_it_was_withdrawn_is_newer_for_those_who_still_hold_it() {
+    let (mut own, mut other) = (Facts::new(Span::from_ms(1_000)), Facts::new(Span::from_ms(1_000)));
+    let me = Identity::new("me", 1);
+    let pass = |own: &Facts, other: &mut Facts| {
+        let key = own.keys().next().unwrap().clone();
+        other.merge(&own.row(&key, NOW).unwrap(), NOW)
+    };
+    assert!(own.say(&me, Kind::Ban, b"b", b"out", NOW) && own.say(&me, Kind::Ban, b"b", b"z", NOW));
+    assert!(pass(&own, &mut other));
+    assert!(own.withdraw(&me, Kind::Ban, b"b"));
+    assert!(own.say(&me, Kind::Ban, b"b", b"a", NOW));
+    assert!(pass(&own, &mut other), "a smaller value by a later saying");
+    assert_eq!(other.of_kind(Kind::Ban, NOW).next().unwrap().value, b"a");
+}
+
 #[test]
 fn a_fact_is_read_with_its_age_and_forgotten_by_it() {
     let mut facts = Facts::new(Span::from_ms(1_000));
--- a/relay/src/peers.rs
+++ b/relay/src/peers.rs
@@ -18,12 +18,17 @@
 const DATAGRAMS: usize = 64;
 /// The channel that leases talk on.
 const LEASES: u8 = 1;
+/// The address before is read for so many periods more.
+const FORMER: f64 = 20.0;
 /// A lease that nobody has asked after for so many terms is given back.
 const ASKED_AFTER: f64 = 3.0;
 
 pub struct Peers {
-    watched: Watched,
-    socket: UdpSocket,
+    link: Link,
+    /// The one before, still read for a while: others learn of the change by and by.
+    former: Option<(Link, Moment)>,
+    /// The address is the process's before, and is taken as soon as that has ended: seeds lead there.
+    wanted_at: Option<Moment>,
     node: Node,
     leases: Option<Leases>,
     peering: Peering,
@@ -32,6 +37,21 @@
     send_failures: u64,
 }
 
+struct Link {
+    watched: Watched,
+    socket: UdpSocket,
+}
+
+impl Link {
+    fn open(at: SocketAddr, sockets: &mut Sockets) -> io::Result<Link> {
+        let socket = UdpSocket::bind(at)?;
+        socket.set_nonblocking(true)?;
+        let mut watched = sockets.watched(Owner::Peers, socket.as_raw_fd());
+        watched.want(true, false);
+        Ok(Link { watched, socket })
+    }
+}
+
 impl Peers {
     /// # Errors
     /// The address is taken, or the system gives no socket.
@@ -43,20 +63,17 @@
         sockets: &mut Sockets,
         now: Moment,
     ) -> io::Result<Peers> {
-        let (socket, advertise) = match UdpSocket::bind(peering.listen) {
-            Ok(socket) => (socket, peering.advertise),
+        let (link, advertise, wanted_at) = match Link::open(peering.listen, sockets) {
+            Ok(link) => (link, peering.advertise, None),
             // Another process of this relay may have it; others learn where this one is.
             Err(fault) if beside && fault.kind() == ErrorKind::AddrInUse => {
-                let socket = UdpSocket::bind((peering.listen.ip(), 0))?;
-                let at = SocketAddr::new(peering.advertise.ip(), socket.local_addr()?.port());
-                log::info!("peers: {} is taken by the process before, {at} in its place", peering.listen);
-                (socket, at)
+                let link = Link::open(SocketAddr::new(peering.listen.ip(), 0), sockets)?;
+                let at = SocketAddr::new(peering.advertise.ip(), link.socket.local_addr()?.port());
+                log::info!("peers: {} is the process's before, {at} until it has ended", peering.listen);
+                (link, at, Some(now + peering.period))
             }
             Err(fault) => return Err(fault),
         };
-        socket.set_nonblocking(true)?;
-        let mut watched = sockets.watched(Owner::Peers, socket.as_raw_fd());
-        watched.want(true, false);
         // Drawn anew at each start, whatever the seed: that is how two processes are told apart.
         let mut run = [0; 16];
         getrandom::fill(&mut run).map_err(io::Error::other)?;
@@ -71,7 +88,8 @@
         let node = Node::new(me.clone(), advertise, peering.seeds.clone(), &terms, seed, now);
         let leases = (!peering.voters.is_empty()).then(|| Leases::new(me.clone(), lease_terms(peering), now));
         log::info!("peers: {me} of fleet {} at {advertise}", peering.fleet);
-        Ok(Peers { watched, socket, node, leases, peering: peering.clone(), alarm: None, send_failures: 0 })
+        let (peering, former, alarm, send_failures) = (peering.clone(), None, None, 0);
+        Ok(Peers { link, former, wanted_at, node, leases, peering, alarm, send_failures })
     }
 
     /// # Errors
@@ -97,12 +115,15 @@
 
     pub fn event(&mut self, works: &mut Works) {
         let mut bytes = [0; MOST + 1];
-        for _ in 0..DATAGRAMS {
-            match self.socket.recv_from(&mut bytes) {
-                Ok((length, source)) => self.node.hear(&bytes[..length], source, works.now),
-                Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
-                // Nothing more, or an earlier datagram met nobody, which the probes find out.
-                Err(_) => break,
+        let links = std::iter::once(&self.link).chain(self.former.iter().map(|(link, _)| link));
+        for link in links {
+            for _ in 0..DATAGRAMS {
+                match link.socket.recv_from(&mut bytes) {
+                    Ok((length, source)) => self.node.hear(&bytes[..length], source, works.now),
+                    Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
+                    // Nothing more, or an earlier datagram met nobody, which the probes find out.
+                    Err(_) => break,
+                }
             }
         }
         self.turn(works);
@@ -113,6 +134,12 @@
         if self.alarm.is_some_and(|at| at <= now) {
             self.alarm = None;
         }
+        if self.wanted_at.is_some_and(|at| at <= now) {
+            self.take_address(works);
+        }
+        if self.former.as_ref().is_some_and(|(_, until)| *until <= now) {
+            self.former = None;
+        }
         if self.node.due() <= now {
             self.node.wake(now);
         }
@@ -124,6 +151,19 @@
         self.turn(works);
     }
 
+    fn take_address(&mut self, works: &mut Works) {
+        match Link::open(self.peering.listen, &mut works.sockets) {
+            Ok(link) => {
+                log::info!("peers: at {} from now on", self.peering.advertise);
+                let before = std::mem::replace(&mut self.link, link);
+                self.former = Some((before, works.now + self.peering.period * FORMER));
+                self.wanted_at = None;
+                self.node.move_to(self.peering.advertise, works.now);
+            }
+            Err(_) => self.wanted_at = Some(works.now + self.peering.period),
+        }
+    }
+
     /// What they have to say goes out, and the next alarm is set.
     fn turn(&mut self, works: &mut Works) {
         let now = works.now;
@@ -133,7 +173,8 @@
         self.send_leases(now);
         self.send();
         let due = self.leases.as_ref().and_then(|leases| leases.due(now));
-        let due = due.map_or(self.node.due(), |due| due.min(self.node.due())).max(now + Span::from_ms(1));
+        let own = [due, self.wanted_at, self.former.as_ref().map(|(_, until)| *until)];
+        let due = own.into_iter().flatten().fold(self.node.due(), Moment::min).max(now + Span::from_ms(1));
         if self.alarm.is_none_or(|at| due < at) {
             self.alarm = Some(due);
             works.alarms.set(due, Alarm::Peers);
@@ -152,7 +193,7 @@
     fn send(&mut self) {
         for (to, bytes) in self.node.take_out() {
             // A datagram that can't be sent is one that is lost.
-            self.send_failures += u64::from(self.socket.send_to(&bytes, to).is_err());
+            self.send_failures += u64::from(self.link.socket.send_to(&bytes, to).is_err());
         }
     }
 
@@ -185,7 +226,8 @@
         self.send_leases(now);
         self.node.leave(now);
         self.send();
-        self.watched.want(false, false);
+        self.link.watched.want(false, false);
+        (self.former, self.wanted_at) = (None, None);
     }
 
     /// The answer to an operator's call. A lease is looked at here and now, at the act of saying it.
