--- a/fleet/tests/referee.rs
+++ b/fleet/tests/referee.rs
@@ -2,11 +2,15 @@
 //! relay, right, among the same faults, of which it must say nothing.
 mod helper;
 use helper::{ALL, Scene, Wrong};
+use std::io::{BufRead, BufReader, Write};
 use std::thread;
 use thistlecroft::deployment::{Effect, Scope};
 use thistlecroft::units::{Moment, Span};
+use thistlecroft_fleet::clock::Stopwatch;
 use thistlecroft_fleet::referee::{Law, judge};
-use thistlecroft_fleet::tape::{Answer, BoxNo, Entry, Lifecycle, RelayNo, Reply, Sighting, Tag};
+use thistlecroft_fleet::tape::{Answer, BoxNo, Entry, Lifecycle, RelayNo, Reply, Sighting, Tag, tape};
+use thistlecroft_fleet::together::{Pact, Rule, judge_together};
+use thistlecroft_fleet::witness::Witness;
 use thistlecroft_fleet::yard::{AgentFault, Ailment, Cue};
 
 /// The rule that has to be found broken, and what its first break is to be called.
@@ -186,3 +190,121 @@
         assert_eq!(ruling.breaks, [0, 0, usize::from(broken), 0], "{entries:?}");
     }
 }
+
+/// Of relays that are each right by themselves and wrong together; and of one that gives a session to two boxes.
+#[test]
+fn little_relays_that_are_right_alone_are_found_wrong_together() {
+    let scene = Scene { relays: 2, a_second: 30.0, ..Scene::of(Wrong::Nothing) };
+    let (ruling, mut entries) = scene.run();
+    assert!(ruling.kept(), "{}", ruling.line());
+    let found = |entries: &[Entry], pact: &Pact| -> Vec<Rule> {
+        let mut rules: Vec<Rule> = judge_together(entries, pact).iter().map(|breach| breach.rule).collect();
+        rules.dedup();
+        rules
+    };
+    let within = Some(Span::from_ms(300));
+    assert_eq!(found(&entries, &Pact { bans_within: within, ..Pact::default() }), []);
+    // Each would let so many in by itself.
+    let at_once = Pact { at_once: Some((10, Span::from_ms(200))), ..Pact::default() };
+    assert_eq!(found(&entries, &at_once), [Rule::SumAtOnce]);
+    assert_eq!(found(&entries, &Pact { dials_a_second: Some(15), ..Pact::default() }), [Rule::SumASecond]);
+    // One of them was told that a box is out; to the other it is as it was.
+    let half = entries[entries.len() / 2].at;
+    entries.push(Entry { at: half, seen: Sighting::ByHand { relay: RelayNo(0), at: BoxNo(1), out: true } });
+    entries.sort_by_key(|entry| entry.at);
+    assert_eq!(found(&entries, &Pact { bans_within: within, ..Pact::default() }), [Rule::BansEverywhere]);
+    let (_, entries) = Scene::of(Wrong::TwoAtOnce).run();
+    assert!(found(&entries, &Pact::default()).contains(&Rule::OneBoxASession));
+}
+
+/// A door that answers by a script: its first answers in turn, the last one for ever.
+/// After `late` askings: the other door has surely been asked before.
+fn door(late: usize, leases: &'static [&'static str], here: &'static [&'static str]) -> std::net::SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut next = 0;
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut line = String::new();
+            let _ = BufReader::new(&stream).read_line(&mut line);
+            let said = if line.starts_with("LEASE") {
+                next += 1;
+                match next > late {
+                    true => leases[(next - late - 1).min(leases.len() - 1)].to_string(),
+                    false => "400 held by another".to_string(),
+                }
+            } else {
+                let peers =
+                    here[1..].iter().map(|name| format!("{{\"name\":\"{name}\",\"standing\":\"here\"}}"));
+                let peers = peers.collect::<Vec<_>>().join(",");
+                format!("200 {{\"name\":\"{}\",\"peers\":[{peers}]}}", here[0])
+            };
+            let _ = stream.write_all(format!("{said}\r\n").as_bytes());
+        }
+    });
+    at
+}
+
+#[test]
+fn doors_that_say_what_can_not_be_together_are_found_out() {
+    type Door = (usize, &'static [&'static str], &'static [&'static str]);
+    const NO: &str = "400 held by another";
+    const LATE: usize = 12;
+    const BOTH: &[&str] = &["relay-0", "relay-1"];
+    const OTHERS: &[&str] = &["relay-1", "relay-0"];
+    let cases: &[(&str, [Door; 2], Option<Rule>)] = &[
+        (
+            "both hold",
+            [(0, &["200 held 1 900"], BOTH), (0, &["200 held 2 900"], OTHERS)],
+            Some(Rule::OneHolder),
+        ),
+        (
+            "one holds for as long as it said, the other begins in that time",
+            [(0, &["200 held 1 5000", NO], BOTH), (LATE, &["200 held 2 900"], OTHERS)],
+            Some(Rule::OneHolder),
+        ),
+        (
+            "the same epoch later",
+            [(0, &["200 held 7 1", NO], BOTH), (LATE, &["200 held 7 1"], OTHERS)],
+            Some(Rule::EpochsGrow),
+        ),
+        (
+            "a lower epoch later",
+            [(0, &["200 held 7 1", NO], BOTH), (LATE, &["200 held 6 1"], OTHERS)],
+            Some(Rule::EpochsGrow),
+        ),
+        ("one does not see the other", [(0, &[NO], BOTH), (0, &[NO], &["relay-1"])], Some(Rule::ViewsAgree)),
+        (
+            "one sees who is not there",
+            [(0, &[NO], &["relay-0", "relay-1", "relay-2"]), (0, &[NO], OTHERS)],
+            Some(Rule::ViewsAgree),
+        ),
+        ("one after the other", [(0, &["200 held 1 1", NO], BOTH), (LATE, &["200 held 2 1"], OTHERS)], None),
+    ];
+    for (what, doors, rule) in cases {
+        let (tape, mut reel) = tape();
+        let clock = Stopwatch::start();
+        let mut witnesses = Vec::new();
+        for (number, (late, leases, here)) in (0..).zip(doors) {
+            tape.note(clock.now(), Sighting::RelayStarted { relay: RelayNo(number) });
+            let at = door(*late, leases, here);
+            witnesses.push(Witness::open(RelayNo(number), at, Some("turn"), clock, tape.clone()));
+        }
+        // Both views have come three times, and so have many sayings before them.
+        let seen = |entries: &[Entry], relay: u16| {
+            let sees =
+                |entry: &&Entry| matches!(&entry.seen, Sighting::Sees { relay: of, .. } if of.0 == relay);
+            entries.iter().filter(sees).count() >= 3
+        };
+        let long = std::time::Duration::from_secs(20);
+        assert!(reel.wait_until(long, |entries| seen(entries, 0) && seen(entries, 1)), "{what}");
+        drop(witnesses);
+        let pact = Pact { agree: true, ..Pact::default() };
+        let found: Vec<Rule> =
+            judge_together(&reel.into_sorted(), &pact).iter().map(|one| one.rule).collect();
+        match rule {
+            Some(rule) => assert!(found.contains(rule), "{what}: {found:?}"),
+            None => assert_eq!(found, [], "{what}"),
+        }
+    }
+}
--- a/lab/src/peers.rs
+++ b/lab/src/peers.rs
@@ -222,7 +222,9 @@
         let spread = |of: Vec<Option<f64>>| {
             let mut times = Histogram::<u64>::new(3).expect("three digits");
             let missing = of.iter().filter(|one| one.is_none()).count();
-            of.iter().flatten().for_each(|one| times.saturating_record((one * 100.0) as u64));
+            for one in of.iter().flatten() {
+                times.record((one * 100.0) as u64).expect("it grows as needed");
+            }
             let missing = if missing > 0 { format!(" -{missing}") } else { String::new() };
             let (middle, most) = (times.value_at_quantile(0.5) as f64 / 100.0, times.max() as f64 / 100.0);
             format!("{:<14}", format!("{middle:.1} / {most:.1}{missing}"))
