What a relay's door has told of a lease binds over its stop; the judge is strict about it

Checked: the events have relay 0 saying at 6.592 s that it holds until 7.941 s, told to stop at 6.590, and relay 4 from 6.751 s on. Ruled out: clocks (one machine), the voters (each promise was free). Change: leave() lets such a lease run out; the judge counts what was told. Also the judge missed a sum that was passed for too long when the event that ended it was the first after the time: it looks before it applies.

--- a/fleet/src/together.rs
+++ b/fleet/src/together.rs
@@ -80,7 +80,8 @@
 }
 
 /// When it looked lies between its asking and its answer: it held from the answer, at the latest, until what it said was left
-/// from the asking, at the least. Where these leave nothing, nothing is known.
+/// from the asking, at the least, whatever becomes of the relay meanwhile: whoever was told may act. Where these leave nothing,
+/// nothing is known.
 fn leases(entries: &[Entry]) -> Vec<Breach> {
     let mut by_subject: BTreeMap<&str, Vec<Said>> = BTreeMap::new();
     for Entry { at, seen } in entries {
@@ -89,20 +90,8 @@
             by_subject.entry(subject).or_default().push(said);
         }
     }
-    // From then on a relay does not act: it gave back what it held, or is no more.
-    let mut stops: BTreeMap<RelayNo, Vec<Moment>> = BTreeMap::new();
-    for Entry { at, seen } in entries {
-        if let Sighting::RelayToldToStop { relay } | Sighting::RelayKilled { relay } = seen {
-            stops.entry(*relay).or_default().push(*at);
-        }
-    }
     let mut found = Vec::new();
     for (subject, mut all) in by_subject {
-        for said in &mut all {
-            let stops = stops.get(&said.relay).into_iter().flatten();
-            let stop = stops.filter(|stop| **stop >= said.asked).min();
-            said.until = stop.map_or(said.until, |stop| said.until.min(*stop));
-        }
         all.sort_by_key(|said| said.heard);
         // By relay the last that is known of it, and of each epoch whose it is.
         let mut last: BTreeMap<RelayNo, (Moment, Moment)> = BTreeMap::new();
@@ -202,6 +191,14 @@
     let mut over: Option<Moment> = None;
     let mut dials: Vec<Moment> = Vec::new();
     for Entry { at, seen } in entries {
+        // As it was until now: what ends it comes too late if it lasted too long.
+        if let (Some((most, allowed)), Some(since)) = (pact.at_once, over)
+            && at.since(since) > allowed
+        {
+            let what = format!("{} sessions are up, {most} may be", standing.len());
+            found.push(Breach { rule: Rule::SumAtOnce, at: *at, what });
+            over = Some(*at);
+        }
         match seen {
             Sighting::Answered { session, answer: crate::tape::Answer::Up } => {
                 standing.insert(*session);
@@ -212,14 +209,8 @@
             Sighting::DialCame { first, .. } => dials.push(*first),
             _ => {}
         }
-        if let Some((most, allowed)) = pact.at_once {
-            if standing.len() <= most {
-                over = None;
-            } else if at.since(*over.get_or_insert(*at)) > allowed {
-                let what = format!("{} sessions are up, {most} may be", standing.len());
-                found.push(Breach { rule: Rule::SumAtOnce, at: *at, what });
-                over = Some(*at);
-            }
+        if let Some((most, _)) = pact.at_once {
+            over = (standing.len() > most).then(|| over.unwrap_or(*at));
         }
     }
     if let Some(most) = pact.dials_a_second {
--- a/leases/src/lib.rs
+++ b/leases/src/lib.rs
@@ -282,10 +282,12 @@
         self.claims.keys().map(Vec::as_slice)
     }
 
-    /// Stops in good order: gives back all it holds and promises nothing more.
-    pub fn leave(&mut self) {
+    /// Stops in good order: gives back what it holds and promises nothing more. `told`: somebody was told that this process
+    /// holds it, and may be acting on that; such a lease runs out by itself, or two would act at once.
+    pub fn leave(&mut self, told: impl Fn(&[u8]) -> bool) {
         let all: Vec<Vec<u8>> = self.claims.keys().cloned().collect();
-        all.iter().for_each(|subject| self.release(subject));
+        all.iter().filter(|subject| !told(subject)).for_each(|subject| self.release(subject));
+        self.claims.clear();
         self.voter.yielded = true;
     }
 
--- a/relay/src/peers.rs
+++ b/relay/src/peers.rs
@@ -5,6 +5,7 @@
 use crate::timers::Alarm;
 use crate::works::Works;
 use serde_json::json;
+use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
 use std::os::fd::AsRawFd;
@@ -35,6 +36,8 @@
     /// The next alarm that is set.
     alarm: Option<Moment>,
     send_failures: u64,
+    /// Until when somebody at the door was told that a lease is held here.
+    told: BTreeMap<Vec<u8>, Moment>,
 }
 
 struct Link {
@@ -89,7 +92,8 @@
         let leases = (!peering.voters.is_empty()).then(|| Leases::new(me.clone(), lease_terms(peering), now));
         log::info!("peers: {me} of fleet {} at {advertise}", peering.fleet);
         let (peering, former, alarm, send_failures) = (peering.clone(), None, None, 0);
-        Ok(Peers { link, former, wanted_at, node, leases, peering, alarm, send_failures })
+        let told = BTreeMap::new();
+        Ok(Peers { link, former, wanted_at, node, leases, peering, alarm, send_failures, told })
     }
 
     /// # Errors
@@ -218,10 +222,10 @@
         }
     }
 
-    /// Gives back what it holds, and says that it leaves; nothing is sent after.
+    /// Gives back what it holds and has told nobody of, and says that it leaves; nothing is sent after.
     pub fn leave(&mut self, now: Moment) {
         if let Some(leases) = &mut self.leases {
-            leases.leave();
+            leases.leave(|subject| self.told.get(subject).is_some_and(|until| *until > now));
         }
         self.send_leases(now);
         self.node.leave(now);
@@ -246,6 +250,7 @@
             Call::Release(subject) => match &mut self.leases {
                 Some(leases) => {
                     leases.release(subject.as_bytes());
+                    self.told.remove(subject.as_bytes());
                     Ok("released".into())
                 }
                 None => Err(NO_VOTERS.into()),
@@ -263,7 +268,12 @@
             return Err("too long, or too many leases wanted here".into());
         }
         match leases.state(subject.as_bytes(), now) {
-            State::Held(held) => Ok(format!("held {} {}", held.epoch, held.until.since(now).us() / 1_000)),
+            State::Held(held) => {
+                // Only what may still bind is kept: as many as may be wanted at once, at most.
+                self.told.retain(|_, until| *until > now);
+                self.told.insert(subject.as_bytes().to_vec(), held.until);
+                Ok(format!("held {} {}", held.epoch, held.until.since(now).us() / 1_000))
+            }
             State::Wanted(Some(Why::Held { by })) => Err(format!("held by {by}")),
             State::Wanted(Some(Why::Silent)) => Err("voters are silent after their start".into()),
             State::Wanted(Some(Why::Generation { here })) => Err(format!("voters go by generation {here}")),
