--- a/fleet/src/rig.rs
+++ b/fleet/src/rig.rs
@@ -2,17 +2,19 @@
 //! waited for until a stated condition holds, within a bound.
 use crate::clock::{Stopwatch, duration};
 use crate::link::Bend;
+use crate::model::{Cold, Make};
 use crate::net::{Cue, Net, Opened as OpenedNet};
-use crate::post::{Orders, PeersTerms, Post, Terms, free_address};
+use crate::post::{ListenerTerms, Orders, PeersTerms, Post, Terms, free_address};
 use crate::station::call;
 use crate::tape::{Reel, RelayNo, Sighting, Tape, tape};
 use crate::traffic::scattered;
 use crate::witness::{Witness, seen_here};
-use crate::yard::{Ground, Opened as OpenedYard, Yard};
+use crate::yard::{BoxPlan, Ground, Opened as OpenedYard, Yard};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
+use thistlecroft::deployment::Effect;
 use thistlecroft::units::Span;
 
 /// Between two looks at what is waited for.
@@ -32,6 +34,63 @@
     pub folder: PathBuf,
 }
 
+impl Plan {
+    /// One box and so many small relays of that program that may talk, of which the first so many vote.
+    pub fn small(
+        program: Vec<String>,
+        relays: usize,
+        voters: usize,
+        (period, lease): (Span, Span),
+        folder: PathBuf,
+    ) -> Plan {
+        let ms = Span::from_ms;
+        let cold = Cold {
+            start_share: 0.3,
+            warm_up: ms(9_000),
+            factor: 3.0,
+            window: ms(3_000),
+            turnover: ms(10_000),
+        };
+        let make = Make { capacity: 100.0, most: 100, setup: ms(2), group_fee: 0.0, cold };
+        let ground = Ground {
+            boxes: vec![BoxPlan { make, zone: "a".into(), cell: 0, present: true }],
+            relays,
+            notice: (ms(100), ms(200)),
+            store: None,
+            report_every: ms(500),
+            tells_load: false,
+            seed: 1,
+        };
+        let listener = ListenerTerms {
+            name: "view".into(),
+            wait: ms(2_000),
+            handshake_target: ms(500),
+            message_target: ms(60),
+            effect: Effect::Repeatable,
+            utility: 1.0,
+        };
+        let terms = Terms {
+            zones: vec!["a".into()],
+            listeners: vec![listener],
+            connect_time: ms(250),
+            most_dials: 3,
+            longest_retry_after: Some(ms(2_000)),
+            probes: true,
+            groups: false,
+            tells_load: false,
+            cold_start_share: 0.3,
+            warm_up: ms(9_000),
+            cold_factor: 3.0,
+            cold_window: ms(3_000),
+            memory_mb: 64,
+            sockets: 512,
+            two_dials: false,
+            peers: true,
+        };
+        Plan { program, terms, ground, period, lease, voters, seed: 7, folder }
+    }
+}
+
 /// Dropped, all its relays are killed.
 pub struct Rig {
     pub clock: Stopwatch,
--- a/lab/src/peers.rs
+++ b/lab/src/peers.rs
@@ -5,14 +5,10 @@
 use std::path::Path;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use thistlecroft::deployment::Effect;
 use thistlecroft::units::Span;
 use thistlecroft_fleet::link::Bend;
 use thistlecroft_fleet::mesh::{Host, Mesh};
-use thistlecroft_fleet::model::{Cold, Make};
-use thistlecroft_fleet::post::{ListenerTerms, Terms as RelayTerms};
 use thistlecroft_fleet::rig::{Plan, Rig};
-use thistlecroft_fleet::yard::{BoxPlan, Ground};
 use thistlecroft_peers::{Kind, Pace, Standing, Terms};
 
 /// One size, under one loss, by one seed.
@@ -117,50 +113,12 @@
 /// One line: what could not be set up.
 pub fn processes(trial: Trial, program: &[String], folder: &Path) -> Result<Found, String> {
     let Trial { size, loss, seed, period } = trial;
-    let ms = Span::from_ms;
     let pace = Pace { period };
-    let cold =
-        Cold { start_share: 0.3, warm_up: ms(9_000), factor: 3.0, window: ms(3_000), turnover: ms(10_000) };
-    let make = Make { capacity: 100.0, most: 100, setup: ms(2), group_fee: 0.0, cold };
-    let ground = Ground {
-        boxes: vec![BoxPlan { make, zone: "a".into(), cell: 0, present: true }],
-        relays: size,
-        notice: (ms(100), ms(200)),
-        store: None,
-        report_every: ms(500),
-        tells_load: false,
-        seed,
-    };
-    let listener = ListenerTerms {
-        name: "view".into(),
-        wait: ms(2_000),
-        handshake_target: ms(500),
-        message_target: ms(60),
-        effect: Effect::Repeatable,
-        utility: 1.0,
-    };
-    let terms = RelayTerms {
-        zones: vec!["a".into()],
-        listeners: vec![listener],
-        connect_time: ms(250),
-        most_dials: 3,
-        longest_retry_after: None,
-        probes: false,
-        groups: false,
-        tells_load: false,
-        cold_start_share: 0.3,
-        warm_up: ms(9_000),
-        cold_factor: 3.0,
-        cold_window: ms(3_000),
-        memory_mb: 64,
-        sockets: 512,
-        two_dials: false,
-        peers: true,
-    };
     let folder = folder.join(format!("peers-{size}"));
-    let (program, lease) = (program.to_vec(), ms(2_000));
-    let mut rig =
-        Rig::open(Plan { program, terms, ground, period, lease, voters: 3.min(size), seed, folder })?;
+    let lease = Span::from_ms(2_000);
+    let mut plan = Plan::small(program.to_vec(), size, 3.min(size), (period, lease), folder);
+    (plan.seed, plan.ground.seed, plan.terms.probes) = (seed, seed, false);
+    let mut rig = Rig::open(plan)?;
     let all: Vec<usize> = (0..size).collect();
     rig.start_all(&all)?;
     let count = |rig: &Rig, name: &str| -> u64 {
--- a/relay/tests/peers.rs
+++ b/relay/tests/peers.rs
@@ -2,15 +2,11 @@
 //! Bounds are the stated ones; what is waited for is a condition.
 use std::net::UdpSocket;
 use std::path::PathBuf;
-use thistlecroft::deployment::Effect;
 use thistlecroft::units::Span;
 use thistlecroft_fleet::link::Bend;
-use thistlecroft_fleet::model::{Cold, Make};
-use thistlecroft_fleet::post::{ListenerTerms, Terms};
 use thistlecroft_fleet::rig::{Plan, Rig};
 use thistlecroft_fleet::tape::Sighting;
 use thistlecroft_fleet::together::{Pact, judge_together};
-use thistlecroft_fleet::yard::{BoxPlan, Ground};
 use thistlecroft_peers::Pace;
 
 const PERIOD: Span = Span::from_ms(200);
@@ -28,58 +24,16 @@
     path
 }
 
-fn terms(peers: bool) -> Terms {
-    let ms = Span::from_ms;
-    let listener = ListenerTerms {
-        name: "view".into(),
-        wait: ms(2_000),
-        handshake_target: ms(500),
-        message_target: ms(60),
-        effect: Effect::Repeatable,
-        utility: 1.0,
-    };
-    Terms {
-        zones: vec!["a".into()],
-        listeners: vec![listener],
-        connect_time: ms(250),
-        most_dials: 3,
-        longest_retry_after: Some(ms(2_000)),
-        probes: true,
-        groups: false,
-        tells_load: false,
-        cold_start_share: 0.3,
-        warm_up: ms(9_000),
-        cold_factor: 3.0,
-        cold_window: ms(3_000),
-        memory_mb: 64,
-        sockets: 512,
-        two_dials: false,
-        peers,
-    }
-}
-
-fn rig_with(name: &str, relays: usize, voters: usize, terms: Terms) -> Rig {
-    let ms = Span::from_ms;
-    let cold =
-        Cold { start_share: 0.3, warm_up: ms(9_000), factor: 3.0, window: ms(3_000), turnover: ms(10_000) };
-    let make = Make { capacity: 100.0, most: 100, setup: ms(2), group_fee: 0.0, cold };
-    let ground = Ground {
-        boxes: vec![BoxPlan { make, zone: "a".into(), cell: 0, present: true }],
-        relays,
-        notice: (ms(100), ms(200)),
-        store: None,
-        report_every: ms(500),
-        tells_load: false,
-        seed: 1,
-    };
+fn rig_with(name: &str, relays: usize, voters: usize, peers: bool) -> Rig {
     let program = vec![env!("CARGO_BIN_EXE_thistlecroft-relay").to_string()];
-    let folder = folder(name);
-    Rig::open(Plan { program, terms, ground, period: PERIOD, lease: LEASE, voters, seed: 7, folder }).unwrap()
+    let mut plan = Plan::small(program, relays, voters, (PERIOD, LEASE), folder(name));
+    plan.terms.peers = peers;
+    Rig::open(plan).unwrap()
 }
 
 /// So many relays of which the first are started and see each other.
 fn rig(name: &str, relays: usize, started: usize) -> Rig {
-    let mut rig = rig_with(name, relays, 3, terms(true));
+    let mut rig = rig_with(name, relays, 3, true);
     let all: Vec<usize> = (0..started).collect();
     // At once, so that seeds are themselves starting.
     rig.start_all(&all).unwrap();
@@ -300,11 +254,11 @@
 
 #[test]
 fn where_it_may_not_or_can_not_be_it_ends_with_one_line() {
-    let mut rig = rig_with("refused", 2, 1, terms(false));
+    let mut rig = rig_with("refused", 2, 1, false);
     let fault = rig.start(0).unwrap_err();
     assert!(fault.contains("permissions.peers"), "{fault}");
     assert_eq!(rig.log(0).lines().count(), 1, "{}", rig.log(0));
-    let mut rig = rig_with("faults", 2, 1, terms(true));
+    let mut rig = rig_with("faults", 2, 1, true);
     let taken = UdpSocket::bind(rig.net.ways[0].own).unwrap();
     let fault = rig.start(0).unwrap_err();
     assert!(fault.contains("peers:") && fault.contains("in use"), "{fault}");
