A lease at the door is looked at by the clock, not by the turn's moment

A process stopped after the turn's moment was taken, and called meanwhile, would tell what was left before the stop, counted by the caller from an asking after it: past the lease. shared rule: each act is checked at the act. Ruled out for membership and voters: they count from what they heard, and an early moment only makes them wait longer or promise from the turn's start... the holder's end is counted from its asking in any case. Change: the relay's clock is read where the answer is worked out. Also an unused argument gone and a function named for what it does.

--- a/peers/src/node.rs
+++ b/peers/src/node.rs
@@ -395,7 +395,7 @@
                 self.send(at, Some(from), Body::NotMe { probe }, true, now);
             }
             Body::PingFor { probe, target, at: of } => self.errand(probe, target, of, from, at, now),
-            Body::Ack { probe } => self.acked(probe, from, now),
+            Body::Ack { probe } => self.acked(probe, now),
             Body::Nack { probe } => {
                 if let Some(own) = self.probe.as_mut().filter(|own| own.number == probe) {
                     own.nacks += 1;
@@ -452,7 +452,7 @@
         self.send(of, Some(&target), body, true, now);
     }
 
-    fn acked(&mut self, number: u32, from: &Identity, now: Moment) {
+    fn acked(&mut self, number: u32, now: Moment) {
         if let Some(errand) = self.errands.remove(&number) {
             let (at, probe) = (errand.at, errand.probe);
             self.send(at, Some(&errand.of), Body::Ack { probe }, true, now);
@@ -462,8 +462,7 @@
         let Some(probe) = self.probe.as_mut().filter(|probe| probe.number == number) else { return };
         if !probe.answered {
             probe.answered = true;
-            log_health(&mut self.health, -1);
-            let _ = from;
+            change_health(&mut self.health, -1);
         }
     }
 
@@ -505,7 +504,7 @@
         }
         self.incarnation = row.incarnation + 1;
         self.counts.refuted += 1;
-        log_health(&mut self.health, 1);
+        change_health(&mut self.health, 1);
         self.events.push(Event::Refuted { incarnation: self.incarnation });
         self.gossip.add(About::Member(self.me.clone()));
         self.next_gossip = now;
@@ -569,7 +568,7 @@
 
     fn stood_still(&mut self, late: Span, now: Moment) {
         self.events.push(Event::StoodStill { by: late });
-        log_health(&mut self.health, 1);
+        change_health(&mut self.health, 1);
         self.roll.put_off(late);
         self.probe = None;
         self.errands.clear();
@@ -646,7 +645,7 @@
         // Those who were asked and did not even say no: it may be this one that is not heard.
         let unsaid = probe.helpers.saturating_sub(probe.nacks);
         let step = if probe.helpers == 0 { 1 } else { unsaid as i32 };
-        log_health(&mut self.health, step);
+        change_health(&mut self.health, step);
         let Some(member) = self.roll.get(&probe.target) else { return };
         if member.standing > Standing::Suspected {
             return;
@@ -888,6 +887,6 @@
     ROW_COST + row.owner.name.len() + row.subject.len() + row.value.len()
 }
 
-fn log_health(health: &mut u32, by: i32) {
+fn change_health(health: &mut u32, by: i32) {
     *health = health.saturating_add_signed(by).min(SICKEST);
 }
--- a/relay/src/peers.rs
+++ b/relay/src/peers.rs
@@ -2,7 +2,7 @@
 //! one loop; a bounded number of datagrams in a turn.
 use crate::admin::Call;
 use crate::sockets::{Owner, Sockets, Watched};
-use crate::timers::Alarm;
+use crate::timers::{Alarm, Clock};
 use crate::works::Works;
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -36,6 +36,8 @@
     /// The next alarm that is set.
     alarm: Option<Moment>,
     send_failures: u64,
+    /// A lease is looked at by the moment of its saying: in a turn in which the process stood still the turn's own is too early.
+    clock: Clock,
     /// Until when somebody at the door was told that a lease is held here.
     told: BTreeMap<Vec<u8>, Moment>,
 }
@@ -64,8 +66,9 @@
         key: &[u8],
         beside: bool,
         sockets: &mut Sockets,
-        now: Moment,
+        clock: Clock,
     ) -> io::Result<Peers> {
+        let now = clock.now();
         let (link, advertise, wanted_at) = match Link::open(peering.listen, sockets) {
             Ok(link) => (link, peering.advertise, None),
             // Another process of this relay may have it; others learn where this one is.
@@ -93,7 +96,7 @@
         log::info!("peers: {me} of fleet {} at {advertise}", peering.fleet);
         let (peering, former, alarm, send_failures) = (peering.clone(), None, None, 0);
         let told = BTreeMap::new();
-        Ok(Peers { link, former, wanted_at, node, leases, peering, alarm, send_failures, told })
+        Ok(Peers { link, former, wanted_at, node, leases, peering, alarm, send_failures, clock, told })
     }
 
     /// # Errors
@@ -246,7 +249,7 @@
                 }
             }
             Call::Notes => Ok(self.notes(now).to_string()),
-            Call::Lease(subject) => self.lease(subject, now),
+            Call::Lease(subject) => self.lease(subject, self.clock.now()),
             Call::Release(subject) => match &mut self.leases {
                 Some(leases) => {
                     leases.release(subject.as_bytes());
--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -138,7 +138,7 @@
         let clients_sockets = posting.sockets - callers.as_ref().map_or(0, |_| callers::RESERVE);
         let peers = match posting.charter.peering {
             Some((peering, key)) => Some(
-                Peers::start(&posting.name, &peering, &key, passed, &mut sockets, now)
+                Peers::start(&posting.name, &peering, &key, passed, &mut sockets, clock)
                     .map_err(|fault| io::Error::other(format!("peers: {}: {fault}", peering.listen)))?,
             ),
             None => None,
--- a/relay/src/timers.rs
+++ b/relay/src/timers.rs
@@ -6,6 +6,7 @@
 
 /// Runs evenly from its start, so that a step of the system's clock moves no time limit; anchored once to
 /// Unix time, in which the list tells when backends started.
+#[derive(Clone, Copy)]
 pub struct Clock {
     started: Instant,
     anchor: Moment,
