A voter's promise is dated from after its asking was read

Found by reading; no run showed it. Change: Peers::turn reads the clock after the datagrams were read, and leases hear by that. Claims still count from the turn's moment, which is never after their sending.

--- a/relay/src/peers.rs
+++ b/relay/src/peers.rs
@@ -173,7 +173,9 @@
 
     /// What they have to say goes out, and the next alarm is set.
     fn turn(&mut self, works: &mut Works) {
-        let now = works.now;
+        // Read after what came was: a voter's promise dated from a turn in which the process stood still, for an asking that came
+        // meanwhile, would end before the holder's right does.
+        let now = self.clock.now();
         for event in self.node.take_events() {
             self.told(event, now);
         }
