Where nothing may be probed: room on no report, cold turns from what is held

On osorno 24% of the tries are refused here with no dial: reports come with ends alone, the first is a crowded backend's, and the unheard are guessed at its load for 30 s.

Change: with no report at all a warm backend can do at least what each holds now; a budget under one counts as one before thin traffic spreads it; where none may be asked one not heard of has room.

Both tests fail without the change (turns go round: 5 relays; refused on one report).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -543,8 +543,8 @@
         let Some(dial) = self.send(now, id, backend, front) else { return self.finish(id, None, front) };
         self.turn(id, State::Dialling(dial), front);
         // The one that loses has to be given up, which not every deployment allows.
-        let Deployment { two_dials, may_withdraw, .. } = self.deployment;
-        let allowed = two_dials && may_withdraw && row.effect == Effect::Repeatable;
+        let two = self.deployment.two_dials && self.deployment.may_withdraw;
+        let allowed = two && row.effect == Effect::Repeatable;
         if let Some(long) = self.lanes.long(&row).filter(|_| allowed && dial.number + 1 < row.max_dials) {
             self.plan(now + long, Errand::Second(id, dial.number), front);
         }
@@ -872,7 +872,6 @@
             able.retain(|&at| Some(at) != last);
         }
         let group = group.filter(|_| self.deployment.groups);
-        let crossing_is_free = self.deployment.crossing_price <= 0.0;
         let takes = group.map_or(0.0, |group| self.takes(group, pool));
         if let Some(group) = group {
             able.sort_by_cached_key(|&at| mixed(self.backends[&at].listing.mark, group));
@@ -888,10 +887,12 @@
             let opening = if pool.tells_share { OPENING } else { OPENING_COUNT };
             let opening = if held { 0.0 } else { opening };
             let (told, place) = (loads[place], place as f64);
-            let far = !crossing_is_free && backend.listing.zone != self.deployment.zone;
+            let far = self.deployment.crossing_price > 0.0 && backend.listing.zone != self.deployment.zone;
             let load = told + opening * place / (place + takes).max(1.0);
-            // An open turn at a cold backend is room, whatever is guessed of one not heard of.
-            let room = backend.report(now).is_none() && self.cold_turn(now, at).is_some();
+            // An open turn is room, whatever is guessed of one not heard of; so are all such where none may
+            // be asked: the few that told there failed or dropped somebody.
+            let asked = self.deployment.may_probe && self.cold_turn(now, at).is_none();
+            let room = backend.report(now).is_none() && !asked;
             // A backend driven past what it can do serves nobody, and clients it drops come back at once:
             // what finds no room anywhere is refused instead. Where little room is left a group gets no new
             // backend on a guess; but while the fleet has room, to refuse it would be one.
@@ -937,17 +938,15 @@
             count += report.connections.unwrap_or(0.0);
             tells_share |= report.load.is_some();
         }
+        let open: u32 = self.backends.values().map(|b| b.open).sum();
+        let held = f64::from(open * self.deployment.relays) / self.ready_ones().count() as f64;
         if heard == 0.0 {
-            return Pool { empty: true, cold, ..Pool::default() };
+            // Where nothing tells of loads a warm backend can do at least what each holds now.
+            return Pool { empty: true, counted: true, each: 1.0 / held, cold, ..Pool::default() };
         }
         let counted = count > 0.0;
-        if !counted {
-            let open: u32 = self.backends.values().map(|b| b.open).sum();
-            let ready = self.ready_ones().count() as f64;
-            count = f64::from(open) * f64::from(self.deployment.relays) * heard / ready.max(1.0);
-        }
-        // A relay that has just started holds few connections and would take each for a large part of a
-        // backend.
+        count = if counted { count } else { held * heard };
+        // A relay that has just started holds few and would take each for a large part of a backend.
         let each = load / f64::max(count, heard);
         let each = if tells_share { each.min(EACH_MOST) } else { each };
         let (load, mean, wanes) = (load / heard, weighted / heard, self.leave_rate(true));
@@ -991,7 +990,8 @@
         let budget = part * cold.factor * share * self.warm_rate(pool) * cold.window.secs();
         let relays = u64::from(self.deployment.relays);
         let spread = (pool.cold / self.lately.max(1.0)).clamp(1.0, SPREAD);
-        let (slots, each) = (((budget * spread) as u64).clamp(1, relays), (budget / relays as f64).max(1.0));
+        let slots = ((budget.max(1.0) * spread) as u64).clamp(1, relays);
+        let each = (budget / relays as f64).max(1.0);
         let place =
             (u64::from(self.deployment.me) + relays - (turn * slots + listing.mark) % relays) % relays;
         place < slots && f64::from(used) < each.floor() && !self.beside
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -345,8 +345,9 @@
 }
 
 /// Dials of all relays at one backend that has just started, as many sessions arriving everywhere as wanted.
-/// Before that each relay has held so many connections for that long, and one in ten has left by itself.
-fn cold_dials(relays: u32, held: u32, stood: Span) -> Vec<(u64, u32)> {
+/// Before that each relay has held so many connections for that long, and one in ten has left by itself. Backends may
+/// tell of such a load, or of none.
+fn cold_dials(relays: u32, held: u32, stood: Span, load: Option<f64>) -> Vec<(u64, u32)> {
     let mut sent = Vec::new();
     for me in 0..relays {
         let alone = Deployment { me, relays, groups: false, ..deployment(REPEATABLE) };
@@ -355,7 +356,9 @@
         bench.pass(stood);
         (0..held.div_ceil(10)).for_each(|id| bench.end(id, 0, Verdict::Ok, true));
         let each = f64::from(held * relays) / 4.0;
-        (0..4).for_each(|backend| bench.report(backend, Some(each), Some(0.05)));
+        if load.is_some() {
+            (0..4).for_each(|backend| bench.report(backend, Some(each), load));
+        }
         let start = bench.now;
         bench.relay.listed(ListScope::Changes, &[row(9, Standing::Ready, Some(start))]);
         for id in 0..500 {
@@ -368,6 +371,10 @@
             if bench.arrive(10_000 + id, arrival(0, 0, ms(4_800))).is_some_and(|(at, _)| at == 9) {
                 sent.push((bench.now.since(start).us(), me));
             }
+            if load.is_none() {
+                // What is held stays as it was.
+                bench.end(10_000 + id, 0, Verdict::Ok, true);
+            }
         }
     }
     sent.retain(|&(at, _)| at < 10_000_000);
@@ -381,21 +388,25 @@
     // what a backend takes, a window holds one for each turn that it overlaps.
     // Where connections leave faster than that, it takes none faster than fills it over its warm-up.
     let long = ms(10_000);
+    let told = Some(0.05);
     let cases = [
-        (1, 0, 1, long),
-        (3, 0, 1, long),
-        (2, 40, 2, long),
-        (2, 8, 2, ms(100)),
-        (200, 0, 1, long),
-        (200, 10, 200, long),
+        (1, 0, 1, long, told),
+        (3, 0, 1, long, told),
+        (2, 40, 2, long, told),
+        (2, 8, 2, ms(100), told),
+        (200, 0, 1, long, told),
+        (200, 10, 200, long, told),
+        // Where nothing tells of loads a warm one can do at least what each holds.
+        (200, 0, 1, long, None),
+        (200, 10, 200, long, None),
     ];
-    for (relays, held, sharing, stood) in cases {
-        let sent = cold_dials(relays, held, stood);
+    for (relays, held, sharing, stood, load) in cases {
+        let sent = cold_dials(relays, held, stood, load);
         assert!(!sent.is_empty(), "{relays} {held}: the backend is used at all");
         // One departure is taken as seen by each at first, in three warm-ups.
         let left = f64::from(held.div_ceil(10) + 1) / (f64::from(held) * stood.secs() + 30.0);
         let leave = if stood < ms(1_000) { 0.1 } else { left.min(0.1) };
-        let warm_rate = f64::from(held * relays) / 4.0 / 0.05 * leave;
+        let warm_rate = f64::from(held * relays) / 4.0 / load.unwrap_or(1.0) * leave;
         for &(from, _) in &sent {
             let window = sent.iter().filter(|(at, _)| (from..from + 2_000_000).contains(at)).count();
             let share = 0.25 + 0.75 * (from + 2_000_000) as f64 / 10_000_000.0;
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -193,6 +193,24 @@
     }
 }
 
+/// Where reports come with the ends of dials alone, those that told were the ones that failed somebody.
+#[test]
+fn what_a_few_tell_is_no_word_of_the_others_where_none_may_be_asked() {
+    // If backends may be asked, how many of ten have told of a high load, and if a session is placed, at one of the others.
+    for (may_probe, told, placed) in
+        [(true, 1, false), (true, 10, false), (false, 1, true), (false, 9, true), (false, 10, false)]
+    {
+        let mut bench =
+            Bench::new(Deployment { groups: false, may_probe, ..deployment(Effect::Repeatable) }, &rows(10));
+        (0..told).for_each(|at| bench.report(at, None, Some(0.95)));
+        for id in 0..20 {
+            let at = bench.arrive(id, arrival(0, 0, ms(4_800))).map(|(at, _)| at);
+            assert_eq!(at.is_some(), placed, "{may_probe} {told}");
+            assert!(at.is_none_or(|at| at >= told), "{may_probe} {told}: {at:?}");
+        }
+    }
+}
+
 #[test]
 fn the_next_process_knows_who_failed_how_often() {
     let mut before = settled();
