Lists may be indented; one that trickles or is cut off is no sign of life

And heard was set by any byte: a list that comes a byte at a time kept a watch alive that tells nothing.

Ruled out: the chunks (their sizes are passed over before), the longest text. A lower version without reset is left alone as before, with its test: what is in force stays, and a fresh watch asks from the version held.

Change: a list's end is told by its braces, outside of words; an empty line or a line end within a word within a list says that it was cut off, and what has come of one by a line's end is looked at by the parser. Only a whole list, an empty line or an answer's head counts as heard.

--- a/command/tests/command.rs
+++ b/command/tests/command.rs
@@ -318,7 +318,9 @@
     assert_eq!(child.wait().unwrap().code(), Some(1));
     // The address is taken: the last line is the plain one.
     assert!(lines.last().unwrap().starts_with("thistlecroft: "), "{lines:?}");
-    drop(listener);
+    // At an address of its own: a process that another test is just starting may hold the one above for a moment.
+    let free = thistlecroft_fleet::post::free_address(901).unwrap();
+    std::fs::write(&config, thistlecroft_fleet_text(&free.to_string())).unwrap();
     let (mut child, mut lines) =
         started(&["serve", "--log-format", "json", "--config", &config.to_string_lossy()]);
     let first = lines.next().unwrap().unwrap();
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -149,6 +149,61 @@
         .fold(0xcbf2_9ce4_8422_2325, |sum, &byte| (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
 }
 
+/// What has come of the lists' text. A list may stand on one line or be indented over many, so its end is told by its
+/// braces; between two there are empty lines, within one there is none.
+#[derive(Default)]
+struct Text {
+    bytes: Vec<u8>,
+    /// Looked at so far, and what was open there.
+    seen: usize,
+    depth: usize,
+    in_string: bool,
+    escaped: bool,
+    /// Only white space since the line began.
+    blank: bool,
+}
+
+impl Text {
+    /// Moves the lists that are whole to `lists`; true where one or an empty line came.
+    fn take_whole(&mut self, lists: &mut Vec<Vec<u8>>) -> Result<bool, String> {
+        let (mut came, mut start) = (false, 0);
+        while let Some(&byte) = self.bytes.get(self.seen) {
+            let was_blank = self.blank;
+            self.blank = byte == b'\n' || was_blank && byte.is_ascii_whitespace();
+            match byte {
+                b'\n' if self.in_string || self.depth > 0 && was_blank => return Err("a list cut off".into()),
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.in_string => self.escaped = true,
+                b'"' if self.depth > 0 => self.in_string = !self.in_string,
+                _ if self.in_string => {}
+                b'{' | b'[' if self.depth > 0 || byte == b'{' => self.depth += 1,
+                b'}' | b']' if self.depth > 0 => {
+                    self.depth -= 1;
+                    if self.depth == 0 {
+                        lists.push(self.bytes[start..=self.seen].to_vec());
+                        (came, start) = (true, self.seen + 1);
+                    }
+                }
+                _ if self.depth > 0 => {}
+                b'\n' => (came, start) = (true, self.seen + 1),
+                _ if byte.is_ascii_whitespace() => {}
+                _ => return Err("a bad list: text that is none".into()),
+            }
+            self.seen += 1;
+        }
+        self.bytes.drain(..start);
+        self.seen -= start;
+        // A list that was cut off and goes on with the next one would be waited for without end.
+        if self.depth > 0 && self.bytes.ends_with(b"\n") {
+            let begun = serde_json::from_slice::<serde::de::IgnoredAny>(&self.bytes);
+            if let Some(fault) = begun.err().filter(|fault| !fault.is_eof()) {
+                return Err(format!("a bad list: {fault}"));
+            }
+        }
+        Ok(came)
+    }
+}
+
 enum State {
     Resting,
     Connecting(Sock, Words),
@@ -170,7 +225,9 @@
     state: State,
     /// As it came from the socket, then as text without the chunks.
     raw: Vec<u8>,
-    text: Vec<u8>,
+    text: Text,
+    /// When a whole list, an empty line or an answer's head came last, else when it was begun: a line that trickles tells
+    /// nothing and would hide that all else has stopped.
     heard: Moment,
     /// Given up after so long without a word.
     patience: Span,
@@ -363,7 +420,7 @@
 
 impl Call {
     fn new(at: SocketAddr, patience: Span, now: Moment) -> Call {
-        let (raw, text) = (Vec::new(), Vec::new());
+        let (raw, text) = (Vec::new(), Text::default());
         let (heard, wake_at, pacing) = (now, now, Pacing::default());
         Call { at, state: State::Resting, raw, text, heard, patience, wake_at, pacing }
     }
@@ -377,7 +434,7 @@
 
     fn begin(&mut self, since: Option<u64>, works: &mut Works) -> std::io::Result<()> {
         self.raw.clear();
-        self.text.clear();
+        self.text = Text::default();
         self.heard = works.now;
         let mut words = Words::default();
         let since = since.map(|at| format!("&since={at}")).unwrap_or_default();
@@ -422,19 +479,18 @@
             }
             Err(fault) => return Err(Fault::new(How::TurnedAway, fault)),
         }
-        self.heard = works.now;
-        if matches!(self.state, State::Asked(_)) && !self.read_head()? {
-            return Ok(());
+        if matches!(self.state, State::Asked(_)) {
+            if !self.read_head()? {
+                return Ok(());
+            }
+            self.heard = works.now;
         }
         let cut = self.unchunk();
-        while let Some(at) = self.text.iter().position(|&byte| byte == b'\n') {
-            let line: Vec<u8> = self.text.drain(..=at).collect();
-            if !line.trim_ascii().is_empty() {
-                lines.push(line);
-            }
+        if self.text.take_whole(lines)? {
+            self.heard = works.now;
         }
-        if self.text.len() + self.raw.len() > LONGEST_TEXT {
-            return Err(Fault::new(How::TurnedAway, "a line without end"));
+        if self.text.bytes.len() + self.raw.len() > LONGEST_TEXT {
+            return Err(Fault::new(How::TurnedAway, "a list without end"));
         }
         Ok(cut?)
     }
@@ -467,7 +523,7 @@
     fn unchunk(&mut self) -> Result<(), String> {
         let State::Following(_, body) = &mut self.state else { return Ok(()) };
         let Body::Chunked(left) = body else {
-            self.text.append(&mut self.raw);
+            self.text.bytes.append(&mut self.raw);
             return Ok(());
         };
         let mut at = 0;
@@ -476,7 +532,7 @@
                 // The ending of a chunk's data, two bytes, is no part of the text.
                 let have = (self.raw.len() - at).min(*left);
                 let data = have.min(left.saturating_sub(2));
-                self.text.extend_from_slice(&self.raw[at..at + data]);
+                self.text.bytes.extend_from_slice(&self.raw[at..at + data]);
                 at += have;
                 *left -= have;
                 if *left > 0 {
--- a/relay/tests/helper/mod.rs
+++ b/relay/tests/helper/mod.rs
@@ -244,7 +244,14 @@
     probes: bool,
 ) -> Relay {
     let at = nobody();
-    let text = config(at, discovery, sockets, known, probes);
+    started_within(descriptors, at, config(at, discovery, sockets, known, probes))
+}
+
+pub fn started(at: SocketAddr, text: String) -> Relay {
+    started_within(1_000, at, text)
+}
+
+fn started_within(descriptors: usize, at: SocketAddr, text: String) -> Relay {
     let mut child = start_with(&text, descriptors);
     let (tell, log) = channel();
     let lines = BufReader::new(child.stderr.take().unwrap()).lines();
--- /dev/null
+++ b/relay/tests/moments.rs
@@ -0,0 +1,241 @@
+//! Rare moments: what comes between two lines of the code. Each order is made to happen, by waiting for a state that shows
+//! outside and acting then: the relay is one loop, so what comes while it is stopped is met in one turn.
+mod helper;
+
+use helper::*;
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+// ---- stand-ins that do a step only when told ----
+
+fn in_time<T>(what: &str, mut step: impl FnMut() -> Option<T>) -> T {
+    let until = Instant::now() + LONG;
+    loop {
+        if let Some(done) = step() {
+            return done;
+        }
+        assert!(Instant::now() < until, "in time: {what}");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+fn accepted(listener: &TcpListener) -> TcpStream {
+    listener.set_nonblocking(true).unwrap();
+    let stream = in_time("a connection", || listener.accept().ok()).0;
+    stream.set_nonblocking(false).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    stream
+}
+
+/// Nothing has come on it, its end neither.
+fn is_quiet(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    let quiet = matches!(stream.peek(&mut [0]), Err(fault) if fault.kind() == ErrorKind::WouldBlock);
+    stream.set_nonblocking(false).unwrap();
+    quiet
+}
+
+/// All that comes up to the end, or to the reset that it ends with.
+fn all_of(mut stream: &TcpStream) -> String {
+    let mut text = Vec::new();
+    match stream.read_to_end(&mut text) {
+        Err(fault) if fault.kind() != ErrorKind::ConnectionReset => panic!("no end came: {fault}"),
+        _ => String::from_utf8(text).unwrap(),
+    }
+}
+
+/// Ends with a reset in place of an end.
+fn breaks_off(stream: &TcpStream) {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+/// A backend at which connections come up late: its queue is full until somebody takes them in.
+struct Late {
+    listener: TcpListener,
+    at: SocketAddr,
+    fillers: Vec<TcpStream>,
+}
+
+impl Late {
+    fn new() -> Late {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let at = listener.local_addr().unwrap();
+        let connect = || TcpStream::connect_timeout(&at, Duration::from_millis(100)).ok();
+        let fillers: Vec<TcpStream> = std::iter::from_fn(connect).take(64).collect();
+        assert!((1..64).contains(&fillers.len()), "the queue fills");
+        Late { listener, at, fillers }
+    }
+
+    /// Takes all in that fill the queue, and then the one that waited.
+    fn comes_up(&mut self) -> TcpStream {
+        let ours: Vec<SocketAddr> = self.fillers.iter().map(|one| one.local_addr().unwrap()).collect();
+        loop {
+            let stream = accepted(&self.listener);
+            if !ours.contains(&stream.peer_addr().unwrap()) && is_quiet(&stream) {
+                return stream;
+            }
+        }
+    }
+}
+
+/// Discovery's agent, whose every step is the test's.
+struct Agent {
+    listener: TcpListener,
+    at: SocketAddr,
+}
+
+impl Agent {
+    fn new() -> Agent {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Agent { at: listener.local_addr().unwrap(), listener }
+    }
+
+    /// The next call, and what it asks for.
+    fn call(&self) -> (TcpStream, String) {
+        let stream = accepted(&self.listener);
+        let (mut lines, mut first, mut line) = (BufReader::new(&stream), String::new(), String::new());
+        lines.read_line(&mut first).unwrap();
+        while line != "\r\n" {
+            line.clear();
+            lines.read_line(&mut line).unwrap();
+        }
+        (stream, first)
+    }
+}
+
+fn says(mut stream: &TcpStream, text: &str) {
+    stream.write_all(text.as_bytes()).unwrap();
+}
+
+impl Relay {
+    /// Until it is seen to stand still.
+    fn stops(&self) {
+        self.signal("STOP");
+        let path = format!("/proc/{}/stat", self.child.id());
+        in_time("the stop", || {
+            let text = std::fs::read_to_string(&path).unwrap();
+            text.rsplit(')').next().unwrap().trim_start().starts_with('T').then_some(())
+        });
+    }
+
+    /// Until a counter has come so far.
+    fn counts(&self, name: &str, least: u32) {
+        in_time(name, || {
+            self.signal("USR1");
+            (counted(&self.logged(&format!(" {name}=")), name) >= least).then_some(())
+        });
+    }
+}
+
+/// With other settings: each pair is what stands in their text and what is to stand there.
+fn start_changed(discovery: SocketAddr, known: &str, changes: &[(&str, &str)]) -> Relay {
+    let at = nobody();
+    let mut text = config(at, discovery, 1_000, known, false);
+    for (from, to) in changes {
+        assert!(text.contains(from), "{from}");
+        text = text.replace(from, to);
+    }
+    started(at, text)
+}
+
+const LATE: (&str, &str) = ("\"dialTimeoutUs\": 250000", "\"dialTimeoutUs\": 4000000");
+const GRACE: (&str, &str) = ("\"askWithinUs\": 1", "\"askWithinUs\": 1, \"drainGraceUs\": 400000");
+const THREE: (&str, &str) = ("\"maxDials\": 1", "\"maxDials\": 3");
+
+// ---- clients ----
+
+// ---- drains ----
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Out {
+    /// The drain and the connection's coming up are met in one turn.
+    InOneTurn,
+    Listed,
+    /// A whole list does not name it.
+    Missing,
+    ByHand,
+}
+
+// ---- watches ----
+
+#[test]
+fn lists_may_be_indented_and_spoilt_ones_cost_their_call_alone() {
+    let (one, _met) = backend(Play::Echo);
+    let whole = list(7, true, &[("one", one, "Ready"), ("a \\\"{[\\\\", one, "Terminating")]);
+    let value: serde_json::Value = serde_json::from_str(&whole).unwrap();
+    let indented = serde_json::to_string_pretty(&value).unwrap();
+    let crossed = indented.replace('\n', "\r\n\t");
+    let plain_head = "HTTP/1.1 200 OK\r\n\r\n".to_string();
+    let cut = |at: &str| format!("{}\n", &whole[..whole.find(at).unwrap()]);
+    let good = |text: &str| (format!("{HEAD}{}", chunk(text)), true);
+    let bad = |text: String| (format!("{HEAD}{}{}", chunk(&text), chunk(&whole)), false);
+    let cases = [
+        ("on one line", good(&whole)),
+        ("indented", good(&indented)),
+        ("indented otherwise", good(&crossed)),
+        ("two in one piece", good(&format!("{indented}{whole}"))),
+        ("not in chunks", (format!("{plain_head}{crossed}"), true)),
+        ("cut off in a word", bad(cut("stanceId"))),
+        ("cut off between two words", bad(cut("\"hostPort"))),
+        ("cut off by an empty line", bad(format!("{{\"generation\":\n{}", "\n"))),
+        ("no list", bad("what".into())),
+        ("a list of another kind", bad("[7]".into())),
+        ("a row that can't be read", bad(whole.replace("Ready", "Steady"))),
+    ];
+    for (name, (text, taken)) in cases {
+        let agent = Agent::new();
+        let relay = start_changed(agent.at, "null", &[]);
+        let (watch, _) = agent.call();
+        // In pieces, so that each part of a list is met by itself as well.
+        for piece in text.as_bytes().chunks(97) {
+            if (&watch).write_all(piece).is_err() {
+                break;
+            }
+        }
+        if taken {
+            relay.counts("lists", 1);
+            assert_eq!(relay.open("safe", 1_000).hears(), "UP receipt", "{name}");
+        } else {
+            relay.counts("list_failures", 1);
+            let mut client = relay.open("safe", 1_000);
+            assert!(client.hears().starts_with("BUSY"), "{name}: nothing of it counts");
+            let (watch, _) = agent.call();
+            says(&watch, &format!("{HEAD}{}", chunk(&whole)));
+            relay.counts("lists", 1);
+        }
+    }
+}
+
+#[test]
+fn a_list_that_trickles_without_end_is_no_sign_of_life() {
+    let (agent, (one, _met)) = (Agent::new(), backend(Play::Echo));
+    let relay = start_changed(agent.at, "null", &[]);
+    let (watch, _) = agent.call();
+    says(&watch, &format!("{HEAD}{}", chunk(&list(7, true, &[("one", one, "Ready")]))));
+    relay.counts("lists", 1);
+    // A byte at a time, of a list that never ends: given up like a silent one.
+    let out = watch.try_clone().unwrap();
+    let trickle = std::thread::spawn(move || {
+        let until = Instant::now() + LONG;
+        let mut bytes = "{\"generation\":8,\"instances\":[".chars().chain(std::iter::repeat(' '));
+        while Instant::now() < until {
+            let byte = bytes.next().unwrap();
+            if (&out).write_all(format!("1\r\n{byte}\r\n").as_bytes()).is_err() {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    });
+    let (again, line) = agent.call();
+    assert!(line.contains("since=7 "), "{line}");
+    drop(watch);
+    assert!(trickle.join().unwrap(), "the trickling watch was closed");
+    drop(again);
+}
