A good watch that breaks is asked for within the grace; a hanging call has one beside it

Change: a good watch that breaks is called for after 25 to 50 ms, once in two seconds; while a call hangs without an answer for a quarter of the grace another is made beside it, again each time, and the first that is answered is the watch; pauses where nobody is there last a quarter of the grace at most. The cost: one call at 62 ms with a grace of 250 ms, one in half a second with 2 s, to the relay's own agent, during outages only.

Tests: the call that hangs is still open when the next two come, either may be answered first, and one watch is left; a reset watch is called for in 600 ms (1.24 s before) and one that breaks as often as it is answered is not.

--- a/facts/src/lib.rs
+++ b/facts/src/lib.rs
@@ -10,6 +10,8 @@
 // most so much.
 const LONGEST_WAIT_AT_STOP: Span = Span::from_ms(3_000);
 const AFTER_WAIT_AT_STOP: Span = Span::from_ms(700);
+/// Where the settings give a drain no grace; longer than that of any deployment so far.
+const GRACE: Span = Span::from_ms(3_200);
 
 /// What the fields of a load report that are read are called, by the settings or by backends; the first that
 /// is told counts.
@@ -36,6 +38,8 @@
     pub waits: Vec<Span>,
     /// Connections without work are closed by backends after this.
     pub idle: Span,
+    /// After a drain was told nothing new may go there from so long on.
+    pub grace: Span,
     /// Relays may talk with one another.
     pub peers: bool,
     /// What backends note of a connection is not its load but the milliseconds that its messages take.
@@ -70,6 +74,7 @@
                 }
             }
         }
+        both.grace = self.grace.min(later.grace);
         both.deployment.two_dials &= self.deployment.two_dials;
         both.deployment.ration = match (self.deployment.ration, later.deployment.ration) {
             (Some(before), Some(after)) => Some(Ration {
@@ -160,6 +165,7 @@
 struct Invariants {
     ask_within_us: u64,
     cold_us: u64,
+    drain_grace_us: Option<u64>,
     fall_us: u64,
     overload_factor: f64,
     start_capacity: f64,
@@ -312,9 +318,20 @@
     let waits = facts.listeners.iter().map(|row| Span::from_us(row.deadline_us)).collect();
     let listeners = facts.listeners.into_iter().map(|row| row.name).collect();
     let idle = Span::from_us(facts.permissions.conn_idle_us);
+    let grace = rules.drain_grace_us.map_or(GRACE, Span::from_us);
     let notes_tell_delay = facts.extra.tells_delay && !facts.extra.tells_load;
     let peers = facts.permissions.peers;
-    Ok(Site { deployment, places, zones: facts.zones, listeners, waits, idle, peers, notes_tell_delay })
+    Ok(Site {
+        deployment,
+        places,
+        zones: facts.zones,
+        listeners,
+        waits,
+        idle,
+        grace,
+        peers,
+        notes_tell_delay,
+    })
 }
 
 fn effect_of(row: &ListenerFacts) -> Effect {
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -19,6 +19,12 @@
 const SILENCE: Span = Span::from_ms(2_500);
 /// A new address has less: its list counts as told four seconds after the signal, and it answers at once.
 const SILENCE_OF_NEXT: Span = Span::from_ms(800);
+/// A good watch that broke is asked for anew at once, but no more often than this.
+const QUICK_EVERY: Span = Span::from_ms(2_000);
+/// An agent that is there answers at once. A call that it has not answered after this part of a drain's grace may hang
+/// from the time when it was away, and what it has by now counts as told: another is made beside it.
+const UNANSWERED: f64 = 0.25;
+const UNANSWERED_LEAST: Span = Span::from_ms(20);
 /// Against a line that never ends: thousands of backends fit in less.
 const LONGEST_TEXT: usize = 16 << 20;
 
@@ -276,14 +282,33 @@
     next: Option<Call>,
     /// As the current discovery counts; another one's versions may be lower.
     generation: Option<u64>,
+    /// Until when a good watch that breaks has to wait like any call.
+    quick_again: Moment,
+    grace: Span,
     chance: Chance,
     pub book: Book,
 }
 
 impl Watch {
-    pub fn new(at: SocketAddr, seed: u64, book: Book, now: Moment) -> Watch {
+    pub fn new(at: SocketAddr, seed: u64, book: Book, grace: Span, now: Moment) -> Watch {
         let chance = Chance::from_seed(seed ^ 0x64_6973_636f);
-        Watch { current: Call::new(at, SILENCE, now), next: None, generation: None, chance, book }
+        let (current, quick_again) = (Call::new(at, SILENCE, now), now);
+        Watch { current, next: None, generation: None, quick_again, grace, chance, book }
+    }
+
+    /// Another grace for drains, as later settings have it.
+    pub fn resettle(&mut self, grace: Span) {
+        self.grace = grace;
+    }
+
+    /// An answer is due within this.
+    fn answer_due(&self) -> Span {
+        (self.grace * UNANSWERED).max(UNANSWERED_LEAST)
+    }
+
+    /// The next call is a second one to the same address, beside one that hangs.
+    fn is_beside(&self) -> bool {
+        self.next.as_ref().is_some_and(|next| next.at == self.current.at)
     }
 
     /// The list as it was last had: it may be old, so the first watch asks for the whole.
@@ -306,7 +331,7 @@
 
     /// Discovery is at this address from now on.
     pub fn move_to(&mut self, at: SocketAddr, works: &mut Works) {
-        if self.next.as_ref().is_some_and(|next| next.at == at) {
+        if self.next.as_ref().is_some_and(|next| next.at == at) && !self.is_beside() {
             return;
         }
         self.next = None;
@@ -326,22 +351,34 @@
     }
 
     fn begin(&mut self, which: Which, works: &mut Works) {
-        let since = self.generation.filter(|_| which == Which::Current);
+        let since = self.held(which);
+        let due = self.answer_due();
         let call = self.call(which);
         if matches!(call.state, State::Resting)
-            && let Err(fault) = call.begin(since, works)
+            && let Err(fault) = call.begin(since, due, works)
         {
             self.fail(which, works, Fault::new(How::Absent, fault));
         }
     }
 
+    /// The version that such a call goes on from.
+    fn held(&self, which: Which) -> Option<u64> {
+        self.generation.filter(|_| which == Which::Current || self.is_beside())
+    }
+
     /// The last list stays in force. Only here is it decided when the next call is made: two clocks that each began one
     /// asked a busy discovery twice as often.
     fn fail(&mut self, which: Which, works: &mut Works, Fault { how, why }: Fault) {
         let mut pacing = self.call(which).pacing;
         // Told once: while discovery is down every attempt ends here.
-        let level = if pacing.is_first() { log::Level::Warn } else { log::Level::Debug };
-        let wait = pacing.pause(how, &mut self.chance);
+        let once = which == Which::Current || !self.is_beside();
+        let level = if pacing.is_first() && once { log::Level::Warn } else { log::Level::Debug };
+        let good = matches!(self.call(which).state, State::Following(..)) && how != How::Absent;
+        let quick = good && works.now >= self.quick_again;
+        if quick {
+            self.quick_again = works.now + QUICK_EVERY;
+        }
+        let wait = pacing.pause(if quick { How::Lost } else { how }, self.answer_due(), &mut self.chance);
         let call = self.call(which);
         log::log!(level, "discovery at {}: {why}; the last list stays", call.at);
         call.state = State::Resting;
@@ -367,6 +404,17 @@
                 _ => call.wake(call.heard + call.patience, works),
             }
         }
+        self.call_beside(works);
+    }
+
+    /// While the one call hangs unanswered another is made, and again: the first that is answered is the watch.
+    fn call_beside(&mut self, works: &mut Works) {
+        let hangs = matches!(self.current.state, State::Connecting(..) | State::Asked(_));
+        let due = self.answer_due();
+        if self.next.is_none() && hangs && works.now.since(self.current.heard) >= due {
+            self.next = Some(Call::new(self.current.at, due, works.now));
+            self.begin(Which::Next, works);
+        }
     }
 
     pub fn event(&mut self, key: usize, works: &mut Works) {
@@ -377,6 +425,14 @@
         }
         let mut lines = Vec::new();
         let mut done = self.call(which).event(&mut lines, works);
+        if self.is_beside() && matches!(self.call(which).state, State::Following(..)) {
+            // Of two calls to the same the one that is answered goes on.
+            if let (Which::Next, Some(next)) = (which, self.next.take()) {
+                self.current = Call { patience: SILENCE, ..next };
+                which = Which::Current;
+                self.current.wake(works.now + SILENCE, works);
+            }
+        }
         // What came before a fault counts.
         for line in lines {
             match self.take_line(which, &line, works) {
@@ -396,7 +452,7 @@
     /// True where it made the next conversation the current one.
     fn take_line(&mut self, which: Which, line: &[u8], works: &mut Works) -> Result<bool, String> {
         let list: ListText = serde_json::from_slice(line).map_err(|fault| format!("a bad list: {fault}"))?;
-        let held = self.generation.filter(|_| which == Which::Current);
+        let held = self.held(which);
         if !list.reset && held.is_some_and(|held| list.generation <= held) {
             return Ok(false);
         }
@@ -432,7 +488,8 @@
         }
     }
 
-    fn begin(&mut self, since: Option<u64>, works: &mut Works) -> std::io::Result<()> {
+    /// Looked at when its answer is due, and when all patience with it is over.
+    fn begin(&mut self, since: Option<u64>, due: Span, works: &mut Works) -> std::io::Result<()> {
         self.raw.clear();
         self.text = Text::default();
         self.heard = works.now;
@@ -445,7 +502,7 @@
         let mut sock = works.sockets.connect(Owner::Watch, self.at)?;
         sock.want(true, true);
         self.state = State::Connecting(sock, words);
-        self.wake(works.now + self.patience, works);
+        self.wake(works.now + self.patience.min(due), works);
         Ok(())
     }
 
--- a/relay/src/pacing.rs
+++ b/relay/src/pacing.rs
@@ -16,6 +16,8 @@
     Absent,
     /// It answered with something else than a list, or broke off what it had taken on.
     TurnedAway,
+    /// A watch that had been good broke.
+    Lost,
 }
 
 /// The failures in a row of one address.
@@ -36,13 +38,14 @@
         self.absent == 0 && self.turned_away == 0
     }
 
-    /// The span to the next call: nearly even while nobody is there, full jitter over a doubling one where it has no time.
-    pub fn pause(&mut self, how: How, chance: &mut Chance) -> Span {
+    /// The span to the next call: nearly even while nobody is there, and then no longer than `most`, since what the agent
+    /// has at its return counts as told; full jitter over a doubling one where it has no time.
+    pub fn pause(&mut self, how: How, most: Span, chance: &mut Chance) -> Span {
         let double =
             |first: Span, count: u32, longest: Span| (first * f64::from(1u32 << count.min(16))).min(longest);
         match how {
             How::Absent => {
-                let pause = double(FIRST_PAUSE, self.absent, LONGEST_PAUSE);
+                let pause = double(FIRST_PAUSE, self.absent, LONGEST_PAUSE).min(most);
                 self.absent = self.absent.saturating_add(1);
                 pause * (0.5 + 0.5 * chance.float())
             }
@@ -51,6 +54,8 @@
                 self.turned_away = self.turned_away.saturating_add(1);
                 spread * chance.float()
             }
+            // It may well be there still, and have told of a drain since: once, before it counts as without time.
+            How::Lost => FIRST_PAUSE.min(most) * (0.5 + 0.5 * chance.float()),
         }
     }
 }
@@ -86,8 +91,9 @@
     fn a_fleet_that_lost_its_watches_gets_them_back() {
         for (relays, a_second) in [(2, 1.0), (100, 20.0), (1_000, 200.0)] {
             let mut each = vec![Pacing::default(); relays as usize];
-            let (back, calls) =
-                play(relays, a_second, &mut |id, chance| each[id].pause(How::TurnedAway, chance));
+            let (back, calls) = play(relays, a_second, &mut |id, chance| {
+                each[id].pause(How::TurnedAway, LONGEST_PAUSE, chance)
+            });
             assert!(back * 10 >= relays as usize * 9, "{relays}: {back} back");
             assert!(u64::from(calls) <= relays * 5, "{relays}: {calls} calls");
         }
@@ -109,11 +115,14 @@
                 assert!(pacing.is_first());
                 let mut bound = first;
                 for _ in 0..70 {
-                    let pause = pacing.pause(how, &mut chance);
+                    let pause = pacing.pause(how, LONGEST_PAUSE, &mut chance);
                     assert!(pause >= bound * least && pause <= bound, "{how:?}: {pause:?} of {bound:?}");
                     bound = (bound * 2.0).min(longest);
                 }
                 assert!(!pacing.is_first());
+                // However long nobody was there, not longer than the caller can bear.
+                let short = Span::from_ms(60);
+                assert!(pacing.pause(How::Absent, short, &mut chance) <= short);
                 pacing.listed();
             }
         }
--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -148,7 +148,7 @@
         let (alarms, news, counters) = (Alarms::default(), VecDeque::new(), Counters::default());
         let mut works = Works { now, sockets, pool, alarms, news, counters, starved: VecDeque::new() };
         let book = Book::new(site.zones.clone(), site.places);
-        let mut watch = Watch::new(posting.discovery, posting.seed, book, now);
+        let mut watch = Watch::new(posting.discovery, posting.seed, book, site.grace, now);
         if let Some(known) = &posting.known {
             match watch.know(known) {
                 Ok(news) => works.news.push_back(news),
@@ -569,6 +569,7 @@
         let deployment = Deployment { routes, zone, ..site.deployment.clone() };
         self.watch.book.read_by(site.places);
         self.probes.resettle(deployment.connect_timeout, site.idle);
+        self.watch.resettle(site.grace);
         self.stop_within = deployment.stop_within;
         self.works.news.push_back(News::Resettled(Box::new(deployment)));
         self.sessions.reroute(names(&site), routing);
--- a/relay/tests/moments.rs
+++ b/relay/tests/moments.rs
@@ -164,6 +164,66 @@
 
 // ---- watches ----
 
+#[test]
+fn a_call_that_hangs_unanswered_does_not_keep_the_relay_from_what_the_agent_has() {
+    let agent = Agent::new();
+    let (one, _met) = backend(Play::Echo);
+    let (two, two_met) = backend(Play::Echo);
+    let relay = start_changed(agent.at, "null", &[GRACE]);
+    let (watch, _) = agent.call();
+    says(&watch, &format!("{HEAD}{}", chunk(&list(7, true, &[("one", one, "Ready")]))));
+    relay.counts("lists", 1);
+    // It goes away: the watch breaks, and a call hangs.
+    breaks_off(&watch);
+    drop(watch);
+    let (hanging, line) = agent.call();
+    assert!(line.contains("since=7 "), "{line}");
+    let mut beside = Vec::new();
+    for _ in 0..2 {
+        beside.push(agent.call());
+        assert!(beside.iter().all(|(_, line)| line.contains("since=7 ")), "{beside:?}");
+    }
+    assert!(is_quiet(&hanging), "the one that hangs is not given up for it");
+    // Back again, it answers whoever calls now.
+    let (back, _) = beside.pop().unwrap();
+    let rows = [("one", one, "Terminating"), ("two", two, "Ready")];
+    says(&back, &format!("{HEAD}{}", chunk(&list(8, false, &rows))));
+    relay.counts("lists", 2);
+    assert_eq!(all_of(&hanging), "", "one watch is left");
+    let mut client = relay.open("safe", 1_000);
+    assert_eq!(client.hears(), "UP receipt");
+    assert!(next(&two_met).starts_with("OPEN"));
+    // And the hanging one may be the first that is answered.
+    breaks_off(&back);
+    drop(back);
+    let (hanging, _) = agent.call();
+    let (beside, _) = agent.call();
+    says(&hanging, &format!("{HEAD}{}", chunk(&list(9, false, &rows))));
+    relay.counts("lists", 3);
+    assert_eq!(all_of(&beside), "", "one watch is left");
+}
+
+#[test]
+fn a_good_watch_that_breaks_is_asked_for_again_within_a_drains_grace() {
+    let (agent, (one, _met)) = (Agent::new(), backend(Play::Echo));
+    let relay = start_changed(agent.at, "null", &[]);
+    let (watch, _) = agent.call();
+    says(&watch, &format!("{HEAD}{}", chunk(&list(7, true, &[("one", one, "Ready")]))));
+    relay.counts("lists", 1);
+    let broken = Instant::now();
+    breaks_off(&watch);
+    drop(watch);
+    let (watch, _) = agent.call();
+    assert!(broken.elapsed() < Duration::from_millis(600), "{:?}", broken.elapsed());
+    // One that breaks as often as it is answered is called no faster than any that has no time.
+    says(&watch, &format!("{HEAD}{}", chunk("")));
+    breaks_off(&watch);
+    drop(watch);
+    relay.counts("list_failures", 2);
+    agent.listener.set_nonblocking(true).unwrap();
+    assert!(agent.listener.accept().is_err(), "asked again at once");
+}
+
 #[test]
 fn lists_may_be_indented_and_spoilt_ones_cost_their_call_alone() {
     let (one, _met) = backend(Play::Echo);
