A client is looked at before the first byte of its dial leaves, whatever buffers there are

Seen: a dial that comes up in the turn in which its client's end is met wrote its line first (Sessions::dial_event, Dial::advance), whatever time had passed since the client left: the poller tells of sockets in the order in which they became ready. And a waiting client was read into a buffer of the pool: with none left its end was not read at all (Session::client_event, Flow::take, Session::settle).

Ruled out: back-off and waits between dials (Left is handed in before the alarm's Woken in one turn, a session that is over is passed over in Relay::dial); an end behind bytes (any byte of a waiting client ends it); a reset (read as a fault).

Change: one look at the client before the first byte of a dial, one system call a dial; waiting clients are read a byte at a time without a buffer.

Tests: a backend whose queue is full, so that the dial comes up when the test takes it in; the relay stopped meanwhile; the client's end by FIN and by RST, before and after.

--- a/relay/src/backends.rs
+++ b/relay/src/backends.rs
@@ -77,6 +77,15 @@
         Fault { reach, cause }
     }
 
+    /// Nothing of its line has left: given up now it has never been.
+    pub fn is_unsent(&self) -> bool {
+        match self.stage {
+            Stage::Connecting => true,
+            Stage::Sending => !self.line.is_begun(),
+            Stage::Waiting | Stage::Standing => false,
+        }
+    }
+
     /// Goes on with coming up and sending.
     pub fn advance(&mut self) -> Result<(), Fault> {
         if self.stage == Stage::Connecting {
--- a/relay/src/clients.rs
+++ b/relay/src/clients.rs
@@ -777,7 +777,9 @@
         }
         let passing = matches!(self.stage, Stage::Standing | Stage::Leaving);
         let to_client = passing && self.down.waits() || self.words.waits();
-        self.client.want(self.up.has_room() && !self.starved, to_client);
+        // While it waits nothing of its is kept, so that no lack of buffers can hide that it leaves.
+        let reads = self.is_waiting() || !self.starved;
+        self.client.want(self.up.has_room() && reads, to_client);
         if let Some(dial) = &mut self.dial {
             let to_backend = match dial.stage {
                 DialStage::Connecting | DialStage::Sending => true,
@@ -849,6 +851,7 @@
         match self.stage {
             Stage::Parted => return self.drop_rest(works),
             Stage::Handing => return Goes,
+            Stage::Placing | Stage::Inheriting => return self.look_at_client(works),
             _ => {}
         }
         if self.up.has_room() {
@@ -872,17 +875,34 @@
         self.pass_down(works)
     }
 
-    fn client_bytes(&mut self, terms: &mut Terms, book: &Book, works: &mut Works) -> Fate {
-        match self.stage {
-            Stage::Opening => self.first_lines(terms, book, works),
-            // The client was to wait. Passed on once it is up, another command would have the backend close,
-            // and kept, sixty megabytes would have no end.
-            Stage::Placing | Stage::Inheriting => {
+    fn is_waiting(&self) -> bool {
+        matches!(self.stage, Stage::Placing | Stage::Inheriting)
+    }
+
+    /// A client that was to wait: it may have left, or says what it should not. Passed on once it is up, another command
+    /// would have the backend close, and kept, sixty megabytes would have no end.
+    fn look_at_client(&mut self, works: &mut Works) -> Fate {
+        match self.client.read(&mut [0]) {
+            Ok(0) => {
+                self.up.ended = true;
+                self.client_end(works)
+            }
+            Ok(_) => {
                 self.client_left(works);
                 self.bad_line("more than one line before the answer", works)
             }
+            Err(fault) if matches!(fault.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
+                self.pass_down(works)
+            }
+            Err(_) => self.client_broke(works),
+        }
+    }
+
+    fn client_bytes(&mut self, terms: &mut Terms, book: &Book, works: &mut Works) -> Fate {
+        match self.stage {
+            Stage::Opening => self.first_lines(terms, book, works),
             Stage::Standing => self.client_lines(works),
-            Stage::Handing => Goes,
+            Stage::Placing | Stage::Inheriting | Stage::Handing => Goes,
             Stage::Leaving | Stage::Parted => {
                 self.up.clear(&mut works.pool);
                 Goes
@@ -1258,6 +1278,13 @@
     }
 
     fn dial_event(&mut self, terms: &Terms, works: &mut Works) -> Fate {
+        if self.is_waiting() && self.dial.as_ref().is_some_and(Dial::is_unsent) {
+            // Its client may have left in this very turn, or long before a late one; then nothing is sent on.
+            let fate = self.look_at_client(works);
+            if fate == Over || !self.is_waiting() {
+                return fate;
+            }
+        }
         let Some(dial) = self.dial.as_mut().filter(|_| self.stage != Stage::Handing) else { return Goes };
         if let Err(fault) = dial.advance() {
             return self.dial_ended(fault, works);
--- a/relay/src/lines.rs
+++ b/relay/src/lines.rs
@@ -180,6 +180,11 @@
         self.written < self.text.len()
     }
 
+    /// Some of it has been written.
+    pub fn is_begun(&self) -> bool {
+        self.written > 0
+    }
+
     /// One write; true once nothing waits.
     pub fn give(&mut self, to: &mut impl Write) -> Result<bool> {
         if self.waits() {
--- a/relay/tests/moments.rs
+++ b/relay/tests/moments.rs
@@ -150,6 +150,61 @@
 
 // ---- clients ----
 
+#[test]
+fn a_client_that_left_while_its_dial_came_up_is_not_sent_on() {
+    // Its end, and if that comes before the dial is up or just after, all in one turn.
+    for (reset, after) in [(false, true), (true, true), (false, false), (true, false)] {
+        let mut late = Late::new();
+        let known = list(1, true, &[("late", late.at, "Ready")]);
+        let relay = start_changed(nobody(), &known, &[LATE]);
+        let client = relay.open("once", 7_000);
+        relay.counts("dials", 1);
+        relay.stops();
+        let leave = |client: Client| {
+            if reset {
+                breaks_off(client.lines.get_ref());
+            }
+            drop(client);
+        };
+        let mut client = Some(client);
+        if !after {
+            client.take().map(leave);
+        }
+        let dial = late.comes_up();
+        client.take().map(leave);
+        relay.signal("CONT");
+        assert_eq!(all_of(&dial), "", "reset {reset}, after {after}");
+        relay.counts("dials_never_sent", 1);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_is_seen_to_though_no_buffer_is_left() {
+    let agent = Agent::new();
+    let ((echo, _echo_met), (mute, mute_met)) = (backend(Play::Echo), backend(Play::Mute));
+    let relay = start_changed(agent.at, "null", &[("\"memory_mb\":64", "\"memory_mb\":8")]);
+    let (watch, _) = agent.call();
+    says(&watch, &format!("{HEAD}{}", chunk(&list(1, true, &[("echo", echo, "Ready")]))));
+    relay.counts("lists", 1);
+    // Each that stands and has said half a line holds a buffer for as long as it likes.
+    let mut holding = Vec::new();
+    for _ in 0..300 {
+        let mut client = relay.open("safe", 7_000);
+        assert_eq!(client.hears(), "UP receipt");
+        holding.push(client);
+    }
+    let rows = [("echo", echo, "Terminating"), ("mute", mute, "Ready")];
+    says(&watch, &chunk(&list(2, false, &rows)));
+    relay.counts("lists", 2);
+    let client = relay.open("safe", 7_000);
+    while !next(&mute_met).starts_with("OPEN") {}
+    holding.iter_mut().for_each(|client| client.say("half a line"));
+    relay.counts("starved", 1);
+    client.ends_sending();
+    relay.counts("clients_left", 1);
+    relay.counts("dials_withdrawn", 1);
+}
+
 // ---- drains ----
 
 #[derive(Clone, Copy, Debug, PartialEq)]
