A dial that has sent nothing does not go to a backend that drains or was taken out since

In one turn a dial that came up was met before the list that says the backend drains.

Ruled out: retries and second copies (picked at their own moment), probes (no work), connections from before the start (they go where they were).

Change: the book keeps which backends are out by the last list or by hand; when a list or a ban has been handed in, dials there that have sent nothing end as never sent and the decisions place them anew; the same is looked at before the first byte; in a turn the list's events are met before dials'.

Tests: a connection that comes up late while the drain is told by a list, by a whole list that lacks the backend, by hand, and in the very turn in which it comes up, with the relay stopped meanwhile: no byte reaches the backend, and a once-only session stands at another.

--- a/relay/src/clients.rs
+++ b/relay/src/clients.rs
@@ -386,12 +386,33 @@
         });
     }
 
-    pub fn dial_event(&mut self, id: u32, key: usize, works: &mut Works) {
+    pub fn dial_event(&mut self, id: u32, key: usize, book: &Book, works: &mut Works) {
         self.step(id, works, |session, terms, works| {
-            if session.lead(|dial| dial.sock.is(key)) { session.dial_event(terms, works) } else { Goes }
+            if session.lead(|dial| dial.sock.is(key)) { session.dial_event(terms, book, works) } else { Goes }
         });
     }
 
+    /// A list or an operator has taken backends out: what is on its way there and has sent nothing yet ends, since it could
+    /// come up after the grace. Asked once the turn's own dials are under way.
+    pub fn recall(&mut self, book: &Book, works: &mut Works) {
+        let there = |dial: &Dial| dial.is_unsent() && book.is_out(dial.backend);
+        let any = |session: &Session| {
+            let other = session.other.as_ref().map(|other| &other.dial);
+            session.stage == Stage::Placing && session.dial.iter().chain(other).any(there)
+        };
+        let ids: Vec<u32> = self.map.iter().filter(|(_, session)| any(session)).map(|(&id, _)| id).collect();
+        for id in ids {
+            self.step(id, works, |session, _, works| {
+                let mut fate = Goes;
+                while fate == Goes && session.lead(there) {
+                    let fault = session.dial.as_ref().map(|dial| dial.failed(Cause::Withdrawn));
+                    fate = fault.map_or(Over, |fault| session.dial_ended(fault, works));
+                }
+                fate
+            });
+        }
+    }
+
     pub fn dial_alarm(&mut self, id: u32, serial: u32, works: &mut Works) {
         self.step(id, works, |session, _, works| {
             let late = session.lead(|dial| dial.serial == serial && dial.overdue(works.now));
@@ -1277,13 +1298,19 @@
         works.news.push_back(News::Ended(self.session_id(), ending));
     }
 
-    fn dial_event(&mut self, terms: &Terms, works: &mut Works) -> Fate {
+    fn dial_event(&mut self, terms: &Terms, book: &Book, works: &mut Works) -> Fate {
         if self.is_waiting() && self.dial.as_ref().is_some_and(Dial::is_unsent) {
             // Its client may have left in this very turn, or long before a late one; then nothing is sent on.
             let fate = self.look_at_client(works);
             if fate == Over || !self.is_waiting() {
                 return fate;
             }
+            if let Some(dial) = self.dial.as_ref().filter(|dial| book.is_out(dial.backend))
+                && self.stage == Stage::Placing
+            {
+                let fault = dial.failed(Cause::Withdrawn);
+                return self.dial_ended(fault, works);
+            }
         }
         let Some(dial) = self.dial.as_mut().filter(|_| self.stage != Stage::Handing) else { return Goes };
         if let Err(fault) = dial.advance() {
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -55,13 +55,38 @@
     names: Vec<String>,
     /// None where no list has named it yet.
     addresses: Vec<Option<SocketAddr>>,
+    /// Told as draining or gone by the last list that spoke of it, and taken out by hand.
+    leaving: Vec<bool>,
+    banned: Vec<bool>,
     zones: Vec<String>,
     places: ReportPlaces,
 }
 
 impl Book {
     pub fn new(zones: Vec<String>, places: ReportPlaces) -> Book {
-        Book { by_name: HashMap::new(), names: Vec::new(), addresses: Vec::new(), zones, places }
+        let (names, addresses, leaving, banned) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        Book { by_name: HashMap::new(), names, addresses, leaving, banned, zones, places }
+    }
+
+    /// Nothing new may go there.
+    pub fn is_out(&self, id: BackendId) -> bool {
+        self.leaving[id.index()] || self.banned[id.index()]
+    }
+
+    pub fn ban(&mut self, id: BackendId, out: bool) {
+        self.banned[id.index()] = out;
+    }
+
+    /// A whole list: what it does not name is gone.
+    fn only(&mut self, rows: &[Listing]) {
+        self.leaving.fill(true);
+        self.note(rows);
+    }
+
+    fn note(&mut self, rows: &[Listing]) {
+        for row in rows {
+            self.leaving[row.backend.index()] = row.standing != Standing::Ready;
+        }
     }
 
     pub fn address(&self, id: BackendId) -> Option<SocketAddr> {
@@ -88,6 +113,8 @@
         let backend = *self.by_name.entry(name.to_string()).or_insert(next);
         if backend == next {
             self.addresses.push(None);
+            self.leaving.push(false);
+            self.banned.push(false);
             self.names.push(name.to_string());
         }
         backend
@@ -313,7 +340,9 @@
 
     /// The list as it was last had: it may be old, so the first watch asks for the whole.
     pub fn know(&mut self, known: &ListText) -> Result<News, String> {
-        Ok(News::Listed(ListScope::Cached, self.book.listings(&known.instances)?))
+        let rows = self.book.listings(&known.instances)?;
+        self.book.only(&rows);
+        Ok(News::Listed(ListScope::Cached, rows))
     }
 
     /// Discovery has told a list, or one was known at start.
@@ -457,6 +486,11 @@
             return Ok(false);
         }
         let rows = self.book.listings(&list.instances).map_err(|fault| format!("a bad list: {fault}"))?;
+        if list.reset {
+            self.book.only(&rows)
+        } else {
+            self.book.note(&rows)
+        }
         let moved = self.next.take_if(|_| which == Which::Next);
         let has_moved = moved.is_some();
         if let Some(next) = moved {
--- a/relay/src/hand.rs
+++ b/relay/src/hand.rs
@@ -44,7 +44,9 @@
         if shelf.refresh() {
             let later = shelf.bans().out.clone();
             for id in self.out.symmetric_difference(&later) {
-                works.news.push_back(News::Banned(book.enter(id), later.contains(id)));
+                let (backend, out) = (book.enter(id), later.contains(id));
+                book.ban(backend, out);
+                works.news.push_back(News::Banned(backend, out));
             }
             log::info!("bans of another process taken over: {} out", later.len());
             self.out = later;
@@ -120,6 +122,7 @@
         let changed = if out { self.out.insert(id.to_string()) } else { self.out.remove(id) };
         if changed {
             log::info!("{id} is {} by hand", if out { "out" } else { "back" });
+            book.ban(backend, out);
             works.news.push_back(News::Banned(backend, out));
         }
         let done = match (out, changed) {
--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -250,11 +250,8 @@
                 _ => {}
             }
             self.works.now = self.clock.now();
-            // Operators first, so that they are answered whatever the load.
-            for operators in [true, false] {
-                let ours =
-                    |event: &Event| matches!(owner_of(event.key), Some(Owner::Admin | Owner::Caller(_)));
-                for event in events.iter().filter(|event| ours(event) == operators) {
+            for place in 0..PLACES {
+                for event in events.iter().filter(|event| place_of(event.key) == place) {
                     self.guarded(|service| service.event(event.key));
                 }
             }
@@ -304,7 +301,7 @@
                 self.hand.callers.iter_mut().for_each(|callers| callers.event(id, key, works));
             }
             Some(Owner::Client(id)) => self.sessions.client_event(id, key, &self.watch.book, works),
-            Some(Owner::Dial(id)) => self.sessions.dial_event(id, key, works),
+            Some(Owner::Dial(id)) => self.sessions.dial_event(id, key, &self.watch.book, works),
             Some(Owner::Probe(id)) => self.probes.event(BackendId(id), key, works),
             None => {}
         }
@@ -592,9 +589,10 @@
         let now = self.works.now;
         let readiness = self.readiness();
         let answers = self.hand.answers(readiness, &mut self.peers, &mut self.watch.book, &mut self.works);
-        let mut failed = Vec::new();
+        let (mut failed, mut taken_out) = (Vec::new(), false);
         while let Some(news) = self.works.news.pop_front() {
             trace::news(&news, &self.watch.book);
+            taken_out |= matches!(news, News::Listed(..) | News::Banned(_, true));
             let mut desk = Desk { orders: &mut self.orders, alarms: &mut self.works.alarms };
             if let Err(about) = hand_in(&mut self.relay, news, now, &mut desk) {
                 self.works.counters.panics += 1;
@@ -619,12 +617,27 @@
                 Order::Subscribe => self.watch.open(works),
             }
         }
+        if taken_out {
+            self.sessions.recall(&self.watch.book, works);
+        }
         for id in failed {
             self.sessions.give_up(id, works);
         }
     }
 }
 
+/// When in its turn an event is met: operators first, so that they are answered whatever the load; then what the agent
+/// tells, before a dial that came up in the same turn goes where nothing new may go.
+fn place_of(key: usize) -> usize {
+    match owner_of(key) {
+        Some(Owner::Admin | Owner::Caller(_)) => 0,
+        Some(Owner::Watch) => 1,
+        _ => 2,
+    }
+}
+
+const PLACES: usize = 3;
+
 impl Succession {
     fn begin(folder: &Path, relay: &str, sockets: &mut Sockets) -> Succession {
         // Found before this one takes its place.
--- a/relay/tests/moments.rs
+++ b/relay/tests/moments.rs
@@ -217,6 +217,50 @@
     ByHand,
 }
 
+#[test]
+fn a_dial_that_has_sent_nothing_does_not_go_where_nothing_new_may_go() {
+    for out in [Out::InOneTurn, Out::Listed, Out::Missing, Out::ByHand] {
+        let (mut late, agent) = (Late::new(), Agent::new());
+        let (two, two_met) = backend(Play::Echo);
+        let door = nobody();
+        let with_door = format!("\"name\":\"r0\",\"admin_addr\":\"{door}\"");
+        let relay = start_changed(agent.at, "null", &[LATE, THREE, ("\"name\":\"r0\"", &with_door)]);
+        let (watch, _) = agent.call();
+        says(&watch, &format!("{HEAD}{}", chunk(&list(1, true, &[("late", late.at, "Ready")]))));
+        relay.counts("lists", 1);
+        let mut client = relay.open("once", 9_000);
+        relay.counts("dials", 1);
+        let rows = [("two", two, "Ready"), ("late", late.at, "Terminating")];
+        let mut dial = None;
+        match out {
+            Out::InOneTurn => {
+                relay.stops();
+                dial = Some(late.comes_up());
+                says(&watch, &chunk(&list(2, false, &rows)));
+                relay.signal("CONT");
+            }
+            Out::Listed => says(&watch, &chunk(&list(2, false, &rows))),
+            Out::Missing => says(&watch, &chunk(&list(2, true, &rows[..1]))),
+            Out::ByHand => {
+                says(&watch, &chunk(&list(2, false, &rows[..1])));
+                relay.counts("lists", 2);
+                let operator = TcpStream::connect(door).unwrap();
+                operator.set_read_timeout(Some(LONG)).unwrap();
+                says(&operator, "DISABLE late\r\n");
+                let mut answer = String::new();
+                BufReader::new(&operator).read_line(&mut answer).unwrap();
+                assert!(answer.starts_with("200"), "{answer}");
+            }
+        }
+        // Never sent there, so also one that may not be repeated goes elsewhere.
+        assert_eq!(client.hears(), "UP receipt", "{out:?}");
+        assert!(next(&two_met).starts_with("OPEN"));
+        if let Some(dial) = dial {
+            assert_eq!(all_of(&dial), "", "{out:?}");
+        }
+    }
+}
+
 // ---- watches ----
 
 #[test]
