A probe whose kept connection was closed in that moment is asked on a new one

Seen in reading: Probes::ask uses the kept connection, Probes::event takes its end for a failure of the backend (News::Probed with Reset, a strike; two eject).

Ruled out: sessions (each has a connection of its own, none is used again); a kept connection that ends while idle (no verdict before either).

Change: with not a byte of an answer on a connection that had answered before, the probe is asked anew on a new one; that one's end counts. It is one more call only where the first did not get there.

--- a/relay/src/backends.rs
+++ b/relay/src/backends.rs
@@ -129,6 +129,8 @@
     answer: Flow,
     serial: u32,
     asked: Moment,
+    /// It had answered before it was asked this.
+    again: bool,
 }
 
 pub struct Probes {
@@ -158,6 +160,7 @@
             }
             probe.words.add(protocol::ASK_LOAD);
             (probe.serial, probe.asked, probe.state) = (serial, works.now, ProbeState::Asking);
+            probe.again = true;
             probe.sock.want(true, true);
         } else {
             let Some(address) = address else { return };
@@ -171,13 +174,13 @@
             let mut words = Words::default();
             words.add(protocol::ASK_LOAD);
             let (state, answer, asked) = (ProbeState::Connecting, Flow::default(), works.now);
-            self.open.insert(id, Probe { sock, state, words, answer, serial, asked });
+            self.open.insert(id, Probe { sock, state, words, answer, serial, asked, again: false });
         }
         works.counters.probes += 1;
         works.alarms.set(works.now + self.within, Alarm::Probe(id, serial));
     }
 
-    pub fn event(&mut self, id: BackendId, key: usize, works: &mut Works) {
+    pub fn event(&mut self, id: BackendId, key: usize, address: Option<SocketAddr>, works: &mut Works) {
         let Some(probe) = self.open.get_mut(&id).filter(|probe| probe.sock.is(key)) else { return };
         match probe.go_on(works) {
             Ok(None) => {}
@@ -190,6 +193,11 @@
                 }
                 works.news.push_back(News::Probed(id, verdict, report));
             }
+            Err(Verdict::Reset) if probe.again && !probe.answer.has_bytes() => {
+                // Closed as idle in the moment in which it was used again: that tells nothing of its backend.
+                self.open.remove(&id);
+                self.ask(id, address, works);
+            }
             Err(verdict) => self.end(id, verdict, works),
         }
     }
--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -302,7 +302,10 @@
             }
             Some(Owner::Client(id)) => self.sessions.client_event(id, key, &self.watch.book, works),
             Some(Owner::Dial(id)) => self.sessions.dial_event(id, key, &self.watch.book, works),
-            Some(Owner::Probe(id)) => self.probes.event(BackendId(id), key, works),
+            Some(Owner::Probe(id)) => {
+                let address = self.watch.book.address(BackendId(id));
+                self.probes.event(BackendId(id), key, address, works);
+            }
             None => {}
         }
     }
