A new process waits for its agent's answer before it takes clients; told to stop, it takes them

Seen in reading: what the agent has counts as told from the first moment of a new process. Service::open_door took clients at once where no other process was beside it, and placed them by the list known at start, which may be old: a backend in it may have drained for long. The answer comes some milliseconds later.

Ruled out: waiting as long as beside another process (1.5 s): most of a fleet may be restarted while discovery is down.

Change: the door opens with the first list, or when the first call has failed, or after a quarter of the drains' grace (62 ms with 250 ms, half a second with 2 s) for an agent that is silent. Told to stop before that it opens at once: those on their way would otherwise be reset with the queue.

Ends: SIGTERM twice, before any list, in the grace of settings read again, and in the turn in which a whole first line is met, each with a hanging backend under a once-only session and half a line whose rest comes after: each has its one answer, what stands is moved, the end is a success within the longest wait and 0.7 s.

--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -328,8 +328,13 @@
         self.grace = grace;
     }
 
+    /// A call has come to nothing: the agent is not there.
+    pub fn has_failed(&self) -> bool {
+        !self.current.pacing.is_first()
+    }
+
     /// An answer is due within this.
-    fn answer_due(&self) -> Span {
+    pub fn answer_due(&self) -> Span {
         (self.grace * UNANSWERED).max(UNANSWERED_LEAST)
     }
 
--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -197,7 +197,7 @@
             sockets: posting.sockets,
             bound: posting.charter.bound,
         };
-        for span in [LIST_KNOWN, LIST_LACKING] {
+        for span in [service.watch.answer_due(), LIST_KNOWN, LIST_LACKING] {
             service.works.alarms.set(now + span, Alarm::Opening);
         }
         service.open_door();
@@ -205,7 +205,8 @@
         Ok(service)
     }
 
-    /// Takes clients as soon as they can be served. Without a process beside it there is nobody else to serve them.
+    /// Takes clients as soon as they can be served. Without a process beside it there is nobody else to serve them; but what
+    /// the agent has counts as told from the first moment, so that its answer is waited for, if it has one.
     fn open_door(&mut self) {
         let since = self.works.now.since(self.started);
         let can = match self.watch.listed() {
@@ -214,7 +215,8 @@
             Listed::Nothing => since >= LIST_LACKING,
         };
         let beside = self.succession.elder.is_some();
-        if self.stopping.is_none() && !self.sessions.takes_clients() && (can || !beside) {
+        let can = can || !beside && (self.watch.has_failed() || since >= self.watch.answer_due());
+        if self.stopping.is_none() && !self.sessions.takes_clients() && can {
             self.sessions.open_door();
             if self.passed {
                 log::info!("takes clients");
@@ -363,6 +365,9 @@
             if self.passed {
                 self.sessions.shut_door();
                 self.leave();
+            } else {
+                // Those on their way may come before the first list; nobody else would answer them.
+                self.sessions.open_door();
             }
             self.works.alarms.set(self.works.now + ACCEPT_ON, Alarm::Stop);
             self.works.alarms.set(self.works.now + (self.stop_within - STOP_MARGIN), Alarm::Stop);
--- a/relay/tests/moments.rs
+++ b/relay/tests/moments.rs
@@ -292,6 +292,92 @@
     relay.counts("probes_failed", 1);
 }
 
+// ---- starts and ends ----
+
+#[test]
+fn a_new_process_sends_nothing_by_an_old_list_before_its_agent_has_answered() {
+    let agent = Agent::new();
+    let ((old, old_met), (new, new_met)) = (backend(Play::Echo), backend(Play::Echo));
+    let known = list(1, true, &[("old", old, "Ready")]);
+    // Long enough for any machine; an agent that says nothing at all is not waited for any longer.
+    let grace = ("\"askWithinUs\": 1", "\"askWithinUs\": 1, \"drainGraceUs\": 40000000");
+    let relay = start_changed(agent.at, &known, &[grace]);
+    let (watch, _) = agent.call();
+    let mut client = relay.open("safe", 9_000);
+    // The loop has turned since the line was there.
+    for _ in 0..3 {
+        relay.signal("USR1");
+        relay.logged(" connections=");
+    }
+    let rows = [("old", old, "Terminating"), ("new", new, "Ready")];
+    says(&watch, &format!("{HEAD}{}", chunk(&list(2, true, &rows))));
+    assert_eq!(client.hears(), "UP receipt");
+    assert!(next(&new_met).starts_with("OPEN"));
+    assert!(old_met.try_iter().next().is_none(), "nothing came to the one that drains");
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Told {
+    /// It is told to stop, and again.
+    Twice,
+    /// Before its agent has told a list, and no backend is known.
+    BeforeAnyList,
+    /// While settings read a moment ago do not hold yet.
+    AfterSettings,
+    /// In the turn in which a whole first line is met.
+    InOneTurn,
+}
+
+#[test]
+fn told_to_stop_at_a_bad_moment_all_are_answered_and_it_ends_well_in_time() {
+    for told in [Told::Twice, Told::BeforeAnyList, Told::AfterSettings, Told::InOneTurn] {
+        let agent = Agent::new();
+        let ((echo, _met), (mute, mute_met)) = (backend(Play::Echo), backend(Play::Mute));
+        let known = list(1, true, &[("mute", mute, "Ready")]);
+        let lists = told != Told::BeforeAnyList;
+        let mut relay = start_changed(agent.at, if lists { &known } else { "null" }, &[GRACE]);
+        let (watch, _) = agent.call();
+        // One whose backend hangs, one with half a line.
+        let mut hangs = relay.open("once", 1_500);
+        let mut half = relay.client();
+        half.say("OPEN 00000000000000aa 7f3a9c2");
+        if lists {
+            while !next(&mute_met).starts_with("OPEN") {}
+            let rows = [("mute", mute, "Terminating"), ("echo", echo, "Ready")];
+            says(&watch, &format!("{HEAD}{}", chunk(&list(2, true, &rows))));
+            relay.counts("lists", 1);
+        }
+        let mut inside = (told == Told::AfterSettings).then(|| relay.open("safe", 1_500));
+        inside.iter_mut().for_each(|client| assert_eq!(client.hears(), "UP receipt"));
+        if told == Told::AfterSettings {
+            relay.told("\"maxDials\": 1", "\"maxDials\": 2");
+        }
+        let began = Instant::now();
+        relay.stops();
+        let mut late = relay.open("safe", 1_500);
+        relay.signal("TERM");
+        relay.signal("CONT");
+        relay.logged("told to stop");
+        if told == Told::Twice {
+            relay.signal("TERM");
+        }
+        half.say("1e0b4d655 c=safe,d=1500\r\n");
+        let up = if lists { "UP" } else { "BUSY" };
+        for client in [&mut half, &mut late] {
+            assert_eq!(client.hears().split(' ').next(), Some(up), "{told:?}");
+        }
+        // A dial that may have run is not refused; one never sent is.
+        let answer = hangs.hears();
+        assert!(answer.starts_with(if lists { "ERR" } else { "BUSY" }), "{told:?}: {answer}");
+        for client in inside.iter_mut().chain(lists.then_some([&mut half, &mut late]).into_iter().flatten()) {
+            assert_eq!([client.hears(), client.hears()], ["MOVE", "end"], "{told:?}");
+        }
+        drop((inside, half, late, hangs));
+        assert!(end_of(&mut relay.child).success(), "{told:?}");
+        assert!(began.elapsed() < Duration::from_millis(2_200), "{told:?}: {:?}", began.elapsed());
+    }
+}
+
 // ---- watches ----
 
 #[test]
