A referenced session is sent again only where it can still leave within its window

A dial past the window may take effect twice.

Ruled out: the first dial's side (counted from its decision, so early); once-only sessions (no further dial at all); second copies (repeatable ones alone).

Change: the time that a connection may take counts, at planning and again at the act.

Test: an alarm in time, one after the window, one so late that the connection could come up after it, and a window too short for the wait; the answer is given at once where no dial is. Fails before (two dials at an alarm six seconds late).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -537,13 +537,14 @@
             return self.refuse(now, id, front);
         };
         let (row, first) = (self.sessions[&id].row.clone(), self.sessions[&id].dials == 0);
-        if !first && !self.lanes.pay(now, &row, Extra::Further) {
+        // Its alarm may have come late, and it may leave as late as its connection may come up.
+        let past = !self.allowed(&self.sessions[&id], |_, span, at| now + row.connect_timeout < at + span);
+        if past || !first && !self.lanes.pay(now, &row, Extra::Further) {
             return self.refuse(now, id, front);
         }
         let Some(dial) = self.send(now, id, backend, front) else { return self.finish(id, None, front) };
         self.turn(id, State::Dialling(dial), front);
-        // The one that loses has to be given up, which not every deployment allows.
-        let two = self.deployment.two_dials && self.deployment.may_withdraw;
+        let two = self.deployment.two_dials && self.deployment.may_withdraw; // the one that loses is given up
         let allowed = two && row.effect == Effect::Repeatable;
         if let Some(long) = self.lanes.long(&row).filter(|_| allowed && dial.number + 1 < row.max_dials) {
             self.plan(now + long, Errand::Second(id, dial.number), front);
@@ -601,7 +602,7 @@
         let (session, row) = (&self.sessions[&id], self.sessions[&id].row.clone());
         let room = row.connect_timeout + self.deployment.tick * 2.0;
         let in_time = now + wait + room < self.due(session) && session.dials < row.max_dials;
-        let repeat_known = self.allowed(session, |_, window, at| now + wait < at + window);
+        let repeat_known = self.allowed(session, |_, window, at| now + wait + room < at + window);
         if in_time && repeat_known && self.is_granted(now, id) {
             self.lanes.promise(&row, true);
             self.turn(id, State::Held, front);
@@ -692,11 +693,10 @@
 
     fn heard(&mut self, now: Moment, id: BackendId, report: Report) {
         let told = report.connections.or(report.load).is_some();
-        let shortest = self.deployment.shortest_target;
         let Some(backend) = self.backends.get_mut(&id).filter(|_| told) else { return };
         backend.sight.heard = Some((now, report));
         // A report may be older than the lateness; one that is not and tells of room is not true.
-        let late = backend.late_for(shortest * NOTED, now);
+        let late = backend.late_for(self.deployment.shortest_target * NOTED, now);
         if late && backend.late_since.is_some_and(|at| now.since(at) > REPORT_LAG * 2.0) {
             backend.untrue = report.load.is_some_and(|load| load < HOT);
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -3,7 +3,7 @@
 
 use helper::{Asked, Bench, arrival, deployment, ms, row, rows, with_row};
 use std::collections::BTreeSet;
-use thistlecroft::deployment::{Deployment, Effect, Scope};
+use thistlecroft::deployment::{Deployment, Effect, Route, Scope};
 use thistlecroft::front::{ListScope, Listing, Standing, Verdict};
 use thistlecroft::ids::{BackendId, SessionId};
 use thistlecroft::units::{Moment, Span};
@@ -88,6 +88,32 @@
     assert_eq!((bench.dials(1).len(), bench.answers(1)), (1, vec![Asked::TearDown(1)]));
 }
 
+#[test]
+fn a_referenced_session_leaves_again_within_its_window_however_late_its_alarm_or_connection() {
+    // The window, the time that a connection may take to come up, when the wait's alarm comes, and the dials.
+    let cases = [
+        (5_000, 50, 0, 2),
+        // Its alarm comes when the window is over, or nearly.
+        (5_000, 50, 6_000, 1),
+        (5_000, 400, 4_700, 1),
+        // It could come up after the window.
+        (1_300, 400, 0, 1),
+    ];
+    for (window, connect, stalled, dials) in cases {
+        let effect = Effect::Referenced { scope: Scope::All, window: ms(window) };
+        let change = |row: &mut Route| (row.connect_timeout, row.base) = (ms(connect), ms(100));
+        let mut bench = Bench::new(with_row(change, deployment(effect)), &rows(8));
+        bench.arrive(1, arrival(1, 0, ms(20_000)));
+        bench.pass(ms(1_000));
+        bench.end(1, 0, Verdict::Timeout, false);
+        // As where the process stood still: nothing is woken meanwhile.
+        bench.now = bench.now + ms(stalled);
+        bench.pass(ms(1_000));
+        assert_eq!(bench.dials(1).len(), dials, "{window} {connect} {stalled}");
+        assert_eq!(bench.answers(1).len(), 2 - dials, "{window} {connect} {stalled}");
+    }
+}
+
 #[test]
 fn every_session_is_answered_once_and_in_time() {
     // Dial timeout, and the verdict that meets each dial once its time is up.
