A dial met after its time to come up or its deadline sends nothing

Seen in reading: in a turn the poller's events are met before the alarms, so a dial that came up while the loop was kept (a process that stood still, a long turn) wrote its line although its alarm, met behind it, would have ended it: after the time the settings give, the window of a referenced session, or its client's deadline.

Ruled out: alarms first (an answer that came in time would be thrown away: an answer in the turn of its time-out counts).

Change: Session::dial_event looks at the dial's time before its first byte; it ends as never sent, which blames no backend.

Test: the relay stopped while its dial comes up, on again after the time to come up: no byte, and a once-only session is refused. Without the change the line is sent.

--- a/relay/src/clients.rs
+++ b/relay/src/clients.rs
@@ -1305,7 +1305,9 @@
             if fate == Over || !self.is_waiting() {
                 return fate;
             }
-            if let Some(dial) = self.dial.as_ref().filter(|dial| book.is_out(dial.backend))
+            // As late as this only where the loop itself was kept: its alarm is met behind it in this turn.
+            let stale = |dial: &&Dial| book.is_out(dial.backend) || dial.overdue(works.now);
+            if let Some(dial) = self.dial.as_ref().filter(stale)
                 && self.stage == Stage::Placing
             {
                 let fault = dial.failed(Cause::Withdrawn);
--- a/relay/tests/moments.rs
+++ b/relay/tests/moments.rs
@@ -205,6 +205,24 @@
     relay.counts("dials_withdrawn", 1);
 }
 
+#[test]
+fn a_dial_that_came_up_in_time_is_not_sent_when_the_loop_meets_it_too_late() {
+    let mut late = Late::new();
+    let known = list(1, true, &[("late", late.at, "Ready")]);
+    let limit = ("\"dialTimeoutUs\": 250000", "\"dialTimeoutUs\": 1500000");
+    let relay = start_changed(nobody(), &known, &[limit]);
+    let mut client = relay.open("once", 7_000);
+    relay.counts("dials", 1);
+    let began = Instant::now();
+    relay.stops();
+    let dial = late.comes_up();
+    in_time("the time to come up is over", || (began.elapsed() > Duration::from_millis(1_600)).then_some(()));
+    relay.signal("CONT");
+    assert_eq!(all_of(&dial), "");
+    // Never sent, so nothing is said against trying again, for a once-only session neither.
+    assert!(client.hears().starts_with("BUSY"));
+}
+
 // ---- drains ----
 
 #[derive(Clone, Copy, Debug, PartialEq)]
