Signals are caught before any file is read; a process told to stop at once ends well

Seen in reading: the handlers were set in Service::start, after the configuration and the charter had been read. SIGTERM or SIGHUP before that met the system's default, which ends the process by the signal: a crash to whoever counts.

Change: Signals::caught comes first in serve; Service::start takes them.

Test: the configuration is a pipe, so that the signal comes while it is read; the end is a success. With the handlers set after the reading it is signal 15.

--- a/relay/src/service.rs
+++ b/relay/src/service.rs
@@ -114,10 +114,21 @@
 const COUNT_BYTE: usize = 1;
 const REREAD_BYTE: usize = 2;
 
+/// The signals that are answered, each with the end of a pipe that turns readable.
+pub struct Signals([UnixStream; 3]);
+
+impl Signals {
+    /// First of all, before any file is read: until they are caught the system's default for each of them ends the process.
+    ///
+    /// # Errors
+    /// The system refuses a pipe or a handler.
+    pub fn caught() -> io::Result<Signals> {
+        Ok(Signals([signal_pipe(&[SIGTERM, SIGINT])?, signal_pipe(&[SIGUSR1])?, signal_pipe(&[SIGHUP])?]))
+    }
+}
+
 impl Service {
-    pub fn start(posting: Posting) -> io::Result<Service> {
-        // First of all: until they are caught the system's default for each of them ends the process.
-        let signals = [signal_pipe(&[SIGTERM, SIGINT])?, signal_pipe(&[SIGUSR1])?, signal_pipe(&[SIGHUP])?];
+    pub fn start(posting: Posting, Signals(signals): Signals) -> io::Result<Service> {
         let clock = Clock::start();
         let now = clock.now();
         let poller = Rc::new(Poller::new()?);
--- a/relay/tests/moments.rs
+++ b/relay/tests/moments.rs
@@ -334,6 +334,26 @@
     assert!(old_met.try_iter().next().is_none(), "nothing came to the one that drains");
 }
 
+#[test]
+fn told_to_stop_while_its_configuration_is_read_it_ends_well() {
+    // The file is a pipe: the one who writes has it open once the program reads.
+    let path = std::env::temp_dir().join(format!("thistlecroft-{}-pipe.json", std::process::id()));
+    let made = std::process::Command::new("mkfifo").arg(&path).status().unwrap();
+    assert!(made.success());
+    let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_thistlecroft-relay"))
+        .env("ROUTER_CONFIG", &path)
+        .spawn()
+        .unwrap();
+    let mut file = std::fs::OpenOptions::new().write(true).open(&path).unwrap();
+    let kill = std::process::Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+    assert!(kill.unwrap().success());
+    let _ = file.write_all(config(nobody(), nobody(), 1_000, "null", false).as_bytes());
+    drop(file);
+    let end = end_of(&mut child);
+    std::fs::remove_file(path).unwrap();
+    assert!(end.success(), "{end}");
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Told {
     /// It is told to stop, and again.
@@ -358,7 +378,7 @@
         // One whose backend hangs, one with half a line.
         let mut hangs = relay.open("once", 1_500);
         let mut half = relay.client();
-        half.say("OPEN 00000000000000aa 7f3a9c2");
+        half.say("OPEN ffffffffffffffaa 7f3a9c2");
         if lists {
             while !next(&mute_met).starts_with("OPEN") {}
             let rows = [("mute", mute, "Terminating"), ("echo", echo, "Ready")];
