More moments forced: a shut window at the end, settings changed under a waiting session

Both suspicions crossed off by tests over real connections: a client that does not read gets all whole lines in order, then MOVE, then the end, after the process was told to stop; a once-only session that waits while order, effects and deadlines of the listeners change keeps its own row, and who comes while both settings may bind has the stricter.

--- a/relay/tests/moments.rs
+++ b/relay/tests/moments.rs
@@ -469,6 +469,72 @@
     }
 }
 
+#[test]
+fn told_to_stop_while_a_client_does_not_read_its_lines_and_its_move_come_whole_and_in_order() {
+    let (address, _met) = backend(Play::Flood(400_000));
+    let mut relay = start_changed(nobody(), &list(1, true, &[("b", address, "Ready")]), &[]);
+    let mut client = relay.open("safe", 1_500);
+    assert_eq!(client.hears(), "UP receipt");
+    // Its window is shut: nothing more passes, and what waits is unread.
+    let (mut before, mut same) = (0, 0);
+    in_time("the lines stand still", || {
+        relay.signal("USR1");
+        let now = counted(&relay.logged(" lines_down="), "lines_down");
+        same = if now == before { same + 1 } else { 0 };
+        before = now;
+        (now > 0 && same > 20).then_some(())
+    });
+    relay.signal("TERM");
+    relay.logged("told to stop");
+    let mut number = 0;
+    loop {
+        let line = client.hears();
+        if line == "MOVE" {
+            break;
+        }
+        assert_eq!(line, format!("line {number}"));
+        number += 1;
+    }
+    assert_eq!(client.hears(), "end");
+    assert!(number > 0);
+    drop(client);
+    assert!(end_of(&mut relay.child).success());
+}
+
+#[test]
+fn settings_that_change_while_a_session_waits_are_not_its_own() {
+    let (mute, met) = backend(Play::Mute);
+    let mut relay = start_changed(nobody(), &list(1, true, &[("mute", mute, "Ready")]), &[]);
+    let mut waits = relay.open("once", 1_500);
+    while !next(&met).starts_with("OPEN") {}
+    // The order of the listeners, the effect and the deadline of each are others, and one is new.
+    let mut later = relay.text.clone();
+    let swaps = [
+        ("\"name\": \"safe\", \"deadlineUs\": 1500000", "\"name\": \"new\", \"deadlineUs\": 700000"),
+        ("\"name\": \"once\"", "\"name\": \"safe\""),
+        (
+            "\"effect\": \"fragile\", \"utility\": 1.0}",
+            "\"effect\": \"fragile\", \"utility\": 1.0}, {\"name\": \"once\", \"deadlineUs\": 400000, \"handshakeTargetUs\": 300000, \"effect\": \"retryable\", \"utility\": 1.0}",
+        ),
+    ];
+    for (from, to) in swaps {
+        assert!(later.contains(from), "{from}");
+        later = later.replace(from, to);
+    }
+    write_config(&later);
+    relay.signal("HUP");
+    relay.logged("generation 2");
+    // While both may bind the stricter holds, so that each is torn down: the one that waits as it came, the others anew.
+    let mut others = [relay.open("once", 400), relay.open("safe", 400)];
+    for client in &mut others {
+        assert_eq!(client.hears(), "ERR");
+    }
+    assert!(relay.open("new", 300).hears().starts_with("BUSY"), "repeatable in the settings that know it");
+    assert_eq!([waits.hears(), waits.hears()], ["ERR", "end"]);
+    relay.signal("TERM");
+    assert!(end_of(&mut relay.child).success());
+}
+
 // ---- watches ----
 
 #[test]
