One beginning for the two tests of a watch that was good

Read again: both wrote the same five lines to come to a relay that follows its agent and holds version 7.

--- a/relay/tests/moments.rs
+++ b/relay/tests/moments.rs
@@ -537,6 +537,16 @@
 
 // ---- watches ----
 
+/// A relay that follows its agent's watch and has version 7, with one backend that nobody is sent to.
+fn watching() -> (Agent, Relay, TcpStream) {
+    let agent = Agent::new();
+    let relay = start_changed(agent.at, "null", &[]);
+    let (watch, _) = agent.call();
+    says(&watch, &format!("{HEAD}{}", chunk(&list(7, true, &[("one", nobody(), "Ready")]))));
+    relay.counts("lists", 1);
+    (agent, relay, watch)
+}
+
 #[test]
 fn a_call_that_hangs_unanswered_does_not_keep_the_relay_from_what_the_agent_has() {
     let agent = Agent::new();
@@ -574,11 +584,7 @@
 
 #[test]
 fn a_good_watch_that_breaks_is_asked_for_again_within_a_drains_grace() {
-    let (agent, (one, _met)) = (Agent::new(), backend(Play::Echo));
-    let relay = start_changed(agent.at, "null", &[]);
-    let (watch, _) = agent.call();
-    says(&watch, &format!("{HEAD}{}", chunk(&list(7, true, &[("one", one, "Ready")]))));
-    relay.counts("lists", 1);
+    let (agent, relay, watch) = watching();
     let broken = Instant::now();
     breaks_off(&watch);
     drop(watch);
@@ -643,11 +649,7 @@
 
 #[test]
 fn a_list_that_trickles_without_end_is_no_sign_of_life() {
-    let (agent, (one, _met)) = (Agent::new(), backend(Play::Echo));
-    let relay = start_changed(agent.at, "null", &[]);
-    let (watch, _) = agent.call();
-    says(&watch, &format!("{HEAD}{}", chunk(&list(7, true, &[("one", one, "Ready")]))));
-    relay.counts("lists", 1);
+    let (agent, _relay, watch) = watching();
     // A byte at a time, of a list that never ends: given up like a silent one.
     let out = watch.try_clone().unwrap();
     let trickle = std::thread::spawn(move || {
