Where nothing is heard and nobody may be asked, a group takes as many backends as its share

Reports come with the ends of sessions of 39 to 60 s and no probe is allowed, so takes() in pick was reckoned with a pool load of 0 and every relay sent a group's first members to the first of its order. Change: while nothing is heard, loads are told with ends alone and nobody may be asked, a group draws among the first of its order, as many as its share would fill in a full fleet. Test: tests/evidence.rs, fails without it. The last case of the test on overloaded backends had no report although it is to go by the reports; it has one now, and asserts the same bound.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -856,7 +856,10 @@
             able.retain(|&at| Some(at) != last);
         }
         let group = group.filter(|_| self.deployment.groups);
-        let takes = group.map_or(0.0, |group| self.takes(group, pool));
+        // Nothing is heard and nobody may be asked: a group has what its part of a full fleet would take.
+        let silent = pool.empty && self.deployment.tells_loads && !self.deployment.may_probe;
+        let (blind, assumed) = (silent && group.is_some(), Pool { load: 1.0, ..pool });
+        let takes = group.map_or(0.0, |group| self.takes(group, if blind { assumed } else { pool }));
         if let Some(group) = group {
             able.sort_by_cached_key(|&at| mixed(self.backends[&at].listing.mark, group));
         }
@@ -901,9 +904,10 @@
         let mut list: Vec<Entry> = able.into_iter().enumerate().filter_map(weigh).collect();
         let best = list.iter().map(|entry| entry.rank).min()?;
         list.retain(|entry| entry.rank == best);
+        list.truncate(if blind { 1 + takes as usize } else { usize::MAX });
         let pair = match group {
-            Some(_) => (*list.first()?, *list.get(1).unwrap_or(&list[0])),
-            None => {
+            Some(_) if !blind => (*list.first()?, *list.get(1).unwrap_or(&list[0])),
+            _ => {
                 let first = *self.any_of(&list)?;
                 list.retain(|entry| entry.at != first.at);
                 (first, self.any_of(&list).copied().unwrap_or(first))
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -254,6 +254,14 @@
             let of = Deployment { may_probe: false, tells_loads, relays, ..deployment(Effect::Repeatable) };
             let mut bench = Bench::seeded(of, seed, &rows(6));
             let of = |id: u32| arrival(u64::from(id), 5, ms(1_200));
+            let report_room = |bench: &mut Bench| {
+                // What was placed since the last report counts for all relays.
+                bench.pass(ms(1_100));
+                (0..6).for_each(|at| bench.report(at, Some(1.0), Some(0.1)));
+            };
+            if tells_loads {
+                report_room(&mut bench);
+            }
             let (home, _) = bench.arrive(1, of(1)).unwrap();
             // Others stand there, so that it did not go down.
             (100..104).for_each(|id| bench.inherit(id, home));
@@ -264,6 +272,9 @@
                     _ => bench.end(200 + id, 0, verdict, true),
                 }
             }
+            if tells_loads {
+                report_room(&mut bench);
+            }
             let mut waited = 0;
             while bench.arrive(300 + waited, of(300 + waited)).is_none_or(|(at, _)| at != home) {
                 assert!(bench.dials(300 + waited).is_empty(), "its group goes nowhere else");
@@ -277,3 +288,42 @@
         assert!(range.contains(&longest), "{tells_loads} {relays} {verdict:?} {times}: {longest} ms");
     }
 }
+
+/// The backends at which 24 relays that know nothing of one another place the first session of one group.
+fn first_backends(site: &Deployment, heard: bool) -> Vec<u32> {
+    let first = |seed: u64| {
+        let mut bench = Bench::seeded(Deployment { relays: 24, ..site.clone() }, seed, &rows(90));
+        if heard {
+            bench.report(5, Some(10.0), Some(0.4));
+        }
+        bench.arrive(0, arrival(1, 77, ms(4_800))).map(|(at, _)| at)
+    };
+    (1..=24).filter_map(first).collect()
+}
+
+#[test]
+fn a_group_takes_as_many_backends_as_its_share_of_a_full_fleet_where_nothing_can_be_heard() {
+    // Probes allowed, loads told, one backend heard of, and if the group keeps to the first of its order.
+    let cases = [
+        (true, true, false, true),
+        (false, false, false, true),
+        (false, true, true, true),
+        (false, true, false, false),
+    ];
+    for (may_probe, tells_loads, heard, together) in cases {
+        let site = Deployment { may_probe, tells_loads, ..deployment(Effect::Repeatable) };
+        let mut at = first_backends(&site, heard);
+        assert_eq!(at.len(), 24);
+        at.sort_unstable();
+        let shares: Vec<usize> = at.chunk_by(|one, other| one == other).map(<[u32]>::len).collect();
+        let (used, fullest) = (shares.len(), shares.iter().max().copied().unwrap_or(0));
+        let what = format!("probes {may_probe}, loads {tells_loads}, heard {heard}: {at:?}");
+        if together {
+            assert_eq!(used, 1, "{what}");
+        } else {
+            // One session of 21 asks for a twenty-first of a full fleet: 7 of 90 at 0.6 each, and its first.
+            assert!((5..=8).contains(&used), "{what}");
+            assert!(fullest <= 9, "{what}");
+        }
+    }
+}
