Leases: one session a relay, subjects attached; a renewal costs the same whatever is owned

Need: a lease for each subject was renewed for each subject. Change: one session a relay and voter, with a token that no other session has; requests in order attach and detach many subjects a datagram; a voter that forgot refuses the token. The protocol before keeps its channel: refused in its words, nothing granted in it.

--- a/fleet/src/mesh.rs
+++ b/fleet/src/mesh.rs
@@ -3,14 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use thistlecroft::units::{Chance, Moment, Span};
-use thistlecroft_leases::{Leases, Terms as LeaseTerms, Word};
+use thistlecroft_leases::{LeaseConfig, Leases};
 use thistlecroft_peers::{Event, Identity, Node, Standing, Terms};
 
 pub use crate::link::Bend;
 
-/// The channel of leases.
-pub const LEASES: u8 = 1;
-
 /// A process of the mesh.
 pub struct Host {
     pub name: String,
@@ -64,7 +61,7 @@
     pub bend: Bend,
     pub links: BTreeMap<(usize, usize), Bend>,
     terms: Terms,
-    lease_terms: Option<LeaseTerms>,
+    lease_config: Option<LeaseConfig>,
     seeds: usize,
 }
 
@@ -75,7 +72,7 @@
 
 impl Mesh {
     /// `seeds`: the first so many processes are named to all as seeds.
-    pub fn new(terms: Terms, lease_terms: Option<LeaseTerms>, seeds: usize, seed: u64) -> Mesh {
+    pub fn new(terms: Terms, lease_config: Option<LeaseConfig>, seeds: usize, seed: u64) -> Mesh {
         Mesh {
             now: Moment::default(),
             hosts: Vec::new(),
@@ -85,11 +82,17 @@
             bend: Bend { delay: Span::from_us(200), spread: Span::from_us(200), ..Bend::default() },
             links: BTreeMap::new(),
             terms,
-            lease_terms,
+            lease_config,
             seeds,
         }
     }
 
+    /// Bytes a second, in all and for attaching subjects, of processes that are started from now on.
+    pub fn set_rates(&mut self, rate: u32, update_rate: u32) {
+        self.terms.rate = rate;
+        self.lease_config.iter_mut().for_each(|config| config.update_rate = update_rate);
+    }
+
     /// Starts a process; its number. `speed`: its clock's.
     pub fn start(&mut self, name: &str, speed: f64) -> usize {
         let number = self.hosts.len();
@@ -114,7 +117,7 @@
         let own = Moment::from_us(offset.us() + (self.now.us() as f64 * speed) as u64);
         let seeds = (0..self.seeds).map(address).collect();
         let node = Node::new(me.clone(), address(number), seeds, &self.terms, draw, own);
-        let leases = self.lease_terms.clone().map(|terms| Leases::new(me, terms, own));
+        let leases = self.lease_config.clone().map(|config| Leases::new(me, config, own));
         Host {
             name: name.into(),
             node,
@@ -236,7 +239,7 @@
         if let Some(leases) = &mut host.leases
             && leases.due(own).is_some_and(|due| due <= own)
         {
-            leases.wake(own);
+            leases.tick(own);
         }
         self.turn(number);
     }
@@ -257,18 +260,18 @@
         for event in host.node.take_events() {
             match event {
                 Event::Stands { id, standing } => host.turns.push((now, id, standing)),
-                Event::Carried { from, channel: LEASES, bytes } => {
-                    if let (Some(leases), Some(word)) = (&mut host.leases, Word::read(&bytes)) {
-                        leases.hear(&from, word, own);
+                Event::Carried { from, channel, bytes } => {
+                    if let Some(leases) = &mut host.leases {
+                        leases.receive(&from, channel, &bytes, own);
                     }
                 }
                 _ => {}
             }
         }
         if let Some(leases) = &mut host.leases {
-            for (to, word) in leases.take_out() {
-                for id in to.processes(&host.node) {
-                    host.node.carry(&id, LEASES, word.written(), own);
+            for outgoing in leases.take_outgoing() {
+                for id in outgoing.to.processes(&host.node) {
+                    host.node.carry(&id, outgoing.channel, outgoing.bytes.clone(), own);
                 }
             }
         }
--- /dev/null
+++ b/leases/tests/helper/mod.rs
@@ -0,0 +1,112 @@
+//! A small fleet over simulated links, and a witness that looks from outside at who may act on which of many subjects.
+#![allow(dead_code, reason = "each file of tests uses a part of it")]
+use std::collections::BTreeMap;
+use thistlecroft::units::Span;
+use thistlecroft_fleet::mesh::Mesh;
+use thistlecroft_leases::{DRIFT, Electorate, LeaseConfig, Subject};
+use thistlecroft_peers::{Pace, Terms as PeerTerms};
+
+pub const PERIOD: Span = Span::from_ms(200);
+pub const TERM: Span = Span::from_ms(2_000);
+pub const RATE: u32 = 32_768;
+pub const VOTERS: [&str; 3] = ["r0", "r1", "r2"];
+/// Two processes whose clocks are both at an edge, and the rest between.
+const SPEEDS: [f64; 5] = [1.0 - DRIFT, 1.0 + DRIFT, 1.0, 1.0 - DRIFT, 1.0 + DRIFT];
+const FOR_LONG: Span = Span::from_ms(3_600_000);
+/// Between two looks of the witness.
+const LOOK: Span = Span::from_ms(10);
+
+pub fn electorate(generation: u32, voters: &[&str], before: &[&str]) -> Electorate {
+    let names = |all: &[&str]| all.iter().map(|name| (*name).into()).collect();
+    Electorate { generation, voters: names(voters), before: names(before) }
+}
+
+pub fn config(voters: &[&str], update_rate: u32) -> LeaseConfig {
+    LeaseConfig { electorate: electorate(1, voters, &[]), term: TERM, update_rate }
+}
+
+pub fn fleet(size: usize, voters: &[&str], update_rate: u32, seed: u64) -> Mesh {
+    let peers =
+        PeerTerms { fleet: "test".into(), secret: vec![1], pace: Pace { period: PERIOD }, rate: 65_536 };
+    let mut mesh = Mesh::new(peers, Some(config(voters, update_rate)), 3, seed);
+    for number in 0..size {
+        mesh.start(&format!("r{number}"), SPEEDS[number % SPEEDS.len()]);
+    }
+    mesh
+}
+
+pub fn subjects(count: usize) -> Vec<Subject> {
+    (0..count).map(|number| format!("shard-{number}").into_bytes()).collect()
+}
+
+pub fn acquire(mesh: &mut Mesh, number: usize, subjects: &[Subject]) {
+    mesh.act(number, |host, now| {
+        let leases = host.leases.as_mut().unwrap();
+        subjects.iter().for_each(|subject| leases.acquire(subject, now + FOR_LONG, now).unwrap());
+    });
+}
+
+pub fn release(mesh: &mut Mesh, number: usize, subjects: &[Subject]) {
+    mesh.act(number, |host, now| {
+        let leases = host.leases.as_mut().unwrap();
+        subjects.iter().for_each(|subject| leases.release(subject, now));
+    });
+}
+
+/// What a process may act on now, with the epochs.
+pub fn held(mesh: &Mesh, number: usize) -> BTreeMap<Subject, u64> {
+    let host = &mesh.hosts[number];
+    if !host.alive {
+        return BTreeMap::new();
+    }
+    let leases = host.leases.iter().flat_map(|leases| leases.holdings(host.clock(mesh.now)));
+    leases.map(|(subject, held)| (subject.to_vec(), held.epoch)).collect()
+}
+
+/// Asserts at each look that nobody acts beside another, and that epochs grow from one holding to the next.
+#[derive(Default)]
+pub struct Witness {
+    last: BTreeMap<Subject, (usize, u64)>,
+    pub holdings: usize,
+}
+
+impl Witness {
+    /// `paused` processes do not act.
+    pub fn look(&mut self, mesh: &Mesh, paused: &[usize]) {
+        let mut now: BTreeMap<Subject, (usize, u64)> = BTreeMap::new();
+        for number in (0..mesh.hosts.len()).filter(|number| !paused.contains(number)) {
+            for (subject, epoch) in held(mesh, number) {
+                let other = now.insert(subject.clone(), (number, epoch));
+                assert_eq!(other, None, "two hold {subject:?} at {:?}, one of them {number}", mesh.now);
+            }
+        }
+        for (subject, holding) in now {
+            let before = self.last.insert(subject.clone(), holding);
+            if before != Some(holding) {
+                let grown = before.is_none_or(|(_, epoch)| holding.1 > epoch);
+                assert!(grown, "{subject:?}: {holding:?} after {before:?} at {:?}", mesh.now);
+                self.holdings += 1;
+            }
+        }
+    }
+
+    pub fn watch(&mut self, mesh: &mut Mesh, span: Span, paused: &[usize]) {
+        let until = mesh.now + span;
+        while mesh.now < until {
+            mesh.run_for(LOOK);
+            self.look(mesh, paused);
+        }
+    }
+
+    /// Until that is so, looked at all the time; how long it took.
+    pub fn until(&mut self, mesh: &mut Mesh, within: Span, so: impl Fn(&Mesh) -> bool) -> Option<Span> {
+        let began = mesh.now;
+        while !so(mesh) {
+            if mesh.now.since(began) >= within {
+                return None;
+            }
+            self.watch(mesh, LOOK, &[]);
+        }
+        Some(mesh.now.since(began))
+    }
+}
--- a/leases/tests/mesh.rs
+++ b/leases/tests/mesh.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use thistlecroft::units::{Chance, Moment, Span};
 use thistlecroft_fleet::mesh::{Bend, Mesh};
-use thistlecroft_leases::{DRIFT, Electorate, Leases, State, Terms, To, Why, Word};
+use thistlecroft_leases::{
+    DRIFT, Electorate, LeaseConfig, Leases, Message, Reason, SessionToken, State, To, Update,
+};
 use thistlecroft_peers::{Identity, Pace, Terms as PeerTerms};
 
 const PERIOD: Span = Span::from_ms(200);
@@ -17,14 +19,14 @@
     Electorate { generation, voters: names(voters), before: names(before) }
 }
 
-fn terms(voters: &[&str]) -> Terms {
-    Terms { electorate: electorate(1, voters, &[]), term: TERM }
+fn config(voters: &[&str]) -> LeaseConfig {
+    LeaseConfig { electorate: electorate(1, voters, &[]), term: TERM, update_rate: 32_768 }
 }
 
 fn mesh(count: usize, voters: &[&str], seed: u64) -> Mesh {
     let peers =
         PeerTerms { fleet: "test".into(), secret: vec![1], pace: Pace { period: PERIOD }, rate: 65_536 };
-    let mut mesh = Mesh::new(peers, Some(terms(voters)), 3, seed);
+    let mut mesh = Mesh::new(peers, Some(config(voters)), 3, seed);
     for number in 0..count {
         mesh.start(&format!("r{number}"), SPEEDS[number % SPEEDS.len()]);
     }
@@ -73,7 +75,7 @@
     for number in 0..mesh.hosts.len() {
         mesh.act(number, |host, now| {
             if let Some(leases) = &mut host.leases {
-                leases.want(TURN, now + Span::from_ms(3_600_000), now);
+                leases.acquire(TURN, now + Span::from_ms(3_600_000), now).unwrap();
             }
         });
     }
@@ -109,7 +111,7 @@
         ("paused", Mesh::pause, TERM * 1.25),
         (
             "released",
-            |mesh, holder| mesh.act(holder, |host, _| host.leases.as_mut().unwrap().release(TURN)),
+            |mesh, holder| mesh.act(holder, |host, now| host.leases.as_mut().unwrap().release(TURN, now)),
             TERM * 0.2,
         ),
         (
@@ -125,7 +127,7 @@
             let mut witness = Witness::default();
             for number in [3, 4] {
                 mesh.act(number, |host, now| {
-                    host.leases.as_mut().unwrap().want(TURN, now + Span::from_ms(3_600_000), now);
+                    host.leases.as_mut().unwrap().acquire(TURN, now + Span::from_ms(3_600_000), now).unwrap();
                 });
             }
             witness.watch(&mut mesh, TERM * 3.0, &[]);
@@ -228,8 +230,8 @@
                 3 => {
                     mesh.act(number, |host, now| {
                         let leases = host.leases.as_mut().unwrap();
-                        leases.release(TURN);
-                        leases.want(TURN, now + Span::from_ms(3_600_000), now);
+                        leases.release(TURN, now);
+                        leases.acquire(TURN, now + Span::from_ms(3_600_000), now).unwrap();
                     });
                 }
                 _ => mesh.heal(),
@@ -251,17 +253,20 @@
     let mut witness = Witness::default();
     all_want(&mut mesh);
     witness.watch(&mut mesh, TERM * 3.0, &[]);
-    let joint = Terms { electorate: electorate(2, &["r2", "r3", "r4"], &VOTERS), term: TERM };
-    let last = Terms { electorate: electorate(3, &["r2", "r3", "r4"], &[]), term: TERM };
-    let change = |mesh: &mut Mesh, number: usize, to: &Terms| {
+    let joint = LeaseConfig { electorate: electorate(2, &["r2", "r3", "r4"], &VOTERS), ..config(&VOTERS) };
+    let last = LeaseConfig { electorate: electorate(3, &["r2", "r3", "r4"], &[]), ..config(&VOTERS) };
+    let change = |mesh: &mut Mesh, number: usize, to: &LeaseConfig| {
         let mut done = Ok(());
-        mesh.act(number, |host, _| done = host.leases.as_mut().unwrap().change(to.clone()));
+        mesh.act(number, |host, now| {
+            let changed = host.leases.as_mut().unwrap().change(to.clone(), now);
+            done = changed.map_err(|fault| fault.to_string());
+        });
         done
     };
     // One relay is told late, and one step may not be left out.
     let skipped = change(&mut mesh, 0, &last).unwrap_err();
     assert!(skipped.contains("generation: 2 follows 1"), "{skipped}");
-    let odd = Terms { electorate: electorate(2, &["r3", "r4"], &["r0"]), term: TERM };
+    let odd = LeaseConfig { electorate: electorate(2, &["r3", "r4"], &["r0"]), ..config(&VOTERS) };
     assert!(change(&mut mesh, 0, &odd).unwrap_err().contains("voters_before"));
     assert_eq!(change(&mut mesh, 3, &joint), Ok(()));
     assert!(change(&mut mesh, 3, &last).unwrap_err().contains("majority"), "nobody else has it yet");
@@ -288,7 +293,7 @@
 fn the_inequality_at_its_edges() {
     // The holder's clock as slow as may be and the voter's as fast, asked and heard at the same moment, the worst case.
     let held = TERM * ((1.0 - DRIFT) / (1.0 + DRIFT));
-    assert_eq!(terms(&VOTERS).holds(), held);
+    assert_eq!(config(&VOTERS).holding_time(), held);
     let (slow, fast) = (1.0 - DRIFT, 1.0 + DRIFT);
     let true_end = |own: Span, speed: f64| own.us() as f64 / speed;
     assert!(true_end(held, slow) <= true_end(TERM, fast) + 1.0);
@@ -297,45 +302,121 @@
     assert!(true_end(held, slower) > true_end(TERM, faster));
 }
 
+/// A voter alone, asked directly.
+struct LoneVoter {
+    leases: Leases,
+}
+
+impl LoneVoter {
+    /// Its answer to that process, if it gives one.
+    fn answer(&mut self, from: &Identity, message: Message, ms: u64) -> Option<Message> {
+        self.leases.tick(at(ms));
+        self.leases.take_outgoing();
+        self.leases.receive_message(from, message, at(ms));
+        let answers = self.leases.take_outgoing();
+        let to_sender = answers.into_iter().find(|one| one.to == To::Process(from.clone()));
+        to_sender.and_then(|one| Message::decode(&one.bytes))
+    }
+
+    fn session(&mut self, from: &Identity, sequence: u32, ms: u64) -> SessionToken {
+        match self.answer(from, update(sequence, None, &[], &[]), ms) {
+            Some(Message::Updated(updated)) => updated.session,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment::from_us(1_000_000 + ms * 1_000)
+}
+
+fn update(sequence: u32, session: Option<SessionToken>, attach: &[&[u8]], detach: &[&[u8]]) -> Message {
+    let all = |subjects: &[&[u8]]| subjects.iter().map(|subject| subject.to_vec()).collect();
+    let (attach, detach) = (all(attach), all(detach));
+    Message::Update(Update { generation: 1, sequence, session, epoch: 0, detach, attach })
+}
+
+fn is_attached(answer: Option<Message>) -> bool {
+    matches!(answer, Some(Message::Updated(updated)) if updated.refused.is_empty())
+}
+
+fn is_held_by_another(answer: Option<Message>) -> bool {
+    let held = |(_, reason): &(u16, Reason)| matches!(reason, Reason::Held { .. });
+    matches!(answer, Some(Message::Updated(updated)) if updated.refused.iter().any(held))
+}
+
+fn is_refused_for(answer: Option<Message>, why: &Reason) -> bool {
+    matches!(answer, Some(Message::Refused { reason, .. }) if reason == *why)
+}
+
 #[test]
-fn words_that_come_late_twice_or_from_a_twin_free_and_promise_nothing() {
-    let at = |ms: u64| Moment::from_us(1_000_000 + ms * 1_000);
+fn messages_that_come_late_or_twice_or_with_an_unknown_token_attach_and_free_nothing() {
     let me = Identity::new("r0", 1);
-    let mut voter = Leases::new(me.clone(), terms(&["r0"]), at(0));
+    let mut voter = LoneVoter { leases: Leases::new(me, config(&["r0"]), at(0)) };
     let (one, other) = (Identity::new("a", 1), Identity::new("b", 1));
-    let ask = |round| Word::Ask { generation: 1, subject: TURN.to_vec(), round, epoch: 0 };
-    let said = |voter: &mut Leases, from: &Identity, word: Word, ms: u64| -> Option<Word> {
-        voter.wake(at(ms));
-        voter.take_out();
-        voter.hear(from, word, at(ms));
-        voter.take_out().into_iter().find(|(to, _)| *to == To::Process(from.clone())).map(|(_, word)| word)
-    };
-    let is_silent = |word: Option<Word>| matches!(word, Some(Word::Refuse { why: Why::Silent, .. }));
-    assert!(is_silent(said(&mut voter, &one, ask(1), 1_999)), "it may have promised before its start");
-    assert!(matches!(said(&mut voter, &one, ask(2), 2_000), Some(Word::Promise { .. })));
-    // A release of an earlier round comes after a later ask.
-    assert!(said(&mut voter, &one, Word::Release { subject: TURN.to_vec(), round: 1 }, 2_010).is_none());
-    let held = said(&mut voter, &other, ask(1), 2_020);
-    assert!(matches!(held, Some(Word::Refuse { why: Why::Held { .. }, .. })), "{held:?}");
-    // Somebody else's release frees nothing, its own does.
-    said(&mut voter, &other, Word::Release { subject: TURN.to_vec(), round: 9 }, 2_030);
-    assert!(matches!(said(&mut voter, &other, ask(2), 2_040), Some(Word::Refuse { .. })));
-    said(&mut voter, &one, Word::Release { subject: TURN.to_vec(), round: 2 }, 2_050);
-    assert!(matches!(said(&mut voter, &other, ask(3), 2_060), Some(Word::Promise { .. })));
+    let early = voter.answer(&one, update(1, None, &[], &[]), 1_999);
+    assert!(is_refused_for(early, &Reason::Silent), "it may have granted before its start");
+    let session = voter.session(&one, 2, 2_000);
+    assert!(is_attached(voter.answer(&one, update(5, Some(session), &[TURN], &[]), 2_000)));
+    // A detaching that was sent earlier comes later, and the same once more.
+    assert_eq!(voter.answer(&one, update(4, Some(session), &[], &[TURN]), 2_010), None);
+    assert_eq!(voter.answer(&one, update(5, Some(session), &[], &[TURN]), 2_010), None);
+    let others = voter.session(&other, 1, 2_020);
+    assert!(is_held_by_another(voter.answer(&other, update(2, Some(others), &[TURN], &[]), 2_020)));
+    // Somebody else's detaching frees nothing, nor does another's token.
+    assert!(is_attached(voter.answer(&other, update(3, Some(others), &[], &[TURN]), 2_030)));
+    let stolen = voter.answer(&other, update(4, Some(session), &[], &[TURN]), 2_030);
+    assert!(is_refused_for(stolen, &Reason::UnknownSession));
+    assert!(is_held_by_another(voter.answer(&other, update(5, Some(others), &[TURN], &[]), 2_040)));
+    assert!(is_attached(voter.answer(&one, update(6, Some(session), &[], &[TURN]), 2_050)));
+    assert!(is_attached(voter.answer(&other, update(6, Some(others), &[TURN], &[]), 2_060)));
+    // An attaching that was sent before the detaching comes after it.
+    assert_eq!(voter.answer(&one, update(3, Some(session), &[b"late"], &[]), 2_070), None);
+    assert!(is_attached(voter.answer(&other, update(7, Some(others), &[b"late"], &[]), 2_080)));
     // An older generation, and a newer one than is known here.
     for generation in [0, 2] {
-        let word = Word::Ask { generation, subject: TURN.to_vec(), round: 4, epoch: 0 };
-        let answer = said(&mut voter, &other, word, 2_070);
-        assert!(matches!(answer, Some(Word::Refuse { why: Why::Generation { here: 1 }, .. })), "{answer:?}");
+        let Message::Update(mut asked) = update(9, Some(session), &[], &[]) else { unreachable!() };
+        asked.generation = generation;
+        let answer = voter.answer(&one, Message::Update(asked), 2_090);
+        assert!(is_refused_for(answer, &Reason::Generation { here: 1 }));
     }
+    assert!(Message::decode(&[250, 1, 2]).is_none() && Message::decode(&[]).is_none());
+}
+
+#[test]
+fn a_lapsed_session_goes_on_while_it_is_whole_and_not_after_somebody_took_of_it() {
+    let mut voter = LoneVoter { leases: Leases::new(Identity::new("r0", 1), config(&["r0"]), at(0)) };
+    let (one, other) = (Identity::new("a", 1), Identity::new("b", 1));
+    let session = voter.session(&one, 1, 2_000);
+    assert!(is_attached(voter.answer(&one, update(2, Some(session), &[TURN, b"more"], &[]), 2_000)));
+    let others = voter.session(&other, 1, 2_000);
+    // Lapsed at 4,000, nobody asked: the same token serves.
+    assert!(is_attached(voter.answer(&one, update(3, Some(session), &[], &[]), 4_500)));
+    assert!(is_held_by_another(voter.answer(&other, update(2, Some(others), &[TURN], &[]), 6_499)));
+    // Lapsed again, and one of two subjects taken: what is left is not to be renewed by the token.
+    assert!(is_attached(voter.answer(&other, update(3, Some(others), &[TURN], &[]), 6_500)));
+    let renewed = voter.answer(&one, update(4, Some(session), &[], &[]), 6_510);
+    assert!(is_refused_for(renewed, &Reason::UnknownSession));
+    let anew = voter.session(&one, 5, 6_520);
+    assert_ne!(anew, session);
+    let both = voter.answer(&one, update(6, Some(anew), &[TURN, b"more"], &[]), 6_530);
+    assert!(matches!(both, Some(Message::Updated(updated)) if updated.refused.len() == 1));
+}
+
+#[test]
+fn of_two_processes_of_one_name_one_votes() {
+    let me = Identity::new("r0", 1);
+    let mut voter = LoneVoter { leases: Leases::new(me.clone(), config(&["r0"]), at(0)) };
+    let one = Identity::new("a", 1);
+    voter.session(&one, 1, 2_000);
     // The next process of its name starts: this one votes no more, and that one is silent for a term from the last word.
-    let twin = Identity::new("r0", 2);
-    said(&mut voter, &twin, Word::Recall { generation: 1, starts: true }, 2_100);
-    assert!(is_silent(said(&mut voter, &other, ask(5), 2_110)));
-    let mut next = Leases::new(twin, terms(&["r0"]), at(2_100));
-    next.hear(&me, Word::Remembered { generation: 1, established: true, epoch: 9 }, at(2_500));
-    assert!(is_silent(said(&mut next, &other, ask(1), 4_400)));
-    assert!(matches!(said(&mut next, &other, ask(2), 4_500), Some(Word::Promise { epoch: 9, .. })));
-    assert_eq!(next.state(TURN, at(4_500)), State::Unwanted);
-    assert!(Word::read(&[250, 1, 2]).is_none() && Word::read(&[]).is_none());
+    let next = Identity::new("r0", 2);
+    voter.answer(&next, Message::Recall { generation: 1, starting: true }, 2_100);
+    assert!(is_refused_for(voter.answer(&one, update(2, None, &[], &[]), 2_110), &Reason::Silent));
+    let mut next = LoneVoter { leases: Leases::new(next, config(&["r0"]), at(2_100)) };
+    next.answer(&me, Message::Remembered { generation: 1, established: true, epoch: 9 }, 2_500);
+    assert!(is_refused_for(next.answer(&one, update(3, None, &[], &[]), 4_400), &Reason::Silent));
+    let answer = next.answer(&one, update(4, None, &[], &[]), 4_500);
+    assert!(matches!(answer, Some(Message::Updated(updated)) if updated.epoch == 9));
+    assert_eq!(next.leases.state(TURN, at(4_500)), State::Unwanted);
 }
--- a/relay/src/peers.rs
+++ b/relay/src/peers.rs
@@ -11,14 +11,12 @@
 use std::os::fd::AsRawFd;
 use thistlecroft::units::{Moment, Span};
 use thistlecroft_charter::Peering;
-use thistlecroft_leases::{Electorate, Leases, State, Terms as LeaseTerms, Why, Word};
+use thistlecroft_leases::{Electorate, LeaseConfig, Leases, Reason, State};
 use thistlecroft_peers::wire::MOST;
 use thistlecroft_peers::{Event, Identity, Kind, Node, Pace, Standing, Terms};
 
 /// Datagrams read in one turn.
 const DATAGRAMS: usize = 64;
-/// The channel that leases talk on.
-const LEASES: u8 = 1;
 /// The address before is read for so many periods more.
 const FORMER: f64 = 20.0;
 /// A lease that nobody has asked after for so many terms is given back.
@@ -92,7 +90,8 @@
             rate: peering.rate,
         };
         let node = Node::new(me.clone(), advertise, peering.seeds.clone(), &terms, seed, now);
-        let leases = (!peering.voters.is_empty()).then(|| Leases::new(me.clone(), lease_terms(peering), now));
+        let leases =
+            (!peering.voters.is_empty()).then(|| Leases::new(me.clone(), lease_config(peering), now));
         log::info!("peers: {me} of fleet {} at {advertise}", peering.fleet);
         let (peering, former, alarm, send_failures) = (peering.clone(), None, None, 0);
         let told = BTreeMap::new();
@@ -105,7 +104,7 @@
         if let Some(leases) = &mut self.leases
             && !peering.voters.is_empty()
         {
-            leases.change(lease_terms(peering))?;
+            leases.change(lease_config(peering), self.clock.now()).map_err(|fault| fault.to_string())?;
         }
         let voters = (peering.voters.clone(), peering.voters_before.clone(), peering.generation);
         let mut known = self.peering.clone();
@@ -153,7 +152,7 @@
         if let Some(leases) = &mut self.leases
             && leases.due(now).is_some_and(|due| due <= now)
         {
-            leases.wake(now);
+            leases.tick(now);
         }
         self.turn(works);
     }
@@ -192,9 +191,9 @@
 
     fn send_leases(&mut self, now: Moment) {
         let Some(leases) = &mut self.leases else { return };
-        for (to, word) in leases.take_out() {
-            for id in to.processes(&self.node) {
-                self.node.carry(&id, LEASES, word.written(), now);
+        for outgoing in leases.take_outgoing() {
+            for id in outgoing.to.processes(&self.node) {
+                self.node.carry(&id, outgoing.channel, outgoing.bytes.clone(), now);
             }
         }
     }
@@ -218,12 +217,12 @@
             Event::StoodStill { by } => {
                 log::warn!("peers: this process stood still for {} ms", by.us() / 1_000);
             }
-            Event::Carried { from, channel: LEASES, bytes } => {
-                if let (Some(leases), Some(word)) = (&mut self.leases, Word::read(&bytes)) {
-                    leases.hear(&from, word, now);
+            Event::Carried { from, channel, bytes } => {
+                if let Some(leases) = &mut self.leases {
+                    leases.receive(&from, channel, &bytes, now);
                 }
             }
-            Event::Carried { .. } | Event::Fact { .. } => {}
+            Event::Fact { .. } => {}
         }
     }
 
@@ -254,7 +253,7 @@
             Call::Lease(subject) => self.lease(subject, self.clock.now()),
             Call::Release(subject) => match &mut self.leases {
                 Some(leases) => {
-                    leases.release(subject.as_bytes());
+                    leases.release(subject.as_bytes(), now);
                     self.told.remove(subject.as_bytes());
                     Ok("released".into())
                 }
@@ -269,9 +268,8 @@
     fn lease(&mut self, subject: &str, now: Moment) -> Result<String, String> {
         let term = self.peering.lease;
         let leases = self.leases.as_mut().ok_or(NO_VOTERS)?;
-        if !leases.want(subject.as_bytes(), now + term * ASKED_AFTER, now) {
-            return Err("too long, or too many leases wanted here".into());
-        }
+        let until = now + term * ASKED_AFTER;
+        leases.acquire(subject.as_bytes(), until, now).map_err(|fault| fault.to_string())?;
         match leases.state(subject.as_bytes(), now) {
             State::Held(held) => {
                 // Only what may still bind is kept: as many as may be wanted at once, at most.
@@ -279,9 +277,7 @@
                 self.told.insert(subject.as_bytes().to_vec(), held.until);
                 Ok(format!("held {} {}", held.epoch, held.until.since(now).us() / 1_000))
             }
-            State::Wanted(Some(Why::Held { by })) => Err(format!("held by {by}")),
-            State::Wanted(Some(Why::Silent)) => Err("voters are silent after their start".into()),
-            State::Wanted(Some(Why::Generation { here })) => Err(format!("voters go by generation {here}")),
+            State::Wanted(Some(reason)) => Err(refusal(&reason)),
             State::Wanted(None) | State::Unwanted => Err("asked for".into()),
         }
     }
@@ -305,14 +301,18 @@
         });
         let counts = &self.node.counts;
         let leases = self.leases.as_ref().map(|leases| {
-            let electorate = &leases.terms().electorate;
+            let (electorate, of) = (&leases.config().electorate, leases.counts());
             let held = leases.subjects().filter_map(|subject| {
                 let held = leases.held(subject, now)?;
                 Some(json!({"subject": String::from_utf8_lossy(subject), "epoch": held.epoch,
                     "left_ms": held.until.since(now).us() / 1_000}))
             });
-            json!({"vote": leases.vote(now), "generation": electorate.generation, "settled": leases.is_settled(),
-                "held": held.collect::<Vec<_>>()})
+            json!({"vote": leases.vote(now).word(), "generation": electorate.generation,
+                "settled": leases.is_settled(now), "held": held.collect::<Vec<_>>(), "counts": {
+                    "requests": of.requests, "retries": of.retries, "refusals": of.refusals,
+                    "sessions_lost": of.sessions_lost, "older_protocol": of.older_protocol,
+                    "voter_subjects": of.voter_subjects, "voter_sessions": of.voter_sessions,
+                    "voter_full": of.voter_full}})
         });
         json!({"me": self.node.me().to_string(), "name": self.node.me().name.as_str(), "health": self.node.health(),
             "unheard": self.node.unheard(), "facts": self.node.facts().len(), "peers": peers.collect::<Vec<_>>(),
@@ -340,12 +340,27 @@
 
 const NO_VOTERS: &str = "there are no leases (peers.voters in the charter)";
 
-fn lease_terms(peering: &Peering) -> LeaseTerms {
+/// The part of `peers.rate` that attaching and detaching subjects may take.
+const UPDATE_SHARE: u32 = 2;
+
+fn lease_config(peering: &Peering) -> LeaseConfig {
     let names = |names: &[String]| names.iter().map(|name| name.as_str().into()).collect();
     let electorate = Electorate {
         generation: peering.generation,
         voters: names(&peering.voters),
         before: names(&peering.voters_before),
     };
-    LeaseTerms { electorate, term: peering.lease }
+    LeaseConfig { electorate, term: peering.lease, update_rate: peering.rate / UPDATE_SHARE }
+}
+
+fn refusal(reason: &Reason) -> String {
+    match reason {
+        Reason::Held { by } => format!("held by {by}"),
+        Reason::HeldByAnother => "held by another relay".into(),
+        Reason::Silent => "voters are silent after their start".into(),
+        Reason::Generation { here } => format!("voters go by generation {here}"),
+        Reason::Full => "voters hold as many leases as they may".into(),
+        Reason::UnknownSession => "asked for anew: voters have restarted".into(),
+        Reason::OlderProtocol => "voters speak an older lease protocol: upgrade them".into(),
+    }
 }
