--- a/peers/src/node.rs
+++ b/peers/src/node.rs
@@ -7,7 +7,7 @@
 use crate::roll::{Member, Merged, Roll};
 use crate::wire::{Body, Datagram, MOST, Seal, Stray};
 use crate::{Pace, Terms};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use thistlecroft::units::{Chance, Moment, Span};
 
@@ -680,19 +680,13 @@
         let alone =
             !self.roll.members().map(|(_, member)| member).any(|member| member.standing == Standing::Here);
         self.next_seek = now + self.pace.period * if alone { 1.0 } else { SEEK_EVERY };
-        let here = |at: &SocketAddr| {
-            let mut here = self
-                .roll
-                .members()
-                .map(|(_, member)| member)
-                .filter(|member| member.standing == Standing::Here);
-            here.any(|member| member.at == *at)
+        let of = |standing: Standing| {
+            let members = self.roll.members().map(|(_, member)| member);
+            members.filter(move |member| member.standing == standing).map(|member| member.at)
         };
-        let gone =
-            self.roll.members().map(|(_, member)| member).filter(|member| member.standing == Standing::Gone);
-        let mut lost: Vec<SocketAddr> =
-            self.seeds.iter().copied().chain(gone.map(|member| member.at)).collect();
-        lost.retain(|at| !here(at));
+        let here: BTreeSet<SocketAddr> = of(Standing::Here).collect();
+        let mut lost: Vec<SocketAddr> = self.seeds.iter().copied().chain(of(Standing::Gone)).collect();
+        lost.retain(|at| !here.contains(at));
         lost.sort_unstable();
         lost.dedup();
         let digest = self.digest();
