lab scale: fleets of hollow relays over UDP or simulated links, measured and held to a budget

Each hollow relay is a relay's membership and leases; a witness looks at who owns what by one clock, and two at once or an epoch that does not grow are counted (its own test shows that it sees both).

--- a/command/src/checks.rs
+++ b/command/src/checks.rs
@@ -3,6 +3,7 @@
 use clap::{Args, Subcommand};
 use std::path::{Path, PathBuf};
 use thistlecroft_charter::{Charter, Circumstances, Fault, Lanes, OTHERWISE, Origin, Routing, page};
+use thistlecroft_lab::scale::Budget;
 use thistlecroft_lab::scenario::Scenario;
 use thistlecroft_relay::{circumstances, read_file};
 
@@ -44,6 +45,7 @@
     Configuration(Box<thistlecroft_relay::Posting>),
     Scenario(Box<Scenario>),
     Charter(Box<Charter>, Option<Routing>),
+    Budget(Budget),
 }
 
 fn lines(faults: Vec<Fault>) -> Vec<String> {
@@ -63,6 +65,10 @@
         let scenario = Scenario::parse(&name, &text).map_err(|fault| vec![fault.to_string()])?;
         return Ok(Sound::Scenario(Box::new(scenario)));
     }
+    if Budget::is_one(&text) {
+        let budget = Budget::parse(&text).map_err(|fault| vec![format!("{name}: {fault}")])?;
+        return Ok(Sound::Budget(budget));
+    }
     let charter = Charter::parse(&name, &text).map_err(lines)?;
     let routing = of.map(|of| charter.against(of, lanes)).transpose().map_err(lines)?;
     Ok(Sound::Charter(Box::new(charter), routing))
@@ -116,6 +122,7 @@
             };
             format!("a charter: {} routes, {held}", charter.routes.len())
         }
+        Sound::Budget(budget) => format!("a budget for lab scale: {} limits", budget.limits()),
     }
 }
 
--- a/command/src/experiments.rs
+++ b/command/src/experiments.rs
@@ -1,4 +1,5 @@
 //! `thistlecroft lab`: runs, comparisons, lists, reports.
+use crate::scale::{ScaleArgs, scale};
 use crate::{End, shipped};
 use clap::{Subcommand, ValueEnum};
 use std::path::{Path, PathBuf};
@@ -60,6 +61,11 @@
     },
     /// Print a scenario that comes with the command, to begin one's own with.
     Show { scenario: String },
+    /// Measure fleets of hollow relays: what control sends and costs, how fast they agree and own, and a budget kept.
+    Scale(Box<ScaleArgs>),
+    /// A process of hollow relays, for `scale`: speaks on standard input and output.
+    #[command(hide = true)]
+    Hollow,
     /// Measure how fast relays know of one another and what it costs: over simulated links, and as processes here.
     Peers {
         /// Sizes over simulated links.
@@ -100,11 +106,17 @@
     stop
 }
 
-/// This program as a relay.
-pub fn own_relay() -> Result<Vec<String>, End> {
+/// This program with these arguments.
+pub fn own_program(arguments: &[&str]) -> Result<Vec<String>, End> {
     let own =
         std::env::current_exe().map_err(|fault| End::Failed(format!("this program's own path: {fault}")))?;
-    Ok(vec![own.to_string_lossy().into_owned(), "serve".into()])
+    let own = own.to_string_lossy().into_owned();
+    Ok(std::iter::once(own).chain(arguments.iter().map(|one| (*one).to_string())).collect())
+}
+
+/// This program as a relay.
+pub fn own_relay() -> Result<Vec<String>, End> {
+    own_program(&["serve"])
 }
 
 fn scenario(name: &str) -> Result<Scenario, End> {
@@ -123,10 +135,14 @@
             for (name, _) in shipped::SCENARIOS {
                 println!("{name:<16} {}", scenario(name)?.about);
             }
+            for (name, about, _) in shipped::BUDGETS {
+                println!("{name:<16} {about}");
+            }
             Ok(())
         }
         Verb::Show { scenario } => {
             let text = shipped::text(&scenario)
+                .or_else(|| shipped::budget(&scenario))
                 .ok_or_else(|| End::Wrong(format!("{scenario}: not one of `thistlecroft lab list`")))?;
             print!("{text}");
             Ok(())
@@ -143,6 +159,8 @@
             Ok(())
         }
         Verb::Report { folder } => report(&folder),
+        Verb::Scale(args) => scale(&args),
+        Verb::Hollow => thistlecroft_lab::scale::work().map_err(End::Failed),
         Verb::Saturate { out } => saturation(&out),
         Verb::Run { scenario: name, seed, seeds, out, relay, ways, baseline, quiet } => {
             let scenario = scenario(&name)?;
--- a/command/src/main.rs
+++ b/command/src/main.rs
@@ -5,6 +5,7 @@
 mod experiments;
 mod logs;
 mod peers;
+mod scale;
 mod shipped;
 
 use clap::{CommandFactory, Parser, Subcommand};
--- a/fleet/src/post.rs
+++ b/fleet/src/post.rs
@@ -291,21 +291,25 @@
         }
     }
 
-    /// CPU time of its living threads so far, and bytes of memory resident; none where the process has ended.
+    /// What `cost_of` says of its process.
     pub fn cost(&self) -> Option<(Span, u64)> {
-        let folder = PathBuf::from(format!("/proc/{}", self.child.id()));
-        let nanoseconds = |thread: std::fs::DirEntry| -> Option<u64> {
-            std::fs::read_to_string(thread.path().join("schedstat")).ok()?.split(' ').next()?.parse().ok()
-        };
-        let threads = std::fs::read_dir(folder.join("task")).ok()?.filter_map(Result::ok);
-        let cpu: u64 = threads.filter_map(nanoseconds).sum();
-        let pages: u64 =
-            std::fs::read_to_string(folder.join("statm")).ok()?.split(' ').nth(1)?.parse().ok()?;
-        // Of a process that has ended and not been waited for there is neither.
-        (cpu > 0).then(|| (Span::from_us(cpu / 1_000), pages * rustix::param::page_size() as u64))
+        cost_of(self.child.id())
     }
 }
 
+/// CPU time of a process's living threads so far, and bytes of memory resident; none where it has ended.
+pub fn cost_of(process: u32) -> Option<(Span, u64)> {
+    let folder = PathBuf::from(format!("/proc/{process}"));
+    let nanoseconds = |thread: std::fs::DirEntry| -> Option<u64> {
+        std::fs::read_to_string(thread.path().join("schedstat")).ok()?.split(' ').next()?.parse().ok()
+    };
+    let threads = std::fs::read_dir(folder.join("task")).ok()?.filter_map(Result::ok);
+    let cpu: u64 = threads.filter_map(nanoseconds).sum();
+    let pages: u64 = std::fs::read_to_string(folder.join("statm")).ok()?.split(' ').nth(1)?.parse().ok()?;
+    // Of a process that has ended and not been waited for there is neither.
+    (cpu > 0).then(|| (Span::from_us(cpu / 1_000), pages * rustix::param::page_size() as u64))
+}
+
 impl Drop for Post {
     fn drop(&mut self) {
         self.kill();
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod report;
 pub mod run;
 pub mod saturate;
+pub mod scale;
 pub mod scenario;
 pub mod spans;
 pub mod summary;
--- /dev/null
+++ b/lab/src/scale/simulated.rs
@@ -0,0 +1,234 @@
+//! The same fleet over simulated links: every process in this one, on a clock that is stepped.
+use super::Progress;
+use super::assignment::{Assignment, subject_number};
+use super::config::{Fault, Role, SEEDS, ScaleConfig};
+use super::meter::{Meter, Traffic};
+use super::outcome::{Convergence, Outcome, Phase};
+use super::witness::{OwnershipWitness, epochs_not_grown, two_owners};
+use std::collections::BTreeSet;
+use std::time::Instant;
+use thistlecroft::units::{Moment, Span};
+use thistlecroft_fleet::mesh::{Host, Mesh};
+use thistlecroft_peers::Standing;
+
+const STEP: Span = Span::from_ms(250);
+const STEPS_A_SECOND: u64 = 4;
+/// The longest that a state is waited for, in periods.
+const PATIENCE: f64 = 400.0;
+/// Periods in which what is known of the last change goes round, and more for each member.
+const SETTLE: f64 = 20.0;
+const SETTLE_EACH: f64 = 0.25;
+
+pub fn run(config: &ScaleConfig, progress: Progress<'_>) -> Outcome {
+    let began = Instant::now();
+    let mut fleet = Fleet::start(config);
+    let mut phases = Vec::new();
+    let everyone: BTreeSet<usize> = (0..config.layout().size()).collect();
+    let started = fleet.converge(std::slice::from_ref(&everyone), progress);
+    phases.push(fleet.phase("start", Some(started)));
+    fleet.settle(progress);
+    phases.push(fleet.phase("settle", None));
+    fleet.pass(Span::from_ms(config.calm_s * 1_000));
+    phases.push(fleet.phase("calm", None));
+    match config.fault {
+        Fault::None => {}
+        Fault::Region => {
+            let sides = fleet.cut_region();
+            let cut = fleet.converge(&sides, progress);
+            fleet.pass(Span::from_ms(config.cut_s * 1_000));
+            phases.push(fleet.phase("fault", Some(cut)));
+            fleet.mesh.heal();
+            let healed = fleet.converge(std::slice::from_ref(&everyone), progress);
+            phases.push(fleet.phase("healed", Some(healed)));
+            fleet.settle(progress);
+            phases.push(fleet.phase("settle", None));
+        }
+        fault => {
+            let lost = config.layout().lost_by(fault);
+            lost.iter().for_each(|member| fleet.mesh.kill(*member));
+            let rest = everyone.iter().copied().filter(|member| !lost.contains(member)).collect();
+            let after = fleet.converge(&[rest], progress);
+            phases.push(fleet.phase("fault", Some(after)));
+            fleet.settle(progress);
+            phases.push(fleet.phase("settle", None));
+        }
+    }
+    let owned_at_end = fleet.owned();
+    let holdings = fleet.witness.into_holdings();
+    Outcome {
+        config: config.clone(),
+        phases,
+        relay: None,
+        voter: None,
+        two_owners: two_owners(&holdings),
+        epochs_not_grown: epochs_not_grown(&holdings),
+        holdings: holdings.len(),
+        owned_at_end,
+        late_ms: None,
+        took_s: began.elapsed().as_secs_f64(),
+    }
+}
+
+struct Fleet<'a> {
+    config: &'a ScaleConfig,
+    mesh: Mesh,
+    assignments: Vec<Assignment>,
+    /// Changes of members that each has acted on.
+    applied: Vec<usize>,
+    meters: Vec<Meter>,
+    witness: OwnershipWitness,
+    steps: u64,
+    phase_began: Moment,
+}
+
+impl<'a> Fleet<'a> {
+    fn start(config: &'a ScaleConfig) -> Fleet<'a> {
+        let layout = config.layout();
+        let seeds = SEEDS.min(layout.size());
+        let voter_leases = config.lease_config(Role::Voter);
+        let mut mesh = Mesh::new(config.peer_terms(Role::Voter), Some(voter_leases), seeds, config.seed);
+        mesh.bend.loss = config.loss;
+        let drift = 1.0 + thistlecroft_leases::DRIFT * 0.5;
+        for member in 0..layout.size() {
+            if member == config.voters {
+                mesh.set_rates(
+                    config.peer_terms(Role::Relay).rate,
+                    config.lease_config(Role::Relay).update_rate,
+                );
+            }
+            let speed = if member % 2 == 0 { drift } else { 1.0 / drift };
+            mesh.start(&layout.name(member), speed);
+        }
+        Fleet {
+            config,
+            assignments: (0..layout.size())
+                .map(|member| Assignment::new(layout, config.subjects, member))
+                .collect(),
+            applied: vec![usize::MAX; layout.size()],
+            meters: vec![Meter::default(); layout.size()],
+            witness: OwnershipWitness::default(),
+            mesh,
+            steps: 0,
+            phase_began: Moment::default(),
+        }
+    }
+
+    fn step(&mut self) {
+        self.mesh.run_for(STEP);
+        self.steps += 1;
+        for member in 0..self.assignments.len() {
+            let host = &self.mesh.hosts[member];
+            if host.alive && self.applied[member] != host.turns.len() {
+                self.applied[member] = host.turns.len();
+                let assignment = &mut self.assignments[member];
+                self.mesh.act(member, |host, now| {
+                    if let Some(leases) = &mut host.leases {
+                        assignment.apply(&host.node, leases, now);
+                    }
+                });
+            }
+        }
+        let now = self.mesh.now;
+        for (member, host) in self.mesh.hosts.iter().enumerate().filter(|(_, host)| host.alive) {
+            self.witness.look(member, holdings(host, now), now);
+        }
+        if self.steps.is_multiple_of(STEPS_A_SECOND) {
+            for (meter, host) in self.meters.iter_mut().zip(&self.mesh.hosts).filter(|(_, host)| host.alive) {
+                meter.second(&host.node.counts);
+            }
+        }
+    }
+
+    fn pass(&mut self, span: Span) {
+        let until = self.mesh.now + span;
+        while self.mesh.now < until {
+            self.step();
+        }
+    }
+
+    /// Until each of these sets sees itself alone, and all subjects are owned.
+    fn converge(&mut self, sides: &[BTreeSet<usize>], progress: Progress<'_>) -> Convergence {
+        let began = self.mesh.now;
+        let mut found = Convergence::default();
+        let patience = self.config.period() * PATIENCE;
+        while found.members_s.is_none() || found.owned_s.is_none() {
+            self.step();
+            let passed = self.mesh.now.since(began);
+            if found.members_s.is_none() && sides.iter().all(|side| self.agree(side)) {
+                found.members_s = Some(passed.secs());
+            }
+            if self.owned() == self.config.subjects {
+                found.owned_s = found.owned_s.or(Some(passed.secs()));
+            } else {
+                found.owned_s = None;
+            }
+            if self.steps.is_multiple_of(STEPS_A_SECOND * 5) {
+                progress(&format!(
+                    "{:.0} s: {} subjects owned",
+                    self.mesh.now.since(Moment::default()).secs(),
+                    self.owned()
+                ));
+            }
+            if passed >= patience {
+                break;
+            }
+        }
+        found
+    }
+
+    /// Until what was told of the last change has gone round: nothing is sent any more but what calm needs.
+    fn settle(&mut self, progress: Progress<'_>) {
+        progress(&format!("{:.0} s: settling", self.mesh.now.since(Moment::default()).secs()));
+        self.pass(self.config.period() * (SETTLE + SETTLE_EACH * self.assignments.len() as f64));
+    }
+
+    fn agree(&self, side: &BTreeSet<usize>) -> bool {
+        let layout = self.config.layout();
+        let sees_others = |host: &Host| {
+            let live = host.node.members().filter(|view| view.standing <= Standing::Suspected);
+            live.filter_map(|view| layout.member(&view.id.name)).all(|member| side.contains(&member))
+        };
+        side.iter().all(|member| {
+            let host = &self.mesh.hosts[*member];
+            host.node.size() == side.len() && sees_others(host)
+        })
+    }
+
+    fn owned(&self) -> usize {
+        let now = self.mesh.now;
+        let held = |host: &Host| {
+            let leases = host.leases.iter();
+            leases.map(|leases| leases.holdings(host.clock(now)).count()).sum::<usize>()
+        };
+        self.mesh.hosts.iter().filter(|host| host.alive).map(held).sum()
+    }
+
+    /// The two sides of it.
+    fn cut_region(&mut self) -> [BTreeSet<usize>; 2] {
+        let layout = self.config.layout();
+        let is_first = |member: &usize| layout.zone(*member) < self.config.first_region;
+        let (first, second): (Vec<usize>, Vec<usize>) = (0..layout.size()).partition(is_first);
+        self.mesh.cut(&first, &second);
+        [first.into_iter().collect(), second.into_iter().collect()]
+    }
+
+    fn phase(&mut self, name: &str, converged: Option<Convergence>) -> Phase {
+        let layout = self.config.layout();
+        let all: Vec<(Role, Traffic)> = self
+            .meters
+            .iter_mut()
+            .enumerate()
+            .filter(|(member, _)| self.mesh.hosts[*member].alive)
+            .map(|(member, meter)| (layout.role(member), meter.take()))
+            .collect();
+        let seconds = self.mesh.now.since(self.phase_began).secs();
+        self.phase_began = self.mesh.now;
+        Phase::new(name, seconds, &all, converged)
+    }
+}
+
+fn holdings(host: &Host, now: Moment) -> impl Iterator<Item = (usize, u64)> + '_ {
+    let own = host.clock(now);
+    let held = host.leases.iter().flat_map(move |leases| leases.holdings(own));
+    held.filter_map(|(subject, held)| Some((subject_number(subject)?, held.epoch)))
+}
--- /dev/null
+++ b/lab/src/scale/witness.rs
@@ -0,0 +1,96 @@
+//! Who was seen to own what and when, and whether two did at once.
+use serde::{Deserialize, Serialize};
+use thistlecroft::units::Moment;
+
+/// One holding of a subject, as its owner was seen with it: from the first look to the last. The epoch is one holding's
+/// alone, so in between it was not lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    pub subject: usize,
+    pub owner: usize,
+    pub epoch: u64,
+    pub first_us: u64,
+    pub last_us: u64,
+}
+
+/// Looks at what processes hold, by one clock.
+#[derive(Clone, Debug, Default)]
+pub struct OwnershipWitness {
+    /// By subject: the last holding of each that was seen with it.
+    last: Vec<Vec<Holding>>,
+    past: Vec<Holding>,
+}
+
+impl OwnershipWitness {
+    pub fn look(&mut self, owner: usize, holdings: impl Iterator<Item = (usize, u64)>, now: Moment) {
+        for (subject, epoch) in holdings {
+            if subject >= self.last.len() {
+                self.last.resize_with(subject + 1, Vec::new);
+            }
+            let fresh = Holding { subject, owner, epoch, first_us: now.us(), last_us: now.us() };
+            match self.last[subject].iter_mut().find(|known| known.owner == owner) {
+                Some(known) if known.epoch == epoch => known.last_us = now.us(),
+                Some(known) => self.past.push(std::mem::replace(known, fresh)),
+                None => self.last[subject].push(fresh),
+            }
+        }
+    }
+
+    pub fn into_holdings(self) -> Vec<Holding> {
+        self.past.into_iter().chain(self.last.into_iter().flatten()).collect()
+    }
+}
+
+/// Pairs of holdings of one subject by two owners that overlap.
+pub fn two_owners(holdings: &[Holding]) -> usize {
+    let mut sorted = holdings.to_vec();
+    sorted.sort_by_key(|one| (one.subject, one.first_us, one.owner));
+    let overlap = |pair: &&[Holding]| {
+        let (one, next) = (pair[0], pair[1]);
+        one.subject == next.subject && one.owner != next.owner && next.first_us <= one.last_us
+    };
+    sorted.windows(2).filter(overlap).count()
+}
+
+/// Holdings whose epoch is not above that of the one before.
+pub fn epochs_not_grown(holdings: &[Holding]) -> usize {
+    let mut sorted = holdings.to_vec();
+    sorted.sort_by_key(|one| (one.subject, one.first_us));
+    let fell = |pair: &&[Holding]| pair[0].subject == pair[1].subject && pair[1].epoch <= pair[0].epoch;
+    sorted.windows(2).filter(fell).count()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn witness(looks: &[(u64, usize, u64)]) -> Vec<Holding> {
+        let mut witness = OwnershipWitness::default();
+        for (at, owner, epoch) in looks {
+            witness.look(*owner, std::iter::once((7, *epoch)), Moment::from_us(*at));
+        }
+        witness.into_holdings()
+    }
+
+    #[test]
+    fn two_at_once_and_epochs_that_fall_are_seen_and_a_hand_over_is_neither() {
+        // Looks at one subject (time, owner, epoch), pairs at once, epochs that did not grow.
+        type Case = (&'static [(u64, usize, u64)], usize, usize);
+        let cases: &[Case] = &[
+            (&[(1, 0, 5), (2, 0, 5), (3, 1, 6), (4, 1, 6)], 0, 0),
+            (&[(1, 0, 5), (3, 1, 6), (4, 0, 5)], 1, 0),
+            (&[(1, 0, 5), (2, 1, 6), (3, 0, 7)], 0, 0),
+            (&[(1, 0, 5), (2, 1, 5)], 0, 1),
+            (&[(1, 0, 5), (2, 1, 4)], 0, 1),
+            (&[(1, 0, 5), (1, 1, 6)], 1, 0),
+        ];
+        for (looks, at_once, fallen) in cases {
+            let holdings = witness(looks);
+            assert_eq!(
+                (two_owners(&holdings), epochs_not_grown(&holdings)),
+                (*at_once, *fallen),
+                "{looks:?}"
+            );
+        }
+    }
+}
