--- a/command/src/experiments.rs
+++ b/command/src/experiments.rs
@@ -1,5 +1,5 @@
 //! `thistlecroft lab`: runs, comparisons, lists, reports.
-use crate::scale::{ScaleArgs, scale};
+use crate::scale::{ScaleArgs, SlopeArgs, scale, slope};
 use crate::{End, shipped};
 use clap::{Subcommand, ValueEnum};
 use std::path::{Path, PathBuf};
@@ -63,6 +63,8 @@
     Show { scenario: String },
     /// Measure fleets of hollow relays: what control sends and costs, how fast they agree and own, and a budget kept.
     Scale(Box<ScaleArgs>),
+    /// Run `scale` at several sizes and seeds, and put a straight line through each figure.
+    Slope(Box<SlopeArgs>),
     /// A process of hollow relays, for `scale`: speaks on standard input and output.
     #[command(hide = true)]
     Hollow,
@@ -160,6 +162,7 @@
         }
         Verb::Report { folder } => report(&folder),
         Verb::Scale(args) => scale(&args),
+        Verb::Slope(args) => slope(&args),
         Verb::Hollow => thistlecroft_lab::scale::work().map_err(End::Failed),
         Verb::Saturate { out } => saturation(&out),
         Verb::Run { scenario: name, seed, seeds, out, relay, ways, baseline, quiet } => {
--- a/command/src/scale.rs
+++ b/command/src/scale.rs
@@ -4,7 +4,9 @@
 use crate::shipped;
 use clap::{Args, ValueEnum};
 use std::path::{Path, PathBuf};
-use thistlecroft_lab::scale::{Budget, Fault, Outcome, ScaleConfig, run};
+use thistlecroft_lab::scale::{
+    Budget, Fault, Outcome, ScaleConfig, Variable, run, slope_table, slopes, sweep,
+};
 
 #[derive(Args)]
 pub struct ScaleArgs {
@@ -143,6 +145,50 @@
     }
 }
 
+/// What is varied.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum VariableName {
+    Relays,
+    Subjects,
+    Voters,
+}
+
+#[derive(Args)]
+pub struct SlopeArgs {
+    /// What is varied; subjects are those of each relay.
+    #[arg(long, value_enum, default_value_t = VariableName::Relays)]
+    over: VariableName,
+    /// Its sizes.
+    #[arg(long, value_delimiter = ',', default_value = "25,50,100,200")]
+    at: Vec<usize>,
+    /// Runs at each size, each of a seed of its own.
+    #[arg(long, default_value_t = 3)]
+    seeds: u64,
+    #[command(flatten)]
+    scale: ScaleArgs,
+}
+
+pub fn slope(args: &SlopeArgs) -> Result<(), End> {
+    if args.at.len() < 2 || args.seeds == 0 {
+        return Err(End::Wrong("--at: two sizes or more; --seeds: one or more".into()));
+    }
+    let (config, quiet) = (args.scale.config(), args.scale.quiet);
+    let variable = match args.over {
+        VariableName::Relays => Variable::Relays,
+        VariableName::Subjects => Variable::Subjects,
+        VariableName::Voters => Variable::Voters,
+    };
+    let mut progress = |line: &str| {
+        if !quiet {
+            eprintln!("{line}");
+        }
+    };
+    let program = own_program(&["lab", "hollow"])?;
+    let all = sweep(&config, variable, &args.at, args.seeds, &program, &mut progress).map_err(End::Failed)?;
+    print!("{}", slope_table(&config, variable, args.seeds, &slopes(&all)));
+    Ok(())
+}
+
 fn save(outcome: &Outcome, table: &str, out: &Path) -> Result<(), String> {
     let at = |fault: std::io::Error| format!("{}: {fault}", out.display());
     std::fs::create_dir_all(out).map_err(at)?;
--- a/command/tests/command.rs
+++ b/command/tests/command.rs
@@ -197,6 +197,15 @@
         ),
         (&["lab", "compare", &out, "/nowhere"], 2, "out: no summary.json"),
         (&["lab", "show", "steady"], 0, ""),
+        (&["lab", "show", "budget-target"], 0, ""),
+        (&["lab", "scale", "--relays", "1"], 2, "--relays: 1 is not between 2 and"),
+        (&["lab", "scale", "--subjects", "200000"], 2, "--subjects: 200000 is not between"),
+        (&["lab", "scale", "--fault", "region"], 2, "--fault region: over simulated links only"),
+        (&["lab", "scale", "--loss", "0.1"], 2, "--loss: over simulated links only"),
+        (&["lab", "scale", "--budget", "/nowhere.toml"], 2, "/nowhere.toml: No such file"),
+        (&["lab", "scale", "--budget", &bad], 2, "bad.toml: line "),
+        (&["lab", "scale", "--relays", "300", "--each-process", "1"], 1, "303 processes; 200 at most"),
+        (&["lab", "slope", "--at", "10"], 2, "--at: two sizes or more"),
         (&["completions", "bash"], 0, ""),
         (&["--version"], 0, ""),
     ];
@@ -525,3 +534,30 @@
     assert!(said.contains("permissions.peers"), "{said}");
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+/// Hollow relays as processes: a rack is lost, all subjects are owned again, and a budget that is too small is named.
+#[test]
+fn a_fleet_of_hollow_relays_is_measured_and_held_to_a_budget() {
+    let folder = folder("scale");
+    let (budget, out) = (folder.join("budget.toml"), folder.join("out"));
+    std::fs::write(&budget, "[budget]\nrelay_sent_bytes_s = 1\ntwo_owners = 0\nnot_owned = 0\n").unwrap();
+    let (budget, out) = (budget.to_string_lossy().into_owned(), out.to_string_lossy().into_owned());
+    let sizes = ["--relays", "16", "--subjects", "400", "--rack", "3", "--each-process", "8"];
+    let times = ["--period", "200", "--term", "2000", "--calm", "2", "--fault", "rack"];
+    let mut arguments = vec!["lab", "scale", "--quiet", "--budget", &budget, "--out", &out];
+    arguments.extend(sizes.iter().chain(&times));
+    let done = run(&arguments);
+    let (table, said) = (text(&done.stdout), text(&done.stderr));
+    assert_eq!(done.status.code(), Some(1), "{table}{said}");
+    assert!(said.contains("1 limits of the budget were not kept"), "{said}");
+    assert!(table.contains("over budget: relay_sent_bytes_s: "), "{table}");
+    assert!(
+        table.contains("owned at the end 400 of 400") && table.contains("two owners at once 0"),
+        "{table}"
+    );
+    let json = std::fs::read_to_string(Path::new(&out).join("scale.json")).unwrap();
+    let outcome: serde_json::Value = serde_json::from_str(&json).unwrap();
+    assert!(outcome["phases"][3]["converged"]["owned_s"].as_f64().is_some_and(|owned| owned > 0.5), "{json}");
+    assert!(outcome["holdings"].as_u64() > Some(400), "{json}");
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -10,6 +10,7 @@
 mod processes;
 mod protocol;
 mod simulated;
+mod slope;
 mod witness;
 mod worker;
 
@@ -18,6 +19,7 @@
 pub use config::{Fault, Layout, Role, ScaleConfig};
 pub use meter::{Meter, RoleTraffic, Traffic};
 pub use outcome::{Convergence, Cost, Outcome, Phase};
+pub use slope::{Line, Slope, Variable, slopes, sweep, table as slope_table};
 pub use witness::{Holding, OwnershipWitness};
 pub use worker::work;
 
--- a/relay/tests/peers.rs
+++ b/relay/tests/peers.rs
@@ -271,3 +271,48 @@
     assert!(rig.ask(1, "PEERS").unwrap().starts_with("400 peers are not switched on"));
     UdpSocket::bind(rig.net.ways[1].own).expect("nobody listens there");
 }
+
+/// Subjects that many witnesses ask for at one relay each.
+const SHARDS: [&str; 6] = ["shard-0", "shard-1", "shard-2", "shard-3", "shard-4", "shard-5"];
+
+fn holds_all(rig: &Rig, relay: usize) -> bool {
+    let held = |subject: &&&str| {
+        rig.ask(relay, &format!("LEASE {subject}")).is_some_and(|said| said.starts_with("200 held"))
+    };
+    SHARDS.iter().filter(held).count() == SHARDS.len()
+}
+
+#[test]
+fn many_leases_pass_on_as_their_owner_is_killed_and_a_voter_with_it_and_never_have_two_owners() {
+    let mut rig = rig("take-over", 6, 6);
+    let witnesses: Vec<_> =
+        SHARDS.iter().flat_map(|subject| [3, 4].map(|relay| rig.witness(relay, Some(subject)))).collect();
+    let shared = |rig: &Rig| {
+        let held = |relay: usize, subject: &str| {
+            rig.ask(relay, &format!("LEASE {subject}")).is_some_and(|said| said.starts_with("200 held"))
+        };
+        SHARDS.iter().all(|subject| held(3, subject) || held(4, subject))
+    };
+    rig.wait(LEASE * 6.0 + BUSY, shared).expect("each has an owner");
+    rig.kill(3);
+    // While the other asks for all, a voter is killed and starts again, and forgets.
+    rig.kill(0);
+    rig.start(0).unwrap();
+    rig.wait(LEASE * 8.0 + BUSY, |rig| holds_all(rig, 4)).expect("taken over");
+    // The next owner stands still past its term, and comes back.
+    rig.pause(4, true);
+    rig.wait(LEASE * 8.0 + BUSY, |rig| holds_all(rig, 5)).expect("taken over again");
+    rig.pause(4, false);
+    rig.wait(gone_within(6), |rig| rig.agree(&[0, 1, 2, 4, 5])).expect("here again");
+    assert!(holds_all(&rig, 5), "who took over goes on");
+    // The fleet is split with two voters on the other side.
+    rig.cut(&[0, 5], &[1, 2, 4]);
+    rig.wait(LEASE * 8.0 + BUSY, |rig| holds_all(rig, 4)).expect("the side with a majority has them");
+    rig.heal();
+    rig.wait(gone_within(6), |rig| rig.agree(&[0, 1, 2, 4, 5])).expect("healed");
+    drop(witnesses);
+    let entries = rig.reel.into_sorted();
+    let said = |seen: &Sighting| matches!(seen, Sighting::LeaseSaid { .. });
+    assert!(entries.iter().filter(|entry| said(&entry.seen)).count() > SHARDS.len() * 4);
+    assert_eq!(judge_together(&entries, &Pact::default()), []);
+}
