--- a/fleet/src/mesh.rs
+++ b/fleet/src/mesh.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use thistlecroft::units::{Chance, Moment, Span};
 use thistlecroft_leases::{LeaseConfig, Leases};
-use thistlecroft_peers::{Event, Identity, Node, Standing, Terms};
+use thistlecroft_peers::{Event, Identity, MemberState, Node, Terms};
 
 pub use crate::link::Bend;
 
@@ -21,7 +21,7 @@
     inbox: Vec<(usize, Vec<u8>)>,
     pub alive: bool,
     /// When others were seen to stand otherwise, in true time.
-    pub turns: Vec<(Moment, Identity, Standing)>,
+    pub turns: Vec<(Moment, Identity, MemberState)>,
     /// The time for which a wake is set.
     wakes: Option<Moment>,
 }
@@ -39,7 +39,7 @@
 
     /// If it sees exactly these here.
     pub fn sees(&self, names: &BTreeSet<String>) -> bool {
-        let here = self.node.members().filter(|view| view.standing == Standing::Here);
+        let here = self.node.members().filter(|view| view.state == MemberState::Alive);
         let mut here: BTreeSet<String> = here.map(|view| view.id.name.to_string()).collect();
         here.insert(self.name.clone());
         here == *names
@@ -224,7 +224,7 @@
         let host = &mut self.hosts[to];
         if host.alive {
             let own = host.clock(now);
-            host.node.hear(bytes, address(from), own);
+            host.node.receive(bytes, address(from), own);
             self.turn(to);
         }
     }
@@ -234,7 +234,7 @@
         let host = &mut self.hosts[number];
         let own = host.clock(now);
         if host.node.due() <= own {
-            host.node.wake(own);
+            host.node.tick(own);
         }
         if let Some(leases) = &mut host.leases
             && leases.due(own).is_some_and(|due| due <= own)
@@ -259,8 +259,8 @@
         let own = host.clock(now);
         for event in host.node.take_events() {
             match event {
-                Event::Stands { id, standing } => host.turns.push((now, id, standing)),
-                Event::Carried { from, channel, bytes } => {
+                Event::MemberChanged { id, state } => host.turns.push((now, id, state)),
+                Event::Message { from, channel, bytes } => {
                     if let Some(leases) = &mut host.leases {
                         leases.receive(&from, channel, &bytes, own);
                     }
@@ -271,11 +271,11 @@
         if let Some(leases) = &mut host.leases {
             for outgoing in leases.take_outgoing() {
                 for id in outgoing.to.processes(&host.node) {
-                    host.node.carry(&id, outgoing.channel, outgoing.bytes.clone(), own);
+                    host.node.send_message(&id, outgoing.channel, outgoing.bytes.clone(), own);
                 }
             }
         }
-        for (to, bytes) in host.node.take_out() {
+        for (to, bytes) in host.node.take_datagrams() {
             let Some(to) = self.number_of(to) else { continue };
             let bend = self.links.get(&(number, to)).copied().unwrap_or(self.bend);
             for after in bend.passes(&mut self.chance) {
--- a/lab/src/peers.rs
+++ b/lab/src/peers.rs
@@ -9,7 +9,7 @@
 use thistlecroft_fleet::link::Bend;
 use thistlecroft_fleet::mesh::{Host, Mesh};
 use thistlecroft_fleet::rig::{Plan, Rig};
-use thistlecroft_peers::{Kind, Pace, Standing, Terms};
+use thistlecroft_peers::{Kind, MemberState, Pace, Terms};
 
 /// One size, under one loss, by one seed.
 #[derive(Clone, Copy, Debug)]
@@ -59,19 +59,19 @@
     // Quiet: what it costs, and who is suspected though well.
     mesh.run_for(period * 60.0);
     let sent = |mesh: &Mesh| mesh.hosts.iter().map(|host| host.node.counts.sent_bytes).sum::<u64>();
-    let turns = |mesh: &Mesh, to: Standing| {
+    let turns = |mesh: &Mesh, to: MemberState| {
         let turns = mesh.hosts.iter().map(|host| host.turns.iter().filter(|turn| turn.2 == to).count());
         turns.sum::<usize>() as f64
     };
     // As many periods of relays in all at each size, at least.
     let quiet = (24_000.0 / size as f64).clamp(60.0, 600.0);
-    let before = (sent(&mesh), turns(&mesh, Standing::Suspected), turns(&mesh, Standing::Gone));
+    let before = (sent(&mesh), turns(&mesh, MemberState::Suspect), turns(&mesh, MemberState::Dead));
     mesh.run_for(period * quiet);
     found.bytes = (sent(&mesh) - before.0) as f64 / quiet / size as f64;
-    found.suspicions = (turns(&mesh, Standing::Suspected) - before.1) / quiet * 3_600.0;
-    found.false_gone = (turns(&mesh, Standing::Gone) - before.2) / quiet * 3_600.0;
+    found.suspicions = (turns(&mesh, MemberState::Suspect) - before.1) / quiet * 3_600.0;
+    found.false_gone = (turns(&mesh, MemberState::Dead) - before.2) / quiet * 3_600.0;
     mesh.act(size / 2, |host, now| {
-        host.node.say(Kind::Note, b"subject", b"value", now);
+        host.node.announce(Kind::Note, b"subject", b"value", now);
     });
     let known = |mesh: &Mesh| {
         let knows =
@@ -81,7 +81,7 @@
     found.fact = in_periods(mesh.run_until(period * 200.0, known), period);
     let dead = mesh.hosts[size - 1].node.me().clone();
     mesh.kill(size - 1);
-    let gone = |host: &Host| host.node.standing(&dead) == Some(Standing::Gone);
+    let gone = |host: &Host| host.node.state_of(&dead) == Some(MemberState::Dead);
     let first = mesh.run_until(period * 400.0, |mesh| mesh.hosts.iter().any(gone));
     let rest = mesh.run_until(period * 400.0, |mesh| mesh.hosts.iter().filter(|host| host.alive).all(gone));
     found.first = in_periods(first, period);
--- a/lab/src/scale/assignment.rs
+++ b/lab/src/scale/assignment.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 use thistlecroft::units::{Moment, Span};
 use thistlecroft_leases::Leases;
-use thistlecroft_peers::{Node, Standing};
+use thistlecroft_peers::{MemberState, Node};
 
 /// How long a subject is wanted once it is assigned here: until it is released.
 const FOR_LONG: Span = Span::from_ms(1_000 * 3_600 * 24);
@@ -75,7 +75,7 @@
         if self.member < self.layout.voters {
             return;
         }
-        let live = node.members().filter(|view| view.standing <= Standing::Suspected);
+        let live = node.members().filter(|view| view.state <= MemberState::Suspect);
         let mut seen: BTreeSet<usize> = live.filter_map(|view| self.layout.member(&view.id.name)).collect();
         seen.insert(self.member);
         if seen == self.seen {
--- a/lab/src/scale/simulated.rs
+++ b/lab/src/scale/simulated.rs
@@ -9,7 +9,7 @@
 use std::time::Instant;
 use thistlecroft::units::{Moment, Span};
 use thistlecroft_fleet::mesh::{Host, Mesh};
-use thistlecroft_peers::Standing;
+use thistlecroft_peers::MemberState;
 
 const STEP: Span = Span::from_ms(250);
 const STEPS_A_SECOND: u64 = 4;
@@ -185,7 +185,7 @@
     fn agree(&self, side: &BTreeSet<usize>) -> bool {
         let layout = self.config.layout();
         let sees_others = |host: &Host| {
-            let live = host.node.members().filter(|view| view.standing <= Standing::Suspected);
+            let live = host.node.members().filter(|view| view.state <= MemberState::Suspect);
             live.filter_map(|view| layout.member(&view.id.name)).all(|member| side.contains(&member))
         };
         side.iter().all(|member| {
--- a/lab/src/scale/worker.rs
+++ b/lab/src/scale/worker.rs
@@ -70,7 +70,7 @@
         let mut bytes = [0; MOST + 1];
         for _ in 0..DATAGRAMS {
             match self.socket.recv_from(&mut bytes) {
-                Ok((length, source)) => self.node.hear(&bytes[..length], source, now()),
+                Ok((length, source)) => self.node.receive(&bytes[..length], source, now()),
                 Err(fault) if fault.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => break,
             }
@@ -80,7 +80,7 @@
 
     fn wake(&mut self, at: Moment) {
         if self.node.due() <= at {
-            self.node.wake(at);
+            self.node.tick(at);
         }
         if self.leases.due(at).is_some_and(|due| due <= at) {
             self.leases.tick(at);
@@ -93,8 +93,8 @@
         let at = now();
         for event in self.node.take_events() {
             match event {
-                PeerEvent::Stands { .. } => self.changed = true,
-                PeerEvent::Carried { from, channel, bytes } => {
+                PeerEvent::MemberChanged { .. } => self.changed = true,
+                PeerEvent::Message { from, channel, bytes } => {
                     self.leases.receive(&from, channel, &bytes, at)
                 }
                 _ => {}
@@ -102,10 +102,10 @@
         }
         for outgoing in self.leases.take_outgoing() {
             for id in outgoing.to.processes(&self.node) {
-                self.node.carry(&id, outgoing.channel, outgoing.bytes.clone(), at);
+                self.node.send_message(&id, outgoing.channel, outgoing.bytes.clone(), at);
             }
         }
-        for (to, bytes) in self.node.take_out() {
+        for (to, bytes) in self.node.take_datagrams() {
             // A datagram that can't be sent is one that is lost.
             let _ = self.socket.send_to(&bytes, to);
         }
--- a/leases/src/message.rs
+++ b/leases/src/message.rs
@@ -2,7 +2,7 @@
 use crate::legacy;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
-use thistlecroft_peers::{Identity, Node, Standing, View};
+use thistlecroft_peers::{Identity, MemberState, Node, View};
 
 /// The channel of these messages. Processes that know only the protocol before (`legacy`) do not read it.
 pub const CHANNEL: u8 = 2;
@@ -109,7 +109,7 @@
 
 impl To {
     pub fn processes(&self, node: &Node) -> Vec<Identity> {
-        let live = || node.members().filter(|view| view.standing <= Standing::Suspected);
+        let live = || node.members().filter(|view| view.state <= MemberState::Suspect);
         let id = |view: View<'_>| view.id.clone();
         match self {
             To::Process(id) => vec![id.clone()],
--- a/peers/src/pieces.rs
+++ b/peers/src/chunks.rs
@@ -31,13 +31,13 @@
 }
 
 #[derive(Clone, Debug, Default)]
-pub struct Pieces {
+pub struct Chunks {
     sent: BTreeMap<u32, Sent>,
     coming: BTreeMap<(Identity, u32), Coming>,
     next: u32,
 }
 
-impl Pieces {
+impl Chunks {
     /// Keeps them to be asked for again; their number.
     pub fn keep(&mut self, to: Identity, pieces: Vec<Content>) -> u32 {
         self.next = self.next.wrapping_add(1);
--- a/peers/src/facts.rs
+++ b/peers/src/facts.rs
@@ -137,7 +137,14 @@
     }
 
     /// Says a fact as its owner; false where the owner has too many, or it is too long.
-    pub fn say(&mut self, owner: &Identity, kind: Kind, subject: &[u8], value: &[u8], now: Moment) -> bool {
+    pub fn announce(
+        &mut self,
+        owner: &Identity,
+        kind: Kind,
+        subject: &[u8],
+        value: &[u8],
+        now: Moment,
+    ) -> bool {
         let key = Key { kind, subject: subject.to_vec(), owner: owner.clone() };
         let fresh = !self.rows.contains_key(&key);
         let epoch = self.said + 1;
@@ -161,7 +168,7 @@
     }
 
     /// Said again, with nothing changed but epoch and age.
-    pub fn say_again(&mut self, key: &Key, now: Moment) {
+    pub fn refresh(&mut self, key: &Key, now: Moment) {
         if let Some(held) = self.rows.get_mut(key) {
             self.said += 1;
             (held.epoch, held.said) = (self.said, now);
--- a/peers/src/identity.rs
+++ b/peers/src/identity.rs
@@ -28,24 +28,24 @@
 
 /// What is thought of a process. Of two opinions of one incarnation the later in this order counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Standing {
+pub enum MemberState {
     /// It answers.
-    Here,
+    Alive,
     /// It did not answer some of late: others prepare, nobody acts in its place.
-    Suspected,
+    Suspect,
     /// It has not answered for as long as was allowed: what it held may be asked for, by lease.
-    Gone,
+    Dead,
     /// It said that it leaves, or another process has its address: it does not come back.
     Left,
 }
 
-impl Standing {
+impl MemberState {
     pub fn word(self) -> &'static str {
         match self {
-            Standing::Here => "here",
-            Standing::Suspected => "suspected",
-            Standing::Gone => "gone",
-            Standing::Left => "left",
+            MemberState::Alive => "here",
+            MemberState::Suspect => "suspected",
+            MemberState::Dead => "gone",
+            MemberState::Left => "left",
         }
     }
 }
@@ -56,7 +56,7 @@
     pub id: Identity,
     pub at: SocketAddr,
     pub incarnation: u32,
-    pub standing: Standing,
+    pub state: MemberState,
     /// Whose suspicion it is.
     pub accuser: Option<Identity>,
 }
--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -4,16 +4,16 @@
 //!
 //! What it says of a process is an opinion: fast, sometimes wrong, different on either side of a split. It gives nobody the
 //! right to act in another's place; that is a lease (`thistlecroft-leases`).
+mod chunks;
 pub mod facts;
 pub mod gossip;
 pub mod identity;
+mod members;
 mod node;
-mod pieces;
-mod roll;
 pub mod wire;
 
 pub use facts::{Fact, Kind};
-pub use identity::{Identity, Standing};
+pub use identity::{Identity, MemberState};
 pub use node::{Counts, Event, Node, View};
 
 use thistlecroft::units::Span;
--- a/peers/src/roll.rs
+++ b/peers/src/members.rs
@@ -1,8 +1,8 @@
 //! Who is here, suspected, gone: opinions merged as SWIM has it, with Lifeguard's suspicions, whose time shortens the more
 //! accuse.
 use crate::Pace;
-use crate::identity::{Identity, Row, Standing};
-use crate::wire::Window;
+use crate::identity::{Identity, MemberState, Row};
+use crate::wire::ReplayWindow;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use thistlecroft::units::{Moment, Span};
@@ -31,34 +31,34 @@
 pub struct Member {
     pub at: SocketAddr,
     pub incarnation: u32,
-    pub standing: Standing,
+    pub state: MemberState,
     /// Since when it stands so here.
     pub since: Moment,
     /// When it was last heard from directly.
     pub heard: Option<Moment>,
     pub suspicion: Option<Suspicion>,
-    pub window: Window,
+    pub window: ReplayWindow,
 }
 
 /// What an opinion came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Merged {
-    Nothing,
+    Unchanged,
     /// It is to be passed on.
-    News,
-    /// And it stands otherwise than before.
-    Turned,
+    Updated,
+    /// And the member is in another state than before.
+    StateChanged,
 }
 
 #[derive(Clone, Debug, Default)]
-pub struct Roll {
+pub struct MemberList {
     members: BTreeMap<Identity, Member>,
     /// Of them those that are here or suspected, counted; and those that are suspected.
     live: usize,
     suspects: BTreeSet<Identity>,
 }
 
-impl Roll {
+impl MemberList {
     pub fn members(&self) -> impl Iterator<Item = (&Identity, &Member)> {
         self.members.iter()
     }
@@ -70,7 +70,7 @@
     /// A datagram of it has come; false for one that came before.
     pub fn heard(&mut self, id: &Identity, serial: u64, now: Moment) -> bool {
         let Some(member) = self.members.get_mut(id) else { return true };
-        let fresh = member.window.take(serial);
+        let fresh = member.window.accept(serial);
         if fresh {
             member.heard = Some(now);
         }
@@ -83,19 +83,19 @@
 
     /// Those that may be counted on to answer, or may yet.
     pub fn live(&self) -> impl Iterator<Item = (&Identity, &Member)> {
-        self.members.iter().filter(|(_, member)| member.standing <= Standing::Suspected)
+        self.members.iter().filter(|(_, member)| member.state <= MemberState::Suspect)
     }
 
     pub fn row(&self, id: &Identity) -> Option<Row> {
         let member = self.members.get(id)?;
         let accuser = member.suspicion.as_ref().and_then(|one| one.accusers.first().cloned());
-        let (at, incarnation, standing) = (member.at, member.incarnation, member.standing);
-        Some(Row { id: id.clone(), at, incarnation, standing, accuser })
+        let (at, incarnation, state) = (member.at, member.incarnation, member.state);
+        Some(Row { id: id.clone(), at, incarnation, state, accuser })
     }
 
-    /// An opinion about another process. The one function in which a member changes its standing.
+    /// An opinion about another process. The one function in which a member changes its state.
     pub fn merge(&mut self, row: &Row, pace: &Pace, now: Moment) -> Merged {
-        let live = |member: Option<&Member>| member.is_some_and(|one| one.standing <= Standing::Suspected);
+        let live = |member: Option<&Member>| member.is_some_and(|one| one.state <= MemberState::Suspect);
         let was = live(self.members.get(&row.id));
         let merged = self.merged(row, self.live + 1, pace, now);
         let member = self.members.get(&row.id);
@@ -113,50 +113,54 @@
             let mut member = Member {
                 at: row.at,
                 incarnation: row.incarnation,
-                standing: row.standing,
+                state: row.state,
                 since: now,
                 heard: None,
                 suspicion: None,
-                window: Window::default(),
+                window: ReplayWindow::default(),
             };
-            if row.standing == Standing::Suspected {
+            if row.state == MemberState::Suspect {
                 member.suspicion = Some(suspicion(row, size, pace, now));
             }
             self.members.insert(row.id.clone(), member);
-            return Merged::Turned;
+            return Merged::StateChanged;
         };
-        let (old, new) = ((member.incarnation, member.standing), (row.incarnation, row.standing));
+        let (old, new) = ((member.incarnation, member.state), (row.incarnation, row.state));
         // Who has left does not come back, whatever is still under way; who was thought gone may, by saying so.
-        if member.standing == Standing::Left {
-            return Merged::Nothing;
+        if member.state == MemberState::Left {
+            return Merged::Unchanged;
         }
-        if row.standing == Standing::Left {
-            (member.incarnation, member.standing) = (row.incarnation.max(member.incarnation), Standing::Left);
+        if row.state == MemberState::Left {
+            (member.incarnation, member.state) = (row.incarnation.max(member.incarnation), MemberState::Left);
             (member.since, member.suspicion) = (now, None);
-            return Merged::Turned;
+            return Merged::StateChanged;
         }
         if new == old {
             return match (&mut member.suspicion, &row.accuser) {
                 (Some(suspicion), Some(accuser)) if suspicion.accusers.len() <= ENOUGH => {
-                    if suspicion.accusers.insert(accuser.clone()) { Merged::News } else { Merged::Nothing }
+                    if suspicion.accusers.insert(accuser.clone()) {
+                        Merged::Updated
+                    } else {
+                        Merged::Unchanged
+                    }
                 }
-                _ => Merged::Nothing,
+                _ => Merged::Unchanged,
             };
         }
         if new < old {
-            return Merged::Nothing;
+            return Merged::Unchanged;
         }
         if row.incarnation > member.incarnation {
             member.at = row.at;
         }
         member.incarnation = row.incarnation;
-        let turned = member.standing != row.standing;
-        let resuspected = row.standing == Standing::Suspected;
+        let turned = member.state != row.state;
+        let resuspected = row.state == MemberState::Suspect;
         member.suspicion = resuspected.then(|| suspicion(row, size, pace, now));
         if turned {
-            (member.standing, member.since) = (row.standing, now);
+            (member.state, member.since) = (row.state, now);
         }
-        if turned { Merged::Turned } else { Merged::News }
+        if turned { Merged::StateChanged } else { Merged::Updated }
     }
 
     /// Whose time to answer for itself is over.
@@ -182,7 +186,7 @@
 
     /// Rows of the dead are kept so that what is still under way does not bring them back.
     pub fn reap(&mut self, kept: Span, now: Moment) -> Vec<Identity> {
-        let over = |member: &Member| member.standing >= Standing::Gone && now.since(member.since) >= kept;
+        let over = |member: &Member| member.state >= MemberState::Dead && now.since(member.since) >= kept;
         let gone = self.members.iter().filter(|(_, member)| over(member)).map(|(id, _)| id.clone());
         let gone: Vec<Identity> = gone.collect();
         gone.iter().for_each(|id| drop(self.members.remove(id)));
--- a/peers/src/node.rs
+++ b/peers/src/node.rs
@@ -1,28 +1,28 @@
 //! One process among its peers: datagrams and time in, datagrams and events out. Each `wake` and each `hear` does bounded
 //! work but for a fleet's size, and nothing here waits.
+use crate::chunks::{Chunks, Content};
 use crate::facts::{FactRow, Facts, Key, Kind};
 use crate::gossip::{About, Gossip};
-use crate::identity::{Identity, Row, Standing};
-use crate::pieces::{Content, Pieces};
-use crate::roll::{Member, Merged, Roll};
-use crate::wire::{Body, Datagram, MOST, Seal, Stray};
+use crate::identity::{Identity, MemberState, Row};
+use crate::members::{Member, MemberList, Merged};
+use crate::wire::{Body, Datagram, MOST, Rejection, Seal};
 use crate::{Pace, Terms};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use thistlecroft::units::{Chance, Moment, Span};
 
 /// The worst own health; every time that others are given is stretched by it plus one.
-const SICKEST: u32 = 8;
+const MAX_HEALTH: u32 = 8;
 /// Others who are asked to ping one that does not answer.
 const HELPERS: usize = 3;
 /// News goes to so many at once, so many times a period.
 const GOSSIP_TO: usize = 3;
 const GOSSIP_EVERY: f64 = 0.5;
 /// In periods: all that is known is compared with one other; a seed or one of the gone is looked for again.
-const COMPARE_EVERY: f64 = 20.0;
+const SYNC_EVERY: f64 = 20.0;
 const SEEK_EVERY: f64 = 5.0;
 /// Pings made for others at once.
-const ERRANDS: usize = 32;
+const MAX_INDIRECT_PROBES: usize = 32;
 /// The part of a second's bytes that only probes and answers may take.
 const RESERVED: f64 = 0.25;
 /// What rides on a datagram is cut to fit; so much is left for its own fields at least.
@@ -33,35 +33,18 @@
 /// What has come about that others act on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
-    /// A process stands otherwise than before.
-    Stands {
-        id: Identity,
-        standing: Standing,
-    },
+    /// A process is in another state than before.
+    MemberChanged { id: Identity, state: MemberState },
     /// This process was suspected, or taken for gone, and says that it is here.
-    Refuted {
-        incarnation: u32,
-    },
+    Refuted { incarnation: u32 },
     /// A fact is new or changed, or was forgotten.
-    Fact {
-        kind: Kind,
-        subject: Vec<u8>,
-        owner: Identity,
-    },
-    Carried {
-        from: Identity,
-        channel: u8,
-        bytes: Vec<u8>,
-    },
+    Fact { kind: Kind, subject: Vec<u8>, owner: Identity },
+    /// Bytes for a part above membership.
+    Message { from: Identity, channel: u8, bytes: Vec<u8> },
     /// Datagrams of another format come from there: said once an address and format.
-    OtherFormat {
-        from: SocketAddr,
-        format: u8,
-    },
+    OtherFormat { from: SocketAddr, format: u8 },
     /// This process stood still for so long.
-    StoodStill {
-        by: Span,
-    },
+    StoodStill { by: Span },
 }
 
 /// What came and went since the start.
@@ -90,7 +73,7 @@
 pub struct View<'a> {
     pub id: &'a Identity,
     pub at: SocketAddr,
-    pub standing: Standing,
+    pub state: MemberState,
     pub incarnation: u32,
     pub since: Moment,
     pub heard: Option<Moment>,
@@ -110,7 +93,7 @@
 
 /// A ping made for another.
 #[derive(Clone, Debug)]
-struct Errand {
+struct IndirectProbe {
     of: Identity,
     at: SocketAddr,
     probe: u32,
@@ -130,18 +113,18 @@
     serial: u64,
     health: u32,
     left: bool,
-    roll: Roll,
+    members: MemberList,
     gossip: Gossip,
     facts: Facts,
-    pieces: Pieces,
+    chunks: Chunks,
     probe: Option<Probe>,
-    errands: BTreeMap<u32, Errand>,
+    indirect_probes: BTreeMap<u32, IndirectProbe>,
     numbers: u32,
     /// Whom to probe in turn; dealt anew when all had theirs.
     round: Vec<Identity>,
     next_probe: Moment,
     next_gossip: Moment,
-    next_compare: Moment,
+    next_sync: Moment,
     next_seek: Moment,
     /// Bytes that may be sent now, and as of when.
     allowance: f64,
@@ -178,17 +161,17 @@
             serial: 0,
             health: 0,
             left: false,
-            roll: Roll::default(),
+            members: MemberList::default(),
             gossip: Gossip::default(),
             facts: Facts::new(terms.pace.period),
-            pieces: Pieces::default(),
+            chunks: Chunks::default(),
             probe: None,
-            errands: BTreeMap::new(),
+            indirect_probes: BTreeMap::new(),
             numbers: 0,
             round: Vec::new(),
             next_probe: first,
             next_gossip: first,
-            next_compare: first + terms.pace.period * COMPARE_EVERY,
+            next_sync: first + terms.pace.period * SYNC_EVERY,
             next_seek: now,
             allowance: f64::from(terms.rate),
             allowed_at: now,
@@ -220,52 +203,52 @@
     }
 
     pub fn members(&self) -> impl Iterator<Item = View<'_>> {
-        self.roll.members().map(|(id, member)| View {
+        self.members.members().map(|(id, member)| View {
             id,
             at: member.at,
-            standing: member.standing,
+            state: member.state,
             incarnation: member.incarnation,
             since: member.since,
             heard: member.heard,
         })
     }
 
-    pub fn standing(&self, id: &Identity) -> Option<Standing> {
-        self.roll.get(id).map(|member| member.standing)
+    pub fn state_of(&self, id: &Identity) -> Option<MemberState> {
+        self.members.get(id).map(|member| member.state)
     }
 
     /// Relays that could not be heard lately, as a fact's reader is told: suspected or gone, and not known by a newer run.
-    pub fn unheard(&self) -> usize {
+    pub fn unreachable(&self) -> usize {
         let here = |name: &str| {
-            self.roll.members().any(|(id, one)| id.name == name && one.standing == Standing::Here)
+            self.members.members().any(|(id, one)| id.name == name && one.state == MemberState::Alive)
         };
         let missing = |(id, member): &(&Identity, &Member)| {
-            matches!(member.standing, Standing::Suspected | Standing::Gone)
+            matches!(member.state, MemberState::Suspect | MemberState::Dead)
                 && id.name != self.me.name
                 && !here(&id.name)
         };
-        self.roll.members().filter(missing).count()
+        self.members.members().filter(missing).count()
     }
 
     /// This process and those that may yet answer.
     pub fn size(&self) -> usize {
-        self.roll.live_count() + 1
+        self.members.live_count() + 1
     }
 
     pub fn due(&self) -> Moment {
-        let mut due = self.next_probe.min(self.next_seek).min(self.next_compare);
+        let mut due = self.next_probe.min(self.next_seek).min(self.next_sync);
         if !self.gossip.is_empty() {
             due = due.min(self.next_gossip);
         }
         if let Some(probe) = &self.probe {
             due = due.min(if probe.asked { probe.ends } else { probe.asks_others });
         }
-        let errands = self.errands.values().map(|errand| errand.until);
-        let rest = errands.chain(self.roll.next_overdue()).chain(self.pieces.due());
+        let indirect_probes = self.indirect_probes.values().map(|indirect| indirect.until);
+        let rest = indirect_probes.chain(self.members.next_overdue()).chain(self.chunks.due());
         rest.fold(due, Moment::min)
     }
 
-    pub fn take_out(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
+    pub fn take_datagrams(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
         std::mem::take(&mut self.out)
     }
 
@@ -276,8 +259,8 @@
     // ---- what is said ----
 
     /// Tells the fleet something; false where there is no room for it.
-    pub fn say(&mut self, kind: Kind, subject: &[u8], value: &[u8], now: Moment) -> bool {
-        let said = self.facts.say(&self.me, kind, subject, value, now);
+    pub fn announce(&mut self, kind: Kind, subject: &[u8], value: &[u8], now: Moment) -> bool {
+        let said = self.facts.announce(&self.me, kind, subject, value, now);
         if said {
             self.gossip.add(About::Fact(Key { kind, subject: subject.to_vec(), owner: self.me.clone() }));
         }
@@ -290,9 +273,9 @@
     }
 
     /// Bytes to one process for the parts above; false where it is not known, or the rate is used up.
-    pub fn carry(&mut self, to: &Identity, channel: u8, bytes: Vec<u8>, now: Moment) -> bool {
-        let Some(at) = self.roll.get(to).map(|member| member.at) else { return false };
-        self.send(at, Some(to), Body::Carried { channel, bytes }, true, now)
+    pub fn send_message(&mut self, to: &Identity, channel: u8, bytes: Vec<u8>, now: Moment) -> bool {
+        let Some(at) = self.members.get(to).map(|member| member.at) else { return false };
+        self.send(at, Some(to), Body::Message { channel, bytes }, true, now)
     }
 
     /// It is reached elsewhere from now on; others take that from a higher incarnation alone.
@@ -313,16 +296,16 @@
             id: self.me.clone(),
             at: self.at,
             incarnation: self.incarnation,
-            standing: Standing::Left,
+            state: MemberState::Left,
             accuser: None,
         };
-        let mut all: Vec<SocketAddr> = self.roll.live().map(|(_, member)| member.at).collect();
+        let mut all: Vec<SocketAddr> = self.members.live().map(|(_, member)| member.at).collect();
         // Few are enough, and news of it goes on from them.
         while all.len() > HELPERS * 4 {
             all.swap_remove(self.chance.below(all.len() as u64) as usize);
         }
         for at in all {
-            let datagram = self.datagram(Body::News, vec![row.clone()], Vec::new());
+            let datagram = self.datagram(Body::Gossip, vec![row.clone()], Vec::new());
             self.put(at, &datagram, true, now);
         }
         self.left = true;
@@ -331,10 +314,10 @@
     // ---- what comes ----
 
     /// A datagram. What is none of this fleet's is counted and costs no more than its hash.
-    pub fn hear(&mut self, bytes: &[u8], source: SocketAddr, now: Moment) {
+    pub fn receive(&mut self, bytes: &[u8], source: SocketAddr, now: Moment) {
         let datagram = match self.seal.open(bytes) {
             Ok(datagram) => datagram,
-            Err(stray) => return self.stray(stray, source),
+            Err(rejection) => return self.count_rejection(rejection, source),
         };
         if datagram.from == self.me {
             return;
@@ -344,10 +327,10 @@
             id: from.clone(),
             at: datagram.at,
             incarnation: datagram.incarnation,
-            standing: Standing::Here,
+            state: MemberState::Alive,
             accuser: None,
         };
-        if !self.roll.heard(&from, datagram.serial, now) {
+        if !self.members.heard(&from, datagram.serial, now) {
             self.counts.repeated += 1;
             return;
         }
@@ -356,12 +339,12 @@
         if self.left {
             return;
         }
-        let leaves = datagram.rows.iter().any(|row| row.id == from && row.standing == Standing::Left);
+        let leaves = datagram.rows.iter().any(|row| row.id == from && row.state == MemberState::Left);
         if !leaves {
             self.merge(&own, now);
         }
         // Of one that was not known before; of others it is known by now.
-        self.roll.heard(&from, datagram.serial, now);
+        self.members.heard(&from, datagram.serial, now);
         for row in &datagram.rows {
             self.merge(row, now);
         }
@@ -371,14 +354,14 @@
         self.body(datagram.body, &from, datagram.at, now);
     }
 
-    fn stray(&mut self, stray: Stray, source: SocketAddr) {
-        match stray {
-            Stray::Size => self.counts.odd_size += 1,
-            Stray::Foreign => self.counts.foreign += 1,
-            Stray::Malformed => self.counts.malformed += 1,
-            Stray::Format(format) => {
+    fn count_rejection(&mut self, rejection: Rejection, source: SocketAddr) {
+        match rejection {
+            Rejection::Size => self.counts.odd_size += 1,
+            Rejection::Foreign => self.counts.foreign += 1,
+            Rejection::Malformed => self.counts.malformed += 1,
+            Rejection::Format(format) => {
                 self.counts.other_format += 1;
-                if self.formats.len() < ERRANDS && !self.formats.contains(&(source, format)) {
+                if self.formats.len() < MAX_INDIRECT_PROBES && !self.formats.contains(&(source, format)) {
                     self.formats.push((source, format));
                     self.events.push(Event::OtherFormat { from: source, format });
                 }
@@ -394,7 +377,7 @@
             Body::Ping { probe, .. } => {
                 self.send(at, Some(from), Body::NotMe { probe }, true, now);
             }
-            Body::PingFor { probe, target, at: of } => self.errand(probe, target, of, from, at, now),
+            Body::PingFor { probe, target, at: of } => self.indirect(probe, target, of, from, at, now),
             Body::Ack { probe } => self.acked(probe, now),
             Body::Nack { probe } => {
                 if let Some(own) = self.probe.as_mut().filter(|own| own.number == probe) {
@@ -402,38 +385,38 @@
                 }
             }
             Body::NotMe { probe } => self.not_me(probe, from, at, now),
-            Body::News | Body::Same => {}
-            Body::Compare { digest } => {
+            Body::Gossip | Body::InSync => {}
+            Body::SyncRequest { digest } => {
                 let same = digest == self.digest();
                 if same {
-                    self.send(at, Some(from), Body::Same, false, now);
+                    self.send(at, Some(from), Body::InSync, false, now);
                 } else {
                     self.send_all(at, from, true, now);
                 }
             }
-            Body::Piece { exchange, number, of, back } => {
+            Body::Chunk { exchange, number, of, back } => {
                 let wait = self.pace.period;
-                let first = self.pieces.came(from, exchange, number, of, wait, now);
+                let first = self.chunks.came(from, exchange, number, of, wait, now);
                 if first && back {
                     self.send_all(at, from, false, now);
                 }
             }
             Body::Missing { exchange, numbers } => {
                 for number in numbers {
-                    let Some((content, of)) = self.pieces.again(from, exchange, number) else { continue };
+                    let Some((content, of)) = self.chunks.again(from, exchange, number) else { continue };
                     let content = content.clone();
-                    let body = Body::Piece { exchange, number, of, back: false };
+                    let body = Body::Chunk { exchange, number, of, back: false };
                     let datagram = self.datagram(body, content.rows, content.facts);
                     self.put(at, &datagram, false, now);
                 }
             }
-            Body::Carried { channel, bytes } => {
-                self.events.push(Event::Carried { from: from.clone(), channel, bytes });
+            Body::Message { channel, bytes } => {
+                self.events.push(Event::Message { from: from.clone(), channel, bytes });
             }
         }
     }
 
-    fn errand(
+    fn indirect(
         &mut self,
         probe: u32,
         target: Identity,
@@ -442,20 +425,20 @@
         at: SocketAddr,
         now: Moment,
     ) {
-        if self.errands.len() >= ERRANDS {
+        if self.indirect_probes.len() >= MAX_INDIRECT_PROBES {
             return;
         }
         self.numbers = self.numbers.wrapping_add(1);
         let until = now + self.pace.answer_within();
-        self.errands.insert(self.numbers, Errand { of: from.clone(), at, probe, until });
+        self.indirect_probes.insert(self.numbers, IndirectProbe { of: from.clone(), at, probe, until });
         let body = Body::Ping { probe: self.numbers, to: target.clone() };
         self.send(of, Some(&target), body, true, now);
     }
 
     fn acked(&mut self, number: u32, now: Moment) {
-        if let Some(errand) = self.errands.remove(&number) {
-            let (at, probe) = (errand.at, errand.probe);
-            self.send(at, Some(&errand.of), Body::Ack { probe }, true, now);
+        if let Some(indirect) = self.indirect_probes.remove(&number) {
+            let (at, probe) = (indirect.at, indirect.probe);
+            self.send(at, Some(&indirect.of), Body::Ack { probe }, true, now);
             return;
         }
         // From the target itself or from one who was asked: either saw it answer.
@@ -468,16 +451,16 @@
 
     /// The address leads to another process now: the one that was there has ended.
     fn not_me(&mut self, number: u32, from: &Identity, at: SocketAddr, now: Moment) {
-        let target = match (&self.probe, self.errands.get(&number)) {
+        let target = match (&self.probe, self.indirect_probes.get(&number)) {
             (Some(probe), _) if probe.number == number => probe.target.clone(),
             _ => return,
         };
-        let Some(member) = self.roll.get(&target) else { return };
-        if member.at != at || target == *from || member.standing >= Standing::Gone {
+        let Some(member) = self.members.get(&target) else { return };
+        if member.at != at || target == *from || member.state >= MemberState::Dead {
             return;
         }
-        let (incarnation, standing) = (member.incarnation, Standing::Left);
-        let row = Row { id: target, at, incarnation, standing, accuser: None };
+        let (incarnation, state) = (member.incarnation, MemberState::Left);
+        let row = Row { id: target, at, incarnation, state, accuser: None };
         self.merge(&row, now);
         self.probe = None;
     }
@@ -486,20 +469,20 @@
         if row.id == self.me {
             return self.about_me(row, now);
         }
-        match self.roll.merge(row, &self.pace, now) {
-            Merged::Nothing => {}
-            Merged::News => self.gossip.add(About::Member(row.id.clone())),
-            Merged::Turned => {
-                self.counts.suspected += u64::from(row.standing == Standing::Suspected);
+        match self.members.merge(row, &self.pace, now) {
+            Merged::Unchanged => {}
+            Merged::Updated => self.gossip.add(About::Member(row.id.clone())),
+            Merged::StateChanged => {
+                self.counts.suspected += u64::from(row.state == MemberState::Suspect);
                 self.gossip.add(About::Member(row.id.clone()));
-                self.events.push(Event::Stands { id: row.id.clone(), standing: row.standing });
+                self.events.push(Event::MemberChanged { id: row.id.clone(), state: row.state });
             }
         }
     }
 
     /// Refutes what others think, by an incarnation above theirs.
     fn about_me(&mut self, row: &Row, now: Moment) {
-        if row.standing == Standing::Here || row.incarnation < self.incarnation || self.left {
+        if row.state == MemberState::Alive || row.incarnation < self.incarnation || self.left {
             return;
         }
         self.incarnation = row.incarnation + 1;
@@ -523,7 +506,7 @@
     // ---- what time brings ----
 
     /// All that is due. Called later than it asked for, it blames nobody: what came meanwhile was not heard.
-    pub fn wake(&mut self, now: Moment) {
+    pub fn tick(&mut self, now: Moment) {
         let late = now.since(self.due().max(self.woken));
         if late > self.pace.period * 0.5 {
             self.stood_still(late, now);
@@ -533,21 +516,25 @@
             return;
         }
         self.probing(now);
-        for id in self.roll.overdue(now) {
-            let Some(mut row) = self.roll.row(&id) else { continue };
-            (row.standing, row.accuser) = (Standing::Gone, Some(self.me.clone()));
+        for id in self.members.overdue(now) {
+            let Some(mut row) = self.members.row(&id) else { continue };
+            (row.state, row.accuser) = (MemberState::Dead, Some(self.me.clone()));
             self.merge(&row, now);
         }
-        let over: Vec<u32> =
-            self.errands.iter().filter(|(_, errand)| errand.until <= now).map(|(id, _)| *id).collect();
+        let over: Vec<u32> = self
+            .indirect_probes
+            .iter()
+            .filter(|(_, indirect)| indirect.until <= now)
+            .map(|(id, _)| *id)
+            .collect();
         for id in over {
-            if let Some(errand) = self.errands.remove(&id) {
-                let probe = errand.probe;
-                self.send(errand.at, Some(&errand.of), Body::Nack { probe }, true, now);
+            if let Some(indirect) = self.indirect_probes.remove(&id) {
+                let probe = indirect.probe;
+                self.send(indirect.at, Some(&indirect.of), Body::Nack { probe }, true, now);
             }
         }
-        for (from, exchange, numbers) in self.pieces.ask(self.pace.period, now) {
-            if let Some(at) = self.roll.get(&from).map(|member| member.at) {
+        for (from, exchange, numbers) in self.chunks.ask(self.pace.period, now) {
+            if let Some(at) = self.members.get(&from).map(|member| member.at) {
                 self.send(at, Some(&from), Body::Missing { exchange, numbers }, false, now);
             }
         }
@@ -556,12 +543,12 @@
         if !self.gossip.is_empty() && now >= self.next_gossip {
             self.next_gossip = now + self.pace.period * GOSSIP_EVERY;
             // Also to those who are suspected: they are the ones who can say otherwise.
-            for id in self.some(GOSSIP_TO, Standing::Suspected, None) {
+            for id in self.some(GOSSIP_TO, MemberState::Suspect, None) {
                 if self.gossip.is_empty() {
                     break;
                 }
-                let Some(at) = self.roll.get(&id).map(|member| member.at) else { continue };
-                self.send(at, Some(&id), Body::News, false, now);
+                let Some(at) = self.members.get(&id).map(|member| member.at) else { continue };
+                self.send(at, Some(&id), Body::Gossip, false, now);
             }
         }
     }
@@ -569,9 +556,9 @@
     fn stood_still(&mut self, late: Span, now: Moment) {
         self.events.push(Event::StoodStill { by: late });
         change_health(&mut self.health, 1);
-        self.roll.put_off(late);
+        self.members.put_off(late);
         self.probe = None;
-        self.errands.clear();
+        self.indirect_probes.clear();
         self.next_probe = now + self.pace.period * 0.5;
     }
 
@@ -602,7 +589,7 @@
                 answered: false,
             });
             self.counts.probes += 1;
-            let Some(at) = self.roll.get(&target).map(|member| member.at) else { return };
+            let Some(at) = self.members.get(&target).map(|member| member.at) else { return };
             self.send(at, Some(&target), Body::Ping { probe: number, to: target.clone() }, true, now);
         }
     }
@@ -610,11 +597,11 @@
     fn next_of_round(&mut self) -> Option<Identity> {
         for _ in 0..2 {
             while let Some(id) = self.round.pop() {
-                if self.roll.get(&id).is_some_and(|member| member.standing <= Standing::Suspected) {
+                if self.members.get(&id).is_some_and(|member| member.state <= MemberState::Suspect) {
                     return Some(id);
                 }
             }
-            self.round = self.roll.live().map(|(id, _)| id.clone()).collect();
+            self.round = self.members.live().map(|(id, _)| id.clone()).collect();
             for place in (1..self.round.len()).rev() {
                 let other = self.chance.below(place as u64 + 1) as usize;
                 self.round.swap(place, other);
@@ -627,13 +614,13 @@
         let Some(probe) = &mut self.probe else { return };
         probe.asked = true;
         let (number, target) = (probe.number, probe.target.clone());
-        let Some(of) = self.roll.get(&target).map(|member| member.at) else { return };
-        let helpers = self.some(HELPERS, Standing::Here, Some(&target));
+        let Some(of) = self.members.get(&target).map(|member| member.at) else { return };
+        let helpers = self.some(HELPERS, MemberState::Alive, Some(&target));
         if let Some(probe) = &mut self.probe {
             probe.helpers = helpers.len() as u32;
         }
         for id in helpers {
-            let Some(at) = self.roll.get(&id).map(|member| member.at) else { continue };
+            let Some(at) = self.members.get(&id).map(|member| member.at) else { continue };
             let body = Body::PingFor { probe: number, target: target.clone(), at: of };
             self.send(at, Some(&id), body, true, now);
         }
@@ -646,24 +633,24 @@
         let unsaid = probe.helpers.saturating_sub(probe.nacks);
         let step = if probe.helpers == 0 { 1 } else { unsaid as i32 };
         change_health(&mut self.health, step);
-        let Some(member) = self.roll.get(&probe.target) else { return };
-        if member.standing > Standing::Suspected {
+        let Some(member) = self.members.get(&probe.target) else { return };
+        if member.state > MemberState::Suspect {
             return;
         }
         let row = Row {
             id: probe.target,
             at: member.at,
             incarnation: member.incarnation,
-            standing: Standing::Suspected,
+            state: MemberState::Suspect,
             accuser: Some(self.me.clone()),
         };
         self.merge(&row, now);
     }
 
     /// Some of those that stand so at the worst, drawn anew each time.
-    fn some(&mut self, count: usize, worst: Standing, but: Option<&Identity>) -> Vec<Identity> {
-        let fits = |(id, member): &(&Identity, &Member)| member.standing <= worst && Some(*id) != but;
-        let mut all: Vec<&Identity> = self.roll.members().filter(fits).map(|(id, _)| id).collect();
+    fn some(&mut self, count: usize, worst: MemberState, but: Option<&Identity>) -> Vec<Identity> {
+        let fits = |(id, member): &(&Identity, &Member)| member.state <= worst && Some(*id) != but;
+        let mut all: Vec<&Identity> = self.members.members().filter(fits).map(|(id, _)| id).collect();
         let mut some = Vec::new();
         while some.len() < count && !all.is_empty() {
             some.push(all.swap_remove(self.chance.below(all.len() as u64) as usize).clone());
@@ -677,37 +664,40 @@
         if now < self.next_seek {
             return;
         }
-        let alone =
-            !self.roll.members().map(|(_, member)| member).any(|member| member.standing == Standing::Here);
+        let alone = !self
+            .members
+            .members()
+            .map(|(_, member)| member)
+            .any(|member| member.state == MemberState::Alive);
         self.next_seek = now + self.pace.period * if alone { 1.0 } else { SEEK_EVERY };
-        let of = |standing: Standing| {
-            let members = self.roll.members().map(|(_, member)| member);
-            members.filter(move |member| member.standing == standing).map(|member| member.at)
+        let of = |state: MemberState| {
+            let members = self.members.members().map(|(_, member)| member);
+            members.filter(move |member| member.state == state).map(|member| member.at)
         };
-        let here: BTreeSet<SocketAddr> = of(Standing::Here).collect();
-        let mut lost: Vec<SocketAddr> = self.seeds.iter().copied().chain(of(Standing::Gone)).collect();
+        let here: BTreeSet<SocketAddr> = of(MemberState::Alive).collect();
+        let mut lost: Vec<SocketAddr> = self.seeds.iter().copied().chain(of(MemberState::Dead)).collect();
         lost.retain(|at| !here.contains(at));
         lost.sort_unstable();
         lost.dedup();
         let digest = self.digest();
         let most = if alone { self.seeds.len().max(1) } else { 1 };
-        for _ in 0..most.min(ERRANDS) {
+        for _ in 0..most.min(MAX_INDIRECT_PROBES) {
             if lost.is_empty() {
                 return;
             }
             let at = lost.swap_remove(self.chance.below(lost.len() as u64) as usize);
             // One that is taken for gone is told so, and can say otherwise.
-            let id = self.roll.members().find(|(_, member)| member.at == at).map(|(id, _)| id.clone());
-            self.send(at, id.as_ref(), Body::Compare { digest }, false, now);
+            let id = self.members.members().find(|(_, member)| member.at == at).map(|(id, _)| id.clone());
+            self.send(at, id.as_ref(), Body::SyncRequest { digest }, false, now);
         }
     }
 
     fn housekeep(&mut self, now: Moment) {
-        if now < self.next_compare {
+        if now < self.next_sync {
             return;
         }
-        self.next_compare = now + self.pace.period * (COMPARE_EVERY * (0.5 + self.chance.float()));
-        for id in self.roll.reap(self.pace.dead_kept(), now) {
+        self.next_sync = now + self.pace.period * (SYNC_EVERY * (0.5 + self.chance.float()));
+        for id in self.members.reap(self.pace.dead_kept(), now) {
             self.gossip.remove(&About::Member(id));
         }
         for key in self.facts.forget(now) {
@@ -716,13 +706,13 @@
             self.events.push(Event::Fact { kind, subject, owner });
         }
         for key in self.facts.stale_of(&self.me, now) {
-            self.facts.say_again(&key, now);
+            self.facts.refresh(&key, now);
             self.gossip.add(About::Fact(key));
         }
         let digest = self.digest();
-        for id in self.some(1, Standing::Here, None) {
-            let Some(at) = self.roll.get(&id).map(|member| member.at) else { continue };
-            self.send(at, Some(&id), Body::Compare { digest }, false, now);
+        for id in self.some(1, MemberState::Alive, None) {
+            let Some(at) = self.members.get(&id).map(|member| member.at) else { continue };
+            self.send(at, Some(&id), Body::SyncRequest { digest }, false, now);
         }
     }
 
@@ -730,13 +720,13 @@
 
     /// Of all that two relays have to agree on.
     fn digest(&self) -> u64 {
-        let own = [(&self.me, self.incarnation, Standing::Here)];
-        let others = self.roll.members().map(|(id, member)| (id, member.incarnation, member.standing));
-        let others = others.filter(|(.., standing)| *standing <= Standing::Suspected);
-        let members = own.into_iter().chain(others).fold(0, |sum, (id, incarnation, standing)| {
+        let own = [(&self.me, self.incarnation, MemberState::Alive)];
+        let others = self.members.members().map(|(id, member)| (id, member.incarnation, member.state));
+        let others = others.filter(|(.., state)| *state <= MemberState::Suspect);
+        let members = own.into_iter().chain(others).fold(0, |sum, (id, incarnation, state)| {
             let mut hasher = blake3::Hasher::new();
             hasher.update(id.name.as_bytes()).update(&id.run.to_le_bytes());
-            hasher.update(&incarnation.to_le_bytes()).update(&[standing as u8]);
+            hasher.update(&incarnation.to_le_bytes()).update(&[state as u8]);
             sum ^ crate::first_eight(hasher.finalize().as_bytes())
         });
         members ^ self.facts.digest()
@@ -744,11 +734,11 @@
 
     fn own_row(&self) -> Row {
         let (id, at, incarnation) = (self.me.clone(), self.at, self.incarnation);
-        Row { id, at, incarnation, standing: Standing::Here, accuser: None }
+        Row { id, at, incarnation, state: MemberState::Alive, accuser: None }
     }
 
     fn send_all(&mut self, at: SocketAddr, to: &Identity, back: bool, now: Moment) {
-        let ids: Vec<Identity> = self.roll.members().map(|(id, _)| id.clone()).collect();
+        let ids: Vec<Identity> = self.members.members().map(|(id, _)| id.clone()).collect();
         let keys: Vec<Key> = self.facts.keys().cloned().collect();
         let mut pieces = vec![Content::default()];
         let mut room = ROOM;
@@ -760,7 +750,7 @@
             room -= cost;
         };
         for id in ids {
-            let Some(row) = self.roll.row(&id) else { continue };
+            let Some(row) = self.members.row(&id) else { continue };
             fit(row_cost(&row), &mut pieces);
             pieces.last_mut().expect("there is one").rows.push(row);
         }
@@ -770,10 +760,10 @@
             pieces.last_mut().expect("there is one").facts.push(row);
         }
         let of = pieces.len() as u16;
-        let exchange = self.pieces.keep(to.clone(), pieces.clone());
+        let exchange = self.chunks.keep(to.clone(), pieces.clone());
         for (number, content) in (0..).zip(pieces) {
             let datagram =
-                self.datagram(Body::Piece { exchange, number, of, back }, content.rows, content.facts);
+                self.datagram(Body::Chunk { exchange, number, of, back }, content.rows, content.facts);
             self.put(at, &datagram, false, now);
         }
     }
@@ -785,34 +775,28 @@
     }
 
     /// With what news fits. The receiver first hears what is thought of itself, so that it can say otherwise.
-    fn send(
-        &mut self,
-        at: SocketAddr,
-        to: Option<&Identity>,
-        body: Body,
-        pressing: bool,
-        now: Moment,
-    ) -> bool {
+    fn send(&mut self, at: SocketAddr, to: Option<&Identity>, body: Body, urgent: bool, now: Moment) -> bool {
         let carried = match &body {
-            Body::Carried { bytes, .. } => bytes.len(),
+            Body::Message { bytes, .. } => bytes.len(),
             Body::Missing { numbers, .. } => numbers.len() * 3,
             _ => 0,
         };
         let mut room = ROOM.saturating_sub(carried);
         let (mut rows, mut facts, mut passed) = (Vec::new(), Vec::new(), Vec::new());
-        let of_receiver = to.and_then(|id| self.roll.row(id)).filter(|row| row.standing != Standing::Here);
+        let of_receiver =
+            to.and_then(|id| self.members.row(id)).filter(|row| row.state != MemberState::Alive);
         if let Some(row) = of_receiver {
             room = room.saturating_sub(row_cost(&row));
             rows.push(row);
         }
         self.allow(now);
         // With little left to send, probes and answers go bare.
-        let lavish = self.allowance > f64::from(self.rate) * RESERVED + MOST as f64;
-        if lavish {
+        let may_gossip = self.allowance > f64::from(self.rate) * RESERVED + MOST as f64;
+        if may_gossip {
             for about in self.gossip.iter() {
                 let cost = match about {
                     About::Member(id) => {
-                        let row = if *id == self.me { Some(self.own_row()) } else { self.roll.row(id) };
+                        let row = if *id == self.me { Some(self.own_row()) } else { self.members.row(id) };
                         let Some(row) = row else { continue };
                         let cost = row_cost(&row);
                         if cost <= room {
@@ -837,7 +821,7 @@
             }
         }
         let datagram = self.datagram(body, rows, facts);
-        let gone = self.put(at, &datagram, pressing, now);
+        let gone = self.put(at, &datagram, urgent, now);
         if gone {
             let size = self.size();
             self.gossip.sent(&passed, size);
@@ -851,7 +835,7 @@
         self.allowed_at = now;
     }
 
-    fn put(&mut self, at: SocketAddr, datagram: &Datagram, pressing: bool, now: Moment) -> bool {
+    fn put(&mut self, at: SocketAddr, datagram: &Datagram, urgent: bool, now: Moment) -> bool {
         if self.left {
             return false;
         }
@@ -860,7 +844,7 @@
             return false;
         };
         self.allow(now);
-        let kept = if pressing { 0.0 } else { f64::from(self.rate) * RESERVED };
+        let kept = if urgent { 0.0 } else { f64::from(self.rate) * RESERVED };
         if self.allowance < bytes.len() as f64 + kept {
             self.counts.held_back += 1;
             return false;
@@ -882,5 +866,5 @@
 }
 
 fn change_health(health: &mut u32, by: i32) {
-    *health = health.saturating_add_signed(by).min(SICKEST);
+    *health = health.saturating_add_signed(by).min(MAX_HEALTH);
 }
--- a/peers/src/wire.rs
+++ b/peers/src/wire.rs
@@ -48,14 +48,14 @@
         probe: u32,
     },
     /// Only what rides on it.
-    News,
+    Gossip,
     /// Asks for all that is known if it is not this; the answer comes in pieces, or as `Same`.
-    Compare {
+    SyncRequest {
         digest: u64,
     },
-    Same,
+    InSync,
     /// A part of all that is known. `back`: the receiver is asked for its own.
-    Piece {
+    Chunk {
         exchange: u32,
         number: u16,
         of: u16,
@@ -67,7 +67,7 @@
         numbers: Vec<u16>,
     },
     /// For the parts above membership: a channel and its bytes.
-    Carried {
+    Message {
         channel: u8,
         bytes: Vec<u8>,
     },
@@ -75,7 +75,7 @@
 
 /// Why a datagram is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stray {
+pub enum Rejection {
     /// Too short or too long to be one.
     Size,
     /// Of another format.
@@ -121,22 +121,22 @@
 
     /// # Errors
     /// Why these bytes are no datagram of this fleet.
-    pub fn open(&self, bytes: &[u8]) -> Result<Datagram, Stray> {
+    pub fn open(&self, bytes: &[u8]) -> Result<Datagram, Rejection> {
         if bytes.len() <= 1 + TAG || bytes.len() > MOST {
-            return Err(Stray::Size);
+            return Err(Rejection::Size);
         }
         let (text, tag) = bytes.split_at(bytes.len() - TAG);
         if text[0] != FORMAT {
-            return Err(Stray::Format(text[0]));
+            return Err(Rejection::Format(text[0]));
         }
         // In constant time, as the crate compares whole hashes: how much was right is not told by how long it took.
         let (own, said) = (self.tag(text), tag);
         if own.iter().zip(said).fold(0, |differs, (one, other)| differs | (one ^ other)) != 0 {
-            return Err(Stray::Foreign);
+            return Err(Rejection::Foreign);
         }
         match postcard::take_from_bytes::<Datagram>(&text[1..]) {
             Ok((datagram, [])) if datagram.is_sound() => Ok(datagram),
-            _ => Err(Stray::Malformed),
+            _ => Err(Rejection::Malformed),
         }
     }
 }
@@ -152,14 +152,14 @@
 
 /// Which serials of a sender were seen: all below `top - 64`, and those marked.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Window {
+pub struct ReplayWindow {
     top: u64,
     seen: u64,
 }
 
-impl Window {
+impl ReplayWindow {
     /// False for one that was seen, or is too old to tell.
-    pub fn take(&mut self, serial: u64) -> bool {
+    pub fn accept(&mut self, serial: u64) -> bool {
         if serial > self.top {
             let step = serial - self.top;
             self.seen = if step >= 64 { 0 } else { self.seen << step };
--- a/peers/tests/facts.rs
+++ b/peers/tests/facts.rs
@@ -64,11 +64,14 @@
     let mut facts = Facts::new(Span::from_ms(1_000));
     let me = Identity::new("me", 1);
     for number in 0..MOST_OWN as u32 {
-        assert!(facts.say(&me, Kind::Note, &number.to_be_bytes(), b"", NOW));
+        assert!(facts.announce(&me, Kind::Note, &number.to_be_bytes(), b"", NOW));
     }
-    assert!(!facts.say(&me, Kind::Note, b"one more", b"", NOW));
-    assert!(facts.say(&me, Kind::Note, &7_u32.to_be_bytes(), b"again", NOW), "of its own it may change any");
-    assert!(!facts.say(&me, Kind::Note, &[0; 49], b"", NOW), "too long");
+    assert!(!facts.announce(&me, Kind::Note, b"one more", b"", NOW));
+    assert!(
+        facts.announce(&me, Kind::Note, &7_u32.to_be_bytes(), b"again", NOW),
+        "of its own it may change any"
+    );
+    assert!(!facts.announce(&me, Kind::Note, &[0; 49], b"", NOW), "too long");
     assert_eq!(facts.refused, 2);
 }
 
@@ -80,10 +83,10 @@
         let key = own.keys().next().unwrap().clone();
         other.merge(&own.row(&key, NOW).unwrap(), NOW)
     };
-    assert!(own.say(&me, Kind::Ban, b"b", b"out", NOW) && own.say(&me, Kind::Ban, b"b", b"z", NOW));
+    assert!(own.announce(&me, Kind::Ban, b"b", b"out", NOW) && own.announce(&me, Kind::Ban, b"b", b"z", NOW));
     assert!(pass(&own, &mut other));
     assert!(own.withdraw(&me, Kind::Ban, b"b"));
-    assert!(own.say(&me, Kind::Ban, b"b", b"a", NOW));
+    assert!(own.announce(&me, Kind::Ban, b"b", b"a", NOW));
     assert!(pass(&own, &mut other), "a smaller value by a later saying");
     assert_eq!(other.of_kind(Kind::Ban, NOW).next().unwrap().value, b"a");
 }
@@ -92,7 +95,7 @@
 fn a_fact_is_read_with_its_age_and_forgotten_by_it() {
     let mut facts = Facts::new(Span::from_ms(1_000));
     let me = Identity::new("me", 1);
-    assert!(facts.say(&me, Kind::Ejection, b"b", b"x", NOW));
+    assert!(facts.announce(&me, Kind::Ejection, b"b", b"x", NOW));
     let at = |secs: u64| NOW + Span::from_ms(secs * 1_000);
     assert_eq!(facts.of_kind(Kind::Ejection, at(7)).next().unwrap().age, Span::from_ms(7_000));
     assert!(facts.stale_of(&me, at(19)).is_empty());
--- a/peers/tests/mesh.rs
+++ b/peers/tests/mesh.rs
@@ -3,8 +3,8 @@
 use thistlecroft::units::{Moment, Span};
 use thistlecroft_fleet::mesh::{Bend, Host, Mesh};
 use thistlecroft_peers::identity::Row;
-use thistlecroft_peers::wire::{Body, Datagram, MOST, Seal, Stray, Window};
-use thistlecroft_peers::{Identity, Kind, Node, Pace, Standing, Terms};
+use thistlecroft_peers::wire::{Body, Datagram, MOST, Rejection, ReplayWindow, Seal};
+use thistlecroft_peers::{Identity, Kind, MemberState, Node, Pace, Terms};
 
 const PERIOD: Span = Span::from_ms(200);
 
@@ -28,7 +28,7 @@
 }
 
 /// All that one process was seen as by the others, in order.
-fn seen_as(mesh: &Mesh, name: &str) -> Vec<Standing> {
+fn seen_as(mesh: &Mesh, name: &str) -> Vec<MemberState> {
     let turns = mesh.hosts.iter().flat_map(|host| &host.turns);
     turns.filter(|(_, id, _)| id.name == name).map(|(.., standing)| *standing).collect()
 }
@@ -48,13 +48,13 @@
         mesh.kill(1);
         let bound = terms().pace.gone_within(count, 0);
         let dead = mesh.hosts[1].node.me().clone();
-        let gone = |host: &Host| !host.alive || host.node.standing(&dead) == Some(Standing::Gone);
+        let gone = |host: &Host| !host.alive || host.node.state_of(&dead) == Some(MemberState::Dead);
         let took = mesh.run_until(bound, |mesh| mesh.hosts.iter().all(gone));
         assert!(took.is_some(), "{count} relays, {bound:?}");
         let seen = seen_as(&mesh, "r1");
-        assert!(seen.contains(&Standing::Suspected) && seen.contains(&Standing::Gone), "{seen:?}");
+        assert!(seen.contains(&MemberState::Suspect) && seen.contains(&MemberState::Dead), "{seen:?}");
         let others = mesh.hosts.iter().filter(|host| host.alive).flat_map(|host| &host.turns);
-        assert!(others.filter(|(_, id, _)| id.name != "r1").all(|(.., to)| *to == Standing::Here));
+        assert!(others.filter(|(_, id, _)| id.name != "r1").all(|(.., to)| *to == MemberState::Alive));
     }
 }
 
@@ -110,7 +110,7 @@
             let rest = mesh.hosts.iter().filter(|host| left.contains(&host.name));
             // A suspicion that is answered in time is no verdict.
             for host in rest {
-                let views = host.node.members().filter(|view| view.standing >= Standing::Gone);
+                let views = host.node.members().filter(|view| view.state >= MemberState::Dead);
                 let found: Vec<&str> = views.map(|view| view.id.name.as_str()).collect();
                 assert_eq!(&found, gone, "{what}, seed {seed}, seen by {}", host.name);
             }
@@ -132,10 +132,10 @@
         mesh.resume(2);
         let took = mesh.run_until(PERIOD * 60.0, Mesh::agree);
         assert!(took.is_some(), "{still:?}");
-        assert_eq!(seen_as(&mesh, "r2").contains(&Standing::Gone), gone, "{still:?}");
+        assert_eq!(seen_as(&mesh, "r2").contains(&MemberState::Dead), gone, "{still:?}");
         // Nobody else was ever taken for gone by it, or by anybody.
         for name in ["r0", "r1", "r3", "r4", "r5"] {
-            assert!(!seen_as(&mesh, name).contains(&Standing::Gone), "{name}, {still:?}");
+            assert!(!seen_as(&mesh, name).contains(&MemberState::Dead), "{name}, {still:?}");
         }
         assert!(!gone || mesh.hosts[2].node.incarnation() > 0);
     }
@@ -146,7 +146,7 @@
     let mut mesh = together(6, 12);
     mesh.cut(&[4], &[0, 1, 2, 3, 5]);
     let accused = mesh.hosts[4].node.me().clone();
-    let suspects = |mesh: &Mesh| mesh.hosts[2].node.standing(&accused) == Some(Standing::Suspected);
+    let suspects = |mesh: &Mesh| mesh.hosts[2].node.state_of(&accused) == Some(MemberState::Suspect);
     mesh.run_until(PERIOD * 20.0, suspects).expect("suspected");
     mesh.pause(2);
     // The others hear that it is well; this one does not, and nothing waits for it.
@@ -158,7 +158,7 @@
     let turns = mesh.hosts[2].turns.len();
     mesh.run_until(PERIOD * 60.0, Mesh::agree).expect("all see all");
     let later = &mesh.hosts[2].turns[turns.saturating_sub(1)..];
-    assert!(later.iter().all(|(_, id, to)| *id != accused || *to != Standing::Gone), "{later:?}");
+    assert!(later.iter().all(|(_, id, to)| *id != accused || *to != MemberState::Dead), "{later:?}");
 }
 
 #[test]
@@ -168,16 +168,15 @@
     mesh.kill(1);
     mesh.run_for(PERIOD);
     mesh.restart(1);
-    let took = mesh.run_until(terms().pace.gone_within(5, 0), |mesh| {
-        mesh.agree()
-            && mesh
-                .hosts
-                .iter()
-                .filter(|host| host.name != "r1")
-                .all(|host| host.node.standing(&old).is_some_and(|standing| standing >= Standing::Gone))
-    });
+    let took =
+        mesh.run_until(terms().pace.gone_within(5, 0), |mesh| {
+            mesh.agree()
+                && mesh.hosts.iter().filter(|host| host.name != "r1").all(|host| {
+                    host.node.state_of(&old).is_some_and(|standing| standing >= MemberState::Dead)
+                })
+        });
     assert!(took.is_some());
-    assert_eq!(mesh.hosts[0].node.unheard(), 0, "a newer run of its name is here");
+    assert_eq!(mesh.hosts[0].node.unreachable(), 0, "a newer run of its name is here");
 }
 
 #[test]
@@ -185,7 +184,7 @@
     let mut mesh = together(6, 5);
     mesh.cut(&[0, 1, 2], &[3, 4, 5]);
     mesh.run_for(PERIOD * 60.0);
-    assert_eq!(mesh.hosts[0].node.unheard(), 3);
+    assert_eq!(mesh.hosts[0].node.unreachable(), 3);
     // One joins on either side meanwhile; each reaches its own side's seeds only.
     let (left, right) = (mesh.start("r6", 1.0), mesh.start("r7", 1.0));
     mesh.cut(&[left], &[3, 4, 5, right]);
@@ -195,7 +194,7 @@
     mesh.heal();
     let took = mesh.run_until(PERIOD * 60.0, Mesh::agree);
     assert!(took.is_some());
-    assert_eq!(mesh.hosts[0].node.unheard(), 0);
+    assert_eq!(mesh.hosts[0].node.unreachable(), 0);
 }
 
 #[test]
@@ -205,7 +204,7 @@
     mesh.kill(4);
     let took = mesh.run_until(PERIOD * 10.0, Mesh::agree).expect("told, not found out");
     assert!(took <= PERIOD * 10.0);
-    assert!(!seen_as(&mesh, "r4").contains(&Standing::Suspected));
+    assert!(!seen_as(&mesh, "r4").contains(&MemberState::Suspect));
     mesh.run_for(PERIOD * 40.0);
     assert!(mesh.agree());
 }
@@ -216,33 +215,33 @@
     let mut node = Node::new(Identity::new("me", 1), at, Vec::new(), &terms(), 1, now);
     let seal = Seal::new(b"of the test", "test");
     let you = Identity::new("you", 2);
-    let row = |incarnation, standing| Row { id: you.clone(), at, incarnation, standing, accuser: None };
+    let row = |incarnation, state| Row { id: you.clone(), at, incarnation, state, accuser: None };
     let mut serial = 10;
     let mut hear = |node: &mut Node, from: &Identity, rows: Vec<Row>| {
         serial += 1;
-        let (from, body) = (from.clone(), Body::News);
+        let (from, body) = (from.clone(), Body::Gossip);
         let datagram = Datagram { from, at, incarnation: 0, serial, body, rows, facts: Vec::new() };
-        node.hear(&seal.close(&datagram).unwrap(), at, now);
+        node.receive(&seal.close(&datagram).unwrap(), at, now);
     };
     hear(&mut node, &you, Vec::new());
-    assert_eq!(node.standing(&you), Some(Standing::Here));
+    assert_eq!(node.state_of(&you), Some(MemberState::Alive));
     // Taken for gone it may come back by a higher incarnation; having left it may not.
     let other = Identity::new("other", 3);
-    hear(&mut node, &other, vec![row(0, Standing::Gone)]);
-    hear(&mut node, &other, vec![row(0, Standing::Here)]);
-    assert_eq!(node.standing(&you), Some(Standing::Gone));
-    hear(&mut node, &other, vec![row(1, Standing::Here)]);
-    assert_eq!(node.standing(&you), Some(Standing::Here));
-    hear(&mut node, &you, vec![row(1, Standing::Left)]);
+    hear(&mut node, &other, vec![row(0, MemberState::Dead)]);
+    hear(&mut node, &other, vec![row(0, MemberState::Alive)]);
+    assert_eq!(node.state_of(&you), Some(MemberState::Dead));
+    hear(&mut node, &other, vec![row(1, MemberState::Alive)]);
+    assert_eq!(node.state_of(&you), Some(MemberState::Alive));
+    hear(&mut node, &you, vec![row(1, MemberState::Left)]);
     for rows in [
         vec![],
-        vec![row(1, Standing::Here)],
-        vec![row(2, Standing::Suspected)],
-        vec![row(9, Standing::Here)],
+        vec![row(1, MemberState::Alive)],
+        vec![row(2, MemberState::Suspect)],
+        vec![row(9, MemberState::Alive)],
     ] {
         hear(&mut node, &other, rows.clone());
         hear(&mut node, &you, Vec::new());
-        assert_eq!(node.standing(&you), Some(Standing::Left), "{rows:?}");
+        assert_eq!(node.state_of(&you), Some(MemberState::Left), "{rows:?}");
     }
 }
 
@@ -250,7 +249,7 @@
 fn a_fact_reaches_all_and_a_lost_one_by_comparing() {
     let mut mesh = together(24, 7);
     mesh.bend.loss = 0.2;
-    mesh.act(3, |host, now| assert!(host.node.say(Kind::Ban, b"box-1", b"out", now)));
+    mesh.act(3, |host, now| assert!(host.node.announce(Kind::Ban, b"box-1", b"out", now)));
     let known = |mesh: &Mesh| {
         let has = |host: &Host| {
             host.node.facts().of_kind(Kind::Ban, host.clock(mesh.now)).any(|fact| fact.value == b"out")
@@ -260,7 +259,7 @@
     let took = mesh.run_until(PERIOD * 20.0, known).expect("all know");
     // One who was cut off all that while has it by an exchange; its age is at least what passed.
     mesh.cut(&[20], &(0..20).chain(21..24).collect::<Vec<_>>());
-    mesh.act(3, |host, now| assert!(host.node.say(Kind::Note, b"n", b"later", now)));
+    mesh.act(3, |host, now| assert!(host.node.announce(Kind::Note, b"n", b"later", now)));
     mesh.run_for(PERIOD * 30.0);
     mesh.heal();
     let has = |mesh: &Mesh| {
@@ -273,8 +272,8 @@
 #[test]
 fn what_is_said_no_more_is_forgotten_everywhere_and_what_is_said_stays() {
     let mut mesh = together(5, 8);
-    mesh.act(0, |host, now| assert!(host.node.say(Kind::Ejection, b"b", b"1", now)));
-    mesh.act(1, |host, now| assert!(host.node.say(Kind::Ejection, b"c", b"2", now)));
+    mesh.act(0, |host, now| assert!(host.node.announce(Kind::Ejection, b"b", b"1", now)));
+    mesh.act(1, |host, now| assert!(host.node.announce(Kind::Ejection, b"c", b"2", now)));
     mesh.run_for(PERIOD * 10.0);
     mesh.act(0, |host, _| host.node.withdraw(Kind::Ejection, b"b"));
     mesh.run_for(PERIOD * 200.0);
@@ -292,7 +291,7 @@
     for number in 0..200_u32 {
         let subject = format!("a subject of some length, {number}");
         let value = [7; 90];
-        mesh.act(0, |host, now| assert!(host.node.say(Kind::Share, subject.as_bytes(), &value, now)));
+        mesh.act(0, |host, now| assert!(host.node.announce(Kind::Share, subject.as_bytes(), &value, now)));
     }
     mesh.bend.loss = 0.3;
     let late = mesh.start("late", 1.0);
@@ -312,7 +311,7 @@
         for number in 0..24 {
             let text = format!("{:?}", mesh.now);
             mesh.act(number, |host, now| {
-                host.node.say(Kind::Note, text.as_bytes(), &[1; 90], now);
+                host.node.announce(Kind::Note, text.as_bytes(), &[1; 90], now);
             });
         }
         mesh.run_for(Span::from_ms(1_000));
@@ -334,7 +333,7 @@
         at: "127.0.0.1:10".parse().unwrap(),
         incarnation: 0,
         serial: 1,
-        body: Body::News,
+        body: Body::Gossip,
         rows: Vec::new(),
         facts: Vec::new(),
     };
@@ -359,18 +358,18 @@
     ];
     for (what, bytes, count) in cases {
         let mut node = node(&terms());
-        node.hear(bytes, at, now);
+        node.receive(bytes, at, now);
         assert_eq!((count(&node), node.counts.heard, node.members().count()), (1, 0, 0), "{what}");
-        assert!(node.take_out().is_empty(), "{what}");
+        assert!(node.take_datagrams().is_empty(), "{what}");
     }
     let mut node = node(&terms());
     for _ in 0..3 {
-        node.hear(&good, at, now);
+        node.receive(&good, at, now);
     }
     assert_eq!((node.counts.heard, node.counts.repeated), (1, 2));
     assert_eq!(seal.open(&good), Ok(datagram));
-    assert_eq!(seal.open(&[0; 40]), Err(Stray::Format(0)));
-    let mut window = Window::default();
+    assert_eq!(seal.open(&[0; 40]), Err(Rejection::Format(0)));
+    let mut window = ReplayWindow::default();
     let serials = [
         (5, true),
         (5, false),
@@ -383,6 +382,6 @@
         (70, false),
     ];
     for (serial, taken) in serials {
-        assert_eq!(window.take(serial), taken, "{serial}");
+        assert_eq!(window.accept(serial), taken, "{serial}");
     }
 }
--- a/relay/src/peers.rs
+++ b/relay/src/peers.rs
@@ -13,7 +13,7 @@
 use thistlecroft_charter::Peering;
 use thistlecroft_leases::{Electorate, LeaseConfig, Leases, Reason, State};
 use thistlecroft_peers::wire::MOST;
-use thistlecroft_peers::{Event, Identity, Kind, Node, Pace, Standing, Terms};
+use thistlecroft_peers::{Event, Identity, Kind, MemberState, Node, Pace, Terms};
 
 /// Datagrams read in one turn.
 const DATAGRAMS: usize = 64;
@@ -125,7 +125,7 @@
         for link in links {
             for _ in 0..DATAGRAMS {
                 match link.socket.recv_from(&mut bytes) {
-                    Ok((length, source)) => self.node.hear(&bytes[..length], source, works.now),
+                    Ok((length, source)) => self.node.receive(&bytes[..length], source, works.now),
                     Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
                     // Nothing more, or an earlier datagram met nobody, which the probes find out.
                     Err(_) => break,
@@ -147,7 +147,7 @@
             self.former = None;
         }
         if self.node.due() <= now {
-            self.node.wake(now);
+            self.node.tick(now);
         }
         if let Some(leases) = &mut self.leases
             && leases.due(now).is_some_and(|due| due <= now)
@@ -193,13 +193,13 @@
         let Some(leases) = &mut self.leases else { return };
         for outgoing in leases.take_outgoing() {
             for id in outgoing.to.processes(&self.node) {
-                self.node.carry(&id, outgoing.channel, outgoing.bytes.clone(), now);
+                self.node.send_message(&id, outgoing.channel, outgoing.bytes.clone(), now);
             }
         }
     }
 
     fn send(&mut self) {
-        for (to, bytes) in self.node.take_out() {
+        for (to, bytes) in self.node.take_datagrams() {
             // A datagram that can't be sent is one that is lost.
             self.send_failures += u64::from(self.link.socket.send_to(&bytes, to).is_err());
         }
@@ -207,7 +207,7 @@
 
     fn told(&mut self, event: Event, now: Moment) {
         match event {
-            Event::Stands { id, standing } => log::info!("peers: {id} is {}", standing.word()),
+            Event::MemberChanged { id, state } => log::info!("peers: {id} is {}", state.word()),
             Event::Refuted { incarnation } => {
                 log::info!("peers: others thought this relay gone or going; says otherwise ({incarnation})");
             }
@@ -217,7 +217,7 @@
             Event::StoodStill { by } => {
                 log::warn!("peers: this process stood still for {} ms", by.us() / 1_000);
             }
-            Event::Carried { from, channel, bytes } => {
+            Event::Message { from, channel, bytes } => {
                 if let Some(leases) = &mut self.leases {
                     leases.receive(&from, channel, &bytes, now);
                 }
@@ -244,7 +244,7 @@
         let done = match call {
             Call::Peers => Ok(self.view(now).to_string()),
             Call::Note(subject, value) => {
-                match self.node.say(Kind::Note, subject.as_bytes(), value.as_bytes(), now) {
+                match self.node.announce(Kind::Note, subject.as_bytes(), value.as_bytes(), now) {
                     true => Ok("told".into()),
                     false => Err("too long, or too many notes of this relay".into()),
                 }
@@ -288,7 +288,7 @@
             json!({"subject": text(fact.subject), "value": text(fact.value), "owner": fact.owner.to_string(),
                 "epoch": fact.epoch, "age_ms": fact.age.us() / 1_000})
         });
-        json!({"unheard": self.node.unheard(), "notes": notes.collect::<Vec<_>>()})
+        json!({"unheard": self.node.unreachable(), "notes": notes.collect::<Vec<_>>()})
     }
 
     /// One line for people and programs.
@@ -296,7 +296,7 @@
         let ago = |at: Moment| now.since(at).us() / 1_000;
         let peers = self.node.members().map(|view| {
             json!({"id": view.id.to_string(), "name": view.id.name.as_str(), "at": view.at.to_string(),
-                "standing": view.standing.word(), "incarnation": view.incarnation, "since_ms": ago(view.since),
+                "standing": view.state.word(), "incarnation": view.incarnation, "since_ms": ago(view.since),
                 "heard_ms": view.heard.map(ago)})
         });
         let counts = &self.node.counts;
@@ -315,7 +315,7 @@
                     "voter_full": of.voter_full}})
         });
         json!({"me": self.node.me().to_string(), "name": self.node.me().name.as_str(), "health": self.node.health(),
-            "unheard": self.node.unheard(), "facts": self.node.facts().len(), "peers": peers.collect::<Vec<_>>(),
+            "unheard": self.node.unreachable(), "facts": self.node.facts().len(), "peers": peers.collect::<Vec<_>>(),
             "leases": leases, "counts": {
                 "sent": counts.sent, "sent_bytes": counts.sent_bytes, "heard": counts.heard,
                 "heard_bytes": counts.heard_bytes, "odd_size": counts.odd_size,
@@ -326,12 +326,12 @@
     }
 
     pub fn log(&self) {
-        let stand = |standing| self.node.members().filter(|view| view.standing == standing).count();
+        let stand = |standing| self.node.members().filter(|view| view.state == standing).count();
         log::info!(
             "peers: {} here, {} suspected, {} gone; health {}; {:?}",
-            stand(Standing::Here),
-            stand(Standing::Suspected),
-            stand(Standing::Gone),
+            stand(MemberState::Alive),
+            stand(MemberState::Suspect),
+            stand(MemberState::Dead),
             self.node.health(),
             self.node.counts
         );
