--- a/command/src/scale.rs
+++ b/command/src/scale.rs
@@ -1,11 +1,11 @@
 //! `thistlecroft lab scale`: fleets of hollow relays, measured and held to a budget.
 use crate::End;
-use crate::experiments::own_program;
+use crate::experiments::{own_program, own_relay};
 use crate::shipped;
 use clap::{Args, ValueEnum};
 use std::path::{Path, PathBuf};
 use thistlecroft_lab::scale::{
-    Budget, Fault, Outcome, ScaleConfig, Variable, run, slope_table, slopes, sweep,
+    Budget, Fault, Outcome, Programs, ScaleConfig, Variable, run, slope_table, slopes, sweep,
 };
 
 #[derive(Args)]
@@ -57,6 +57,9 @@
     /// Hollow relays of one process.
     #[arg(long, default_value_t = 40)]
     each_process: usize,
+    /// Real relays in the fleet beside the hollow ones.
+    #[arg(long, default_value_t = 0)]
+    real: usize,
     /// Limits to be kept: a file, or `budget-target`, the fleet that is coming.
     #[arg(long, value_name = "FILE")]
     budget: Option<String>,
@@ -109,6 +112,7 @@
             seed: self.seed,
             simulated: self.simulated,
             each_process: self.each_process,
+            real: self.real,
         }
     }
 
@@ -122,6 +126,10 @@
     }
 }
 
+fn programs() -> Result<Programs, End> {
+    Ok(Programs { hollow: own_program(&["lab", "hollow"])?, relay: own_relay()? })
+}
+
 pub fn scale(args: &ScaleArgs) -> Result<(), End> {
     let config = args.config();
     config.validate().map_err(End::Wrong)?;
@@ -131,7 +139,7 @@
             eprintln!("{line}");
         }
     };
-    let outcome = run(&config, &own_program(&["lab", "hollow"])?, &mut progress).map_err(End::Failed)?;
+    let outcome = run(&config, &programs()?, &mut progress).map_err(End::Failed)?;
     let table = outcome.table();
     print!("{table}");
     save(&outcome, &table, &args.out).map_err(End::Failed)?;
@@ -183,8 +191,8 @@
             eprintln!("{line}");
         }
     };
-    let program = own_program(&["lab", "hollow"])?;
-    let all = sweep(&config, variable, &args.at, args.seeds, &program, &mut progress).map_err(End::Failed)?;
+    let all =
+        sweep(&config, variable, &args.at, args.seeds, &programs()?, &mut progress).map_err(End::Failed)?;
     print!("{}", slope_table(&config, variable, args.seeds, &slopes(&all)));
     Ok(())
 }
--- a/fleet/src/rig.rs
+++ b/fleet/src/rig.rs
@@ -292,6 +292,11 @@
         self.posts[number].as_ref().and_then(Post::cost).map(|(cpu, _)| cpu)
     }
 
+    /// Bytes of memory resident.
+    pub fn memory(&self, number: usize) -> Option<u64> {
+        self.posts[number].as_ref().and_then(Post::cost).map(|(_, memory)| memory)
+    }
+
     pub fn log(&self, number: usize) -> String {
         std::fs::read_to_string(self.plan.folder.join(format!("relay-{number}.log"))).unwrap_or_default()
     }
--- a/lab/src/scale/config.rs
+++ b/lab/src/scale/config.rs
@@ -11,6 +11,7 @@
 const MAX_PROCESSES: usize = 200;
 const MAX_RELAYS: usize = 4_000;
 const MAX_VOTERS: usize = 7;
+const MAX_REAL: usize = 24;
 /// Addresses that a process knows at its start.
 pub const SEEDS: usize = 3;
 
@@ -63,6 +64,8 @@
     pub simulated: bool,
     /// Hollow relays of one process.
     pub each_process: usize,
+    /// Real relays in the fleet beside them.
+    pub real: usize,
 }
 
 /// Who stands where: voters first, then relays, both dealt over the zones in turn.
@@ -86,7 +89,7 @@
     pub fn name(&self, member: usize) -> String {
         match self.role(member) {
             Role::Voter => format!("voter-{member}"),
-            Role::Relay => format!("relay-{}", member - self.voters),
+            Role::Relay => format!("hollow-{}", member - self.voters),
         }
     }
 
@@ -96,7 +99,7 @@
         let number: usize = number.parse().ok()?;
         match role {
             "voter" => Some(number),
-            "relay" => Some(number + self.voters),
+            "hollow" => Some(number + self.voters),
             _ => None,
         }
     }
@@ -175,6 +178,7 @@
         within("first-region", self.first_region, 1, self.zones)?;
         within("rack", self.rack, 1, self.relays)?;
         within("each-process", self.each_process, 1, 1_000)?;
+        within("real", self.real, 0, MAX_REAL)?;
         within("calm", self.calm_s as usize, 2, 3_600)?;
         within("cut", self.cut_s as usize, 1, 3_600)?;
         within("period", self.period_ms as usize, 50, 60_000)?;
@@ -187,6 +191,9 @@
         if !self.simulated && self.fault == Fault::Region {
             return Err("--fault region: over simulated links only (--simulated)".into());
         }
+        if self.simulated && self.real > 0 {
+            return Err("--real: not over simulated links".into());
+        }
         if !self.simulated && self.loss > 0.0 {
             return Err("--loss: over simulated links only (--simulated)".into());
         }
@@ -195,7 +202,7 @@
 
     /// Processes of hollow relays, and one for each voter.
     pub fn processes(&self) -> usize {
-        self.relays.div_ceil(self.each_process) + self.voters
+        self.relays.div_ceil(self.each_process) + self.voters + self.real
     }
 
     /// # Errors
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -9,6 +9,7 @@
 mod outcome;
 mod processes;
 mod protocol;
+mod real;
 mod simulated;
 mod slope;
 mod witness;
@@ -19,6 +20,7 @@
 pub use config::{Fault, Layout, Role, ScaleConfig};
 pub use meter::{Meter, RoleTraffic, Traffic};
 pub use outcome::{Convergence, Cost, Outcome, Phase};
+pub use real::RealFigures;
 pub use slope::{Line, Slope, Variable, slopes, sweep, table as slope_table};
 pub use witness::{Holding, OwnershipWitness};
 pub use worker::work;
@@ -26,16 +28,24 @@
 /// What happens while a run goes on, for whoever watches.
 pub type Progress<'a> = &'a mut dyn FnMut(&str);
 
+/// What is run as processes, with its arguments.
+#[derive(Clone, Debug, Default)]
+pub struct Programs {
+    /// Serves `work`.
+    pub hollow: Vec<String>,
+    pub relay: Vec<String>,
+}
+
 /// Runs it as the configuration says.
 ///
 /// # Errors
 /// One line: what could not be set up.
-pub fn run(config: &ScaleConfig, program: &[String], progress: Progress<'_>) -> Result<Outcome, String> {
+pub fn run(config: &ScaleConfig, programs: &Programs, progress: Progress<'_>) -> Result<Outcome, String> {
     config.validate()?;
     if config.simulated {
         Ok(simulated::run(config, progress))
     } else {
         config.check_machine()?;
-        processes::run(config, program, progress)
+        processes::run(config, programs, progress)
     }
 }
--- a/lab/src/scale/outcome.rs
+++ b/lab/src/scale/outcome.rs
@@ -1,6 +1,7 @@
 //! What a run has shown, as a table and as JSON.
 use super::config::{Role, ScaleConfig};
 use super::meter::{RoleTraffic, Traffic};
+use super::real::RealFigures;
 use serde::Serialize;
 use std::fmt::Write;
 
@@ -45,6 +46,8 @@
     pub phases: Vec<Phase>,
     pub relay: Option<Cost>,
     pub voter: Option<Cost>,
+    /// Of real relays in the fleet, in calm.
+    pub real: Option<RealFigures>,
     /// Pairs of holdings of one subject by two at once, and holdings whose epoch did not grow.
     pub two_owners: usize,
     pub epochs_not_grown: usize,
@@ -123,6 +126,21 @@
                 );
             }
         }
+        if let Some(real) = &self.real {
+            let _ = writeln!(
+                page,
+                "each of {} real relays in calm: {:.0} B/s sent ({:.0} to {:.0}), {:.0} received, {:.2}% of a core, {:.1} MB; \
+                 its view at the operators' door has {} bytes",
+                real.relays,
+                real.sent_mean,
+                real.sent_least,
+                real.sent_most,
+                real.received_mean,
+                real.cpu_percent,
+                real.memory_mb,
+                real.view_bytes
+            );
+        }
         let _ = writeln!(
             page,
             "owned at the end {} of {}; {} holdings seen, two owners at once {}, epochs that did not grow {}",
--- a/lab/src/scale/processes.rs
+++ b/lab/src/scale/processes.rs
@@ -1,11 +1,12 @@
 //! A run over processes of hollow relays on loopback, in real time: starts them, injects the fault, waits for the fleet to
 //! agree and measures. All are ended when it returns.
-use super::Progress;
 use super::config::{Fault, Layout, Role, SEEDS, ScaleConfig};
 use super::meter::Traffic;
 use super::outcome::{Convergence, Cost, Outcome, Phase};
 use super::protocol::{Answer, Command, Status};
+use super::real::{RealFigures, RealRelays};
 use super::witness::{epochs_not_grown, two_owners};
+use super::{Programs, Progress};
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::process::{Child, ChildStdin, Stdio};
@@ -56,12 +57,13 @@
     phases: Vec<Phase>,
     costs: Vec<PhaseCost>,
     lost: Vec<usize>,
+    real: Option<RealRelays>,
 }
 
-pub fn run(config: &ScaleConfig, program: &[String], progress: Progress<'_>) -> Result<Outcome, String> {
+pub fn run(config: &ScaleConfig, programs: &Programs, progress: Progress<'_>) -> Result<Outcome, String> {
     let began = Instant::now();
-    let mut fleet = Fleet::start(config, program)?;
-    let size = fleet.layout.size();
+    let mut fleet = Fleet::start(config, programs)?;
+    let size = fleet.layout.size() + config.real;
     let started = fleet.converge(size, progress)?;
     fleet.measure("start", Some(started))?;
     fleet.pass(
@@ -69,7 +71,9 @@
         progress,
     )?;
     fleet.measure("settle", None)?;
+    fleet.real.iter_mut().for_each(RealRelays::begin);
     fleet.pass(Duration::from_secs(config.calm_s), progress)?;
+    let real: Option<RealFigures> = fleet.real.as_ref().map(RealRelays::figures);
     fleet.measure("calm", None)?;
     let calm = fleet.costs.last().copied().unwrap_or_default();
     if config.fault != Fault::None {
@@ -91,6 +95,7 @@
         phases: std::mem::take(&mut fleet.phases),
         relay: Some(relay),
         voter: Some(voter),
+        real,
         two_owners: two_owners(&holdings),
         epochs_not_grown: epochs_not_grown(&holdings),
         holdings: holdings.len(),
@@ -126,7 +131,7 @@
 }
 
 impl<'a> Fleet<'a> {
-    fn start(config: &'a ScaleConfig, program: &[String]) -> Result<Fleet<'a>, String> {
+    fn start(config: &'a ScaleConfig, programs: &Programs) -> Result<Fleet<'a>, String> {
         let layout = config.layout();
         let (sender, answers) = channel();
         let mut groups: Vec<Vec<usize>> = (0..config.voters).map(|voter| vec![voter]).collect();
@@ -134,11 +139,12 @@
         groups.extend(relays.chunks(config.each_process).map(<[usize]>::to_vec));
         let mut workers = Vec::new();
         for (number, members) in groups.into_iter().enumerate() {
-            workers.push(spawn(number, program, members, &sender)?);
+            workers.push(spawn(number, &programs.hollow, members, &sender)?);
         }
         let (phases, costs, lost) = (Vec::new(), Vec::new(), Vec::new());
         let phase_began = Instant::now();
-        let mut fleet = Fleet { config, layout, workers, answers, phase_began, phases, costs, lost };
+        let real = None;
+        let mut fleet = Fleet { config, layout, workers, answers, phase_began, phases, costs, lost, real };
         let addresses = fleet.bind()?;
         fleet.note_costs();
         for worker in &mut fleet.workers {
@@ -146,7 +152,10 @@
         }
         fleet.phase_began = Instant::now();
         let seeds: Vec<SocketAddr> = addresses.into_iter().take(SEEDS).collect();
-        fleet.tell_all(&Command::Start { seeds })?;
+        fleet.tell_all(&Command::Start { seeds: seeds.clone() })?;
+        if config.real > 0 {
+            fleet.real = Some(RealRelays::start(config, &seeds, &programs.relay)?);
+        }
         Ok(fleet)
     }
 
@@ -215,13 +224,15 @@
     fn agree(&self, size: usize) -> bool {
         let playing = || self.workers.iter().map(|worker| worker.status).filter(|status| status.living > 0);
         let living: usize = playing().map(|status| status.living).sum();
-        living == size && playing().all(|status| status.sees_least == size && status.sees_most == size)
+        living + self.config.real == size
+            && playing().all(|status| status.sees_least == size && status.sees_most == size)
     }
 
     fn pass(&mut self, span: Duration, progress: Progress<'_>) -> Result<(), String> {
         let until = Instant::now() + span;
         while Instant::now() < until {
             self.listen(until.min(Instant::now() + Duration::from_secs(5)))?;
+            self.real.iter().for_each(RealRelays::keep_leases);
             progress(&format!("{} subjects owned", self.owned()));
         }
         Ok(())
--- /dev/null
+++ b/lab/src/scale/real.rs
@@ -0,0 +1,128 @@
+//! Real relays in a fleet of hollow ones: processes of the relay with a stand-in for the platform round them, that know the
+//! same fleet. If what they send is not what hollow ones send, hollow ones prove nothing.
+use super::config::{Role, ScaleConfig};
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Instant;
+use thistlecroft_fleet::post::free_address;
+use thistlecroft_fleet::rig::{Plan, Rig};
+use thistlecroft_peers::Counts;
+
+/// Addresses of real relays are taken from this place of the loopback range on, beside those of the rig.
+const FIRST_ADDRESS: usize = 200;
+const HEADER_BYTES: u64 = 28;
+
+/// What real relays sent and cost in calm, each.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct RealFigures {
+    pub relays: usize,
+    pub sent_least: f64,
+    pub sent_mean: f64,
+    pub sent_most: f64,
+    pub received_mean: f64,
+    pub cpu_percent: f64,
+    pub memory_mb: f64,
+    /// Of the answer to `PEERS` at an operators' door.
+    pub view_bytes: usize,
+}
+
+pub(super) struct RealRelays {
+    rig: Rig,
+    count: usize,
+    before: Vec<Sample>,
+    sampled: Instant,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Sample {
+    counts: Counts,
+    cpu_s: f64,
+}
+
+impl RealRelays {
+    /// Starts them; `seeds` are hollow members.
+    pub fn start(
+        config: &ScaleConfig,
+        seeds: &[SocketAddr],
+        program: &[String],
+    ) -> Result<RealRelays, String> {
+        let folder = std::env::temp_dir().join(format!("thistlecroft-scale-{}", std::process::id()));
+        let times = (config.period(), config.term());
+        let mut plan = Plan::small(program.to_vec(), config.real, 0, times, folder.clone());
+        plan.terms.probes = false;
+        let mut rig = Rig::open(plan)?;
+        let key = folder.join("scale.key");
+        std::fs::write(&key, &config.peer_terms(Role::Relay).secret).map_err(|fault| fault.to_string())?;
+        for number in 0..config.real {
+            let listen = free_address(FIRST_ADDRESS + number).map_err(|fault| fault.to_string())?;
+            rig.start_with(number, table(config, listen, seeds, &key))?;
+        }
+        let before = vec![Sample::default(); config.real];
+        Ok(RealRelays { rig, count: config.real, before, sampled: Instant::now() })
+    }
+
+    /// Each holds a lease, so that it renews its sessions as hollow ones do.
+    pub fn keep_leases(&self) {
+        for number in 0..self.count {
+            self.rig.ask(number, &format!("LEASE real-{number}"));
+        }
+    }
+
+    pub fn begin(&mut self) {
+        self.before = (0..self.count).map(|number| self.sample(number)).collect();
+        self.sampled = Instant::now();
+    }
+
+    /// Since `begin`.
+    pub fn figures(&self) -> RealFigures {
+        let seconds = self.sampled.elapsed().as_secs_f64();
+        let mut figures = RealFigures { relays: self.count, sent_least: f64::MAX, ..RealFigures::default() };
+        let each = self.count.max(1) as f64;
+        for (number, before) in self.before.iter().enumerate() {
+            let now = self.sample(number);
+            let bytes = |payload: u64, datagrams: u64| (payload + datagrams * HEADER_BYTES) as f64 / seconds;
+            let (new, old) = (&now.counts, &before.counts);
+            let sent = bytes(new.sent_bytes - old.sent_bytes, new.sent - old.sent);
+            let received = bytes(new.heard_bytes - old.heard_bytes, new.heard - old.heard);
+            figures.sent_least = figures.sent_least.min(sent);
+            figures.sent_most = figures.sent_most.max(sent);
+            figures.sent_mean += sent / each;
+            figures.received_mean += received / each;
+            figures.cpu_percent += (now.cpu_s - before.cpu_s) / seconds * 100.0 / each;
+            figures.memory_mb += self.rig.memory(number).unwrap_or(0) as f64 / 1e6 / each;
+        }
+        figures.view_bytes = self.rig.ask(0, "PEERS").map_or(0, |view| view.len());
+        figures
+    }
+
+    fn sample(&self, number: usize) -> Sample {
+        let count = |view: &serde_json::Value, name: &str| view["counts"][name].as_u64().unwrap_or_default();
+        let cpu_s = self.rig.cpu(number).map_or(0.0, |cpu| cpu.secs());
+        let Some(view) = self.rig.view(number) else { return Sample { cpu_s, ..Sample::default() } };
+        let counts = Counts {
+            sent: count(&view, "sent"),
+            sent_bytes: count(&view, "sent_bytes"),
+            heard: count(&view, "heard"),
+            heard_bytes: count(&view, "heard_bytes"),
+            ..Counts::default()
+        };
+        Sample { counts, cpu_s }
+    }
+}
+
+/// The operators' table for one of them.
+fn table(config: &ScaleConfig, listen: SocketAddr, seeds: &[SocketAddr], key: &Path) -> String {
+    let layout = config.layout();
+    let quoted = |all: Vec<String>| all.iter().map(|one| format!("\"{one}\"")).collect::<Vec<_>>().join(", ");
+    let seeds = quoted(seeds.iter().map(ToString::to_string).collect());
+    let voters = quoted((0..config.voters).map(|voter| layout.name(voter)).collect());
+    format!(
+        "\n[peers]\nfleet = \"scale\"\nlisten = \"{listen}\"\nkey_file = \"{}\"\nseeds = [{seeds}]\n\
+         voters = [{voters}]\nperiod = \"{}ms\"\nlease = \"{}ms\"\nrate = {}\n",
+        key.display(),
+        config.period_ms,
+        config.term_ms,
+        config.rate
+    )
+}
--- a/lab/src/scale/simulated.rs
+++ b/lab/src/scale/simulated.rs
@@ -60,6 +60,7 @@
         phases,
         relay: None,
         voter: None,
+        real: None,
         two_owners: two_owners(&holdings),
         epochs_not_grown: epochs_not_grown(&holdings),
         holdings: holdings.len(),
--- a/lab/src/scale/slope.rs
+++ b/lab/src/scale/slope.rs
@@ -1,7 +1,7 @@
 //! What a figure grows with: the same run at several sizes and seeds, and a straight line through what was measured.
 use super::config::ScaleConfig;
 use super::outcome::Outcome;
-use super::{Progress, run};
+use super::{Programs, Progress, run};
 use serde::Serialize;
 use std::fmt::Write;
 use std::sync::Mutex;
@@ -110,6 +110,8 @@
     ("voter, calm, % of a core", |one| Some(one.voter?.cpu_percent)),
     ("voter, worst phase, % of a core", |one| Some(one.voter?.worst_cpu_percent)),
     ("voter, MB", |one| Some(one.voter?.memory_mb)),
+    ("real relay, calm, sent B/s", |one| Some(one.real?.sent_mean)),
+    ("real relay, view at its door, bytes", |one| Some(one.real?.view_bytes as f64)),
     ("two owners at once", |one| Some(one.two_owners as f64)),
     ("not owned at the end", |one| Some(one.config.subjects.saturating_sub(one.owned_at_end) as f64)),
 ];
@@ -123,7 +125,7 @@
     variable: Variable,
     sizes: &[usize],
     seeds: u64,
-    program: &[String],
+    programs: &Programs,
     progress: Progress<'_>,
 ) -> Result<Vec<(usize, Outcome)>, String> {
     let of_size = |size: &usize| (0..seeds).map(|seed| (*size, seed)).collect::<Vec<_>>();
@@ -140,7 +142,7 @@
     let mut done = Vec::new();
     for (size, config) in all {
         progress(&format!("{} {size}, seed {}", variable.word(), config.seed));
-        done.push((size, run(&config, program, progress)?));
+        done.push((size, run(&config, programs, progress)?));
     }
     Ok(done)
 }
--- a/lab/tests/scale.rs
+++ b/lab/tests/scale.rs
@@ -1,5 +1,5 @@
 //! Slopes that the page of capacity rests on, at small sizes over simulated links: the same verdict each time.
-use thistlecroft_lab::scale::{Fault, Outcome, ScaleConfig, Variable, run, slopes, sweep};
+use thistlecroft_lab::scale::{Fault, Outcome, Programs, ScaleConfig, Variable, run, slopes, sweep};
 
 fn config(relays: usize) -> ScaleConfig {
     ScaleConfig {
@@ -20,15 +20,16 @@
         seed: 11,
         simulated: true,
         each_process: 10,
+        real: 0,
     }
 }
 
 fn measured(config: &ScaleConfig) -> Outcome {
-    run(config, &[], &mut |_| {}).unwrap()
+    run(config, &Programs::default(), &mut |_| {}).unwrap()
 }
 
 fn swept(variable: Variable, sizes: &[usize]) -> Vec<(usize, Outcome)> {
-    sweep(&config(40), variable, sizes, 1, &[], &mut |_| {}).unwrap()
+    sweep(&config(40), variable, sizes, 1, &Programs::default(), &mut |_| {}).unwrap()
 }
 
 fn calm_sent(outcome: &Outcome) -> f64 {
--- /dev/null
+++ b/leases/src/manager/answers.rs
@@ -0,0 +1,245 @@
+//! What comes in: answers of voters, requests to this process as a voter, and messages of the protocol before.
+use super::*;
+
+impl Leases {
+    /// Bytes from another process on one of the channels of leases.
+    pub fn receive(&mut self, from: &Identity, channel: u8, bytes: &[u8], now: Moment) {
+        match channel {
+            CHANNEL => {
+                if let Some(message) = Message::decode(bytes) {
+                    self.receive_message(from, message, now);
+                }
+            }
+            legacy::CHANNEL => {
+                if let Some(message) = LegacyMessage::decode(bytes) {
+                    self.receive_legacy(from, &message, now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub fn receive_message(&mut self, from: &Identity, message: Message, now: Moment) {
+        // Two processes of one voter's name: what the one granted the other does not know.
+        if self.is_duplicate(from) {
+            let starting = matches!(message, Message::Recall { starting: true, .. });
+            self.voter.duplicate_heard(starting, now);
+        }
+        match message {
+            Message::Update(_) | Message::Close { .. } => self.receive_as_voter(from, message, now),
+            Message::Updated(_) | Message::Refused { .. } => {
+                self.answered(from, message, now);
+                self.proceed(now);
+            }
+            Message::Recall { generation, .. } => {
+                self.voter.generations.insert(from.name.clone(), generation);
+                let answer = Message::Remembered {
+                    generation: self.config.electorate.generation,
+                    established: self.voter.established,
+                    epoch: self.voter.epoch.max(self.epoch),
+                };
+                self.send(To::Process(from.clone()), &answer);
+            }
+            Message::Remembered { generation, established, epoch } => {
+                self.voter.generations.insert(from.name.clone(), generation);
+                self.remembered(from, established, epoch, now);
+            }
+        }
+        self.refresh_settled(now);
+    }
+
+    pub(super) fn is_duplicate(&self, from: &Identity) -> bool {
+        from.name == self.me.name && from.run != self.me.run
+    }
+
+    pub(super) fn remembered(&mut self, from: &Identity, established: bool, epoch: u64, now: Moment) {
+        self.voter.remembered(from, established, epoch);
+        self.voter.settle(&self.me, &self.config, now);
+    }
+
+    pub(super) fn receive_as_voter(&mut self, from: &Identity, message: Message, now: Moment) {
+        let answer = match message {
+            Message::Update(update) if self.is_voter() => self.voter.update(from, update, &self.config, now),
+            Message::Update(update) => {
+                let generation = self.config.electorate.generation;
+                let reason = Reason::Generation { here: generation };
+                Some(Message::Refused { generation, sequence: update.sequence, reason })
+            }
+            Message::Close { sequence, session, keep } => {
+                self.voter.close(from, sequence, session, &keep);
+                None
+            }
+            _ => None,
+        };
+        let Some(answer) = answer else { return };
+        if *from == self.me {
+            self.local.push_back(answer);
+        } else {
+            self.send(To::Process(from.clone()), &answer);
+        }
+    }
+
+    pub(super) fn answered(&mut self, from: &Identity, message: Message, now: Moment) {
+        let Some(voter) = self.links.iter().position(|link| link.voter == from.name) else { return };
+        self.advance_claims(now);
+        match message {
+            Message::Updated(updated) => {
+                self.voter.generations.insert(from.name.clone(), updated.generation);
+                self.updated(voter, from, updated, now);
+            }
+            Message::Refused { generation, sequence, reason } => {
+                self.voter.generations.insert(from.name.clone(), generation);
+                self.refused(voter, from, sequence, reason, now);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn updated(&mut self, voter: usize, from: &Identity, updated: Updated, now: Moment) {
+        let Some(request) = self.links[voter].request.take_if(|one| one.sequence == updated.sequence) else {
+            return;
+        };
+        let link = &self.links[voter];
+        if link.process.as_ref() != Some(from) || link.session != Some(updated.session) {
+            self.begin_session(voter, from, updated.session);
+        }
+        let link = &mut self.links[voter];
+        (link.confirmed_at, link.epoch, link.unanswered) = (Some(request.sent_at), updated.epoch, 0);
+        self.epoch = self.epoch.max(updated.epoch);
+        for subject in &request.detach {
+            self.detached(voter, subject);
+        }
+        let mut refused = updated.refused.into_iter().peekable();
+        for (position, subject) in (0..).zip(request.attach) {
+            let reason = refused.next_if(|(place, _)| *place == position).map(|(_, reason)| reason);
+            self.attached(voter, subject, reason, now);
+        }
+    }
+
+    /// Nothing is attached to the new session yet.
+    pub(super) fn begin_session(&mut self, voter: usize, from: &Identity, session: SessionToken) {
+        self.forget_session(voter);
+        let link = &mut self.links[voter];
+        (link.process, link.session) = (Some(from.clone()), Some(session));
+    }
+
+    pub(super) fn forget_session(&mut self, voter: usize) {
+        if self.links[voter].session.is_some() {
+            self.counts.sessions_lost += 1;
+        }
+        self.links[voter].forget_session();
+        let mut released = Vec::new();
+        for (subject, claim) in &mut self.claims {
+            claim.forget_voter(voter);
+            if claim.stage == Stage::Releasing && claim.sent.is_empty() {
+                released.push(subject.clone());
+            }
+        }
+        released.iter().for_each(|subject| drop(self.claims.remove(subject)));
+        self.queue_unattached(voter);
+    }
+
+    pub(super) fn detached(&mut self, voter: usize, subject: &Subject) {
+        let Some(claim) = self.claims.get_mut(subject) else { return };
+        claim.forget_voter(voter);
+        if claim.wants_attaching() {
+            self.links[voter].pending.insert(subject.clone());
+        }
+        self.forget_released(subject);
+    }
+
+    pub(super) fn attached(&mut self, voter: usize, subject: Subject, refused: Option<Reason>, now: Moment) {
+        let Some(claim) = self.claims.get_mut(&subject) else { return };
+        let link = &mut self.links[voter];
+        let Some(reason) = refused else {
+            // What is not wanted any more is to be detached first, and attached anew if it is wanted again.
+            if claim.wants_attaching() {
+                claim.attached.insert(voter);
+            } else {
+                link.pending.insert(subject);
+            }
+            return;
+        };
+        self.counts.refusals += 1;
+        claim.sent.remove(voter);
+        if claim.wants_attaching() {
+            claim.refused.insert(voter);
+            if claim.held(now).is_none() {
+                claim.reason = Some(reason);
+            }
+            link.refused.insert(subject);
+        } else {
+            self.forget_released(&subject);
+        }
+    }
+
+    pub(super) fn refused(
+        &mut self,
+        voter: usize,
+        from: &Identity,
+        sequence: u32,
+        reason: Reason,
+        now: Moment,
+    ) {
+        let link = &mut self.links[voter];
+        let Some(request) = link.request.as_ref().filter(|request| request.sequence == sequence) else {
+            return;
+        };
+        link.unanswered = 0;
+        self.counts.refusals += 1;
+        if reason == Reason::UnknownSession {
+            (link.process, link.next_renewal) = (Some(from.clone()), now);
+            link.give_up_request();
+            self.forget_session(voter);
+            return;
+        }
+        // It is asked again when its time to answer is over; another process of its name may answer this request yet.
+        let asked = request.attach.clone();
+        let note = |claim: &mut Claim| {
+            if !matches!(claim.stage, Stage::Holding { .. }) {
+                claim.reason = Some(reason.clone());
+            }
+        };
+        match asked.is_empty() {
+            true => self.claims.values_mut().for_each(note),
+            false => asked.iter().for_each(|subject| self.claims.get_mut(subject).into_iter().for_each(note)),
+        }
+    }
+
+    /// Nothing is granted in the protocol before, and nothing taken.
+    pub(super) fn receive_legacy(&mut self, from: &Identity, message: &LegacyMessage, now: Moment) {
+        self.counts.older_protocol += 1;
+        if self.is_duplicate(from) {
+            let starting = matches!(message, LegacyMessage::Recall { starts: true, .. });
+            self.voter.duplicate_heard(starting, now);
+        }
+        if let Some(refusal) = message.refusal() {
+            self.outgoing.push(Outgoing::legacy(To::Process(from.clone()), refusal.encode()));
+        }
+        match message {
+            LegacyMessage::Recall { .. } => {
+                let (established, epoch) = (self.voter.established, self.voter.epoch.max(self.epoch));
+                let generation = self.config.electorate.generation;
+                let answer = LegacyMessage::Remembered { generation, established, epoch }.encode();
+                self.outgoing.push(Outgoing::legacy(To::Process(from.clone()), answer));
+            }
+            LegacyMessage::Ask { epoch, .. } => self.voter.epoch = self.voter.epoch.max(*epoch),
+            LegacyMessage::Remembered { established, epoch, .. } => {
+                self.remembered(from, *established, *epoch, now);
+                self.note_older_voter(from);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn note_older_voter(&mut self, from: &Identity) {
+        let unanswered = |link: &Link| link.voter == from.name && link.unanswered >= UNANSWERED;
+        if self.links.iter().any(unanswered) {
+            for claim in self.claims.values_mut() {
+                if claim.reason.is_none() {
+                    claim.reason = Some(Reason::OlderProtocol);
+                }
+            }
+        }
+    }
+}
