--- a/leases/src/manager/answers.rs
+++ b/leases/src/manager/answers.rs
@@ -1,5 +1,12 @@
 //! What comes in: answers of voters, requests to this process as a voter, and messages of the protocol before.
-use super::*;
+use super::{Leases, UNANSWERED};
+use crate::claim::{Claim, Stage};
+use crate::legacy;
+use crate::legacy::LegacyMessage;
+use crate::link::Link;
+use crate::message::{CHANNEL, Message, Outgoing, Reason, SessionToken, Subject, To, Updated};
+use thistlecroft::units::Moment;
+use thistlecroft_peers::Identity;
 
 impl Leases {
     /// Bytes from another process on one of the channels of leases.
--- a/leases/src/manager/change.rs
+++ b/leases/src/manager/change.rs
@@ -1,5 +1,10 @@
 //! A change of the voters, by joint majorities.
-use super::*;
+use super::{ChangeError, Leases};
+use crate::claim::Stage;
+use crate::electorate::LeaseConfig;
+use crate::link::Link;
+use compact_str::CompactString;
+use thistlecroft::units::Moment;
 
 impl Leases {
     /// # Errors
--- a/leases/src/manager/claims.rs
+++ b/leases/src/manager/claims.rs
@@ -1,5 +1,9 @@
 //! What is wanted here: attempts, holdings that run out, what is given back.
-use super::*;
+use super::{AGAIN_AFTER, ATTEMPT, FIRST_DELAY, JITTER, Leases, MAX_DOUBLINGS, NEVER};
+use crate::claim::{Claim, Stage, VoterView};
+use crate::electorate::VoterSet;
+use crate::message::Subject;
+use thistlecroft::units::{Moment, Span};
 
 impl Leases {
     /// Looks at each claim: rights that ran out, attempts that are over, subjects wanted no more.
--- a/leases/src/manager/mod.rs
+++ b/leases/src/manager/mod.rs
@@ -4,19 +4,18 @@
 mod claims;
 mod requests;
 
-use crate::claim::{Claim, Held, Stage, State, VoterView};
-use crate::electorate::{LeaseConfig, Quorums, VoterSet};
-use crate::legacy::{self, LegacyMessage};
-use crate::link::{Link, Request};
+use crate::claim::{Claim, Held, Stage, State};
+use crate::electorate::{LeaseConfig, Quorums};
+use crate::legacy::LegacyMessage;
+use crate::link::Link;
 use crate::message::{
-    CHANNEL, MAX_SUBJECT_BYTES, MAX_UPDATE_BYTES, MAX_UPDATE_SUBJECTS, Message, Outgoing, Reason,
-    SessionToken, Subject, To, Updated,
+    MAX_SUBJECT_BYTES, MAX_UPDATE_BYTES, MAX_UPDATE_SUBJECTS, Message, Outgoing, Subject, To,
 };
 use crate::voter::Voter;
 use compact_str::CompactString;
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
-use thistlecroft::units::{Chance, Moment, Span};
+use thistlecroft::units::{Chance, Moment};
 use thistlecroft_peers::Identity;
 
 /// Subjects that a process wants or still gives back at once.
--- a/leases/src/manager/requests.rs
+++ b/leases/src/manager/requests.rs
@@ -1,5 +1,12 @@
 //! What goes out to voters: one request a voter at a time, subjects within the update rate, renewals in time.
-use super::*;
+use super::{
+    ATTEMPT, BURST, JITTER, Leases, RENEW_AFTER, RETRY_AFTER, SESSION_FORGOTTEN, UNANSWERED, UPDATE_OVERHEAD,
+};
+use crate::claim::Stage;
+use crate::legacy::LegacyMessage;
+use crate::link::Request;
+use crate::message::{MAX_UPDATE_BYTES, MAX_UPDATE_SUBJECTS, Message, Outgoing, Subject, To};
+use thistlecroft::units::{Moment, Span};
 
 impl Leases {
     pub(super) fn is_active(&self) -> bool {
--- a/peers/src/node/mod.rs
+++ b/peers/src/node/mod.rs
@@ -4,14 +4,14 @@
 mod sending;
 mod sync;
 
-use crate::chunks::{Chunks, Content};
+use crate::chunks::Chunks;
 use crate::facts::{FactRow, Facts, Key, Kind};
 use crate::gossip::{About, Gossip};
 use crate::identity::{Identity, MemberState, Row};
 use crate::members::{Member, MemberList, Merged};
-use crate::wire::{Body, Datagram, MOST, Rejection, Seal};
+use crate::wire::{Body, MOST, Rejection, Seal};
 use crate::{Pace, Terms};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use thistlecroft::units::{Chance, Moment, Span};
 
--- a/peers/src/node/probing.rs
+++ b/peers/src/node/probing.rs
@@ -1,5 +1,10 @@
 //! Probes: each period one other is pinged, by others where it does not answer itself, and suspected where nobody reaches it.
-use super::*;
+use super::{HELPERS, IndirectProbe, MAX_INDIRECT_PROBES, Node, Probe, change_health};
+use crate::identity::{Identity, MemberState, Row};
+use crate::members::Member;
+use crate::wire::Body;
+use std::net::SocketAddr;
+use thistlecroft::units::Moment;
 
 impl Node {
     pub(super) fn indirect(
--- a/peers/src/node/sending.rs
+++ b/peers/src/node/sending.rs
@@ -1,5 +1,11 @@
 //! Datagrams that go out: gossip rides on them as it fits, and a bucket of bytes bounds them.
-use super::*;
+use super::{Node, RESERVED, ROOM, fact_cost, row_cost};
+use crate::facts::FactRow;
+use crate::gossip::About;
+use crate::identity::{Identity, MemberState, Row};
+use crate::wire::{Body, Datagram, MOST};
+use std::net::SocketAddr;
+use thistlecroft::units::Moment;
 
 impl Node {
     pub(super) fn datagram(&mut self, body: Body, rows: Vec<Row>, facts: Vec<FactRow>) -> Datagram {
--- a/peers/src/node/sync.rs
+++ b/peers/src/node/sync.rs
@@ -1,5 +1,13 @@
 //! Anti-entropy: digests of all that is known are compared now and then, and it is sent in chunks where they differ. Lost relays and seeds are looked for again.
-use super::*;
+use super::{Event, MAX_INDIRECT_PROBES, Node, ROOM, SEEK_EVERY, SYNC_EVERY, fact_cost, row_cost};
+use crate::chunks::Content;
+use crate::facts::Key;
+use crate::gossip::About;
+use crate::identity::{Identity, MemberState, Row};
+use crate::wire::Body;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use thistlecroft::units::Moment;
 
 impl Node {
     /// Looks for the fleet at its seeds until somebody is here, and after that for those it has lost: so two halves that
