--- a/fleet/src/link.rs
+++ b/fleet/src/link.rs
@@ -2,7 +2,7 @@
 use thistlecroft::units::{Chance, Span};
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Bend {
+pub struct LinkFault {
     /// The part that is lost.
     pub loss: f64,
     pub delay: Span,
@@ -14,8 +14,9 @@
     pub rate: u64,
 }
 
-impl Bend {
-    pub const CUT: Bend = Bend { loss: 1.0, delay: Span::ZERO, spread: Span::ZERO, doubled: 0.0, rate: 0 };
+impl LinkFault {
+    pub const CUT: LinkFault =
+        LinkFault { loss: 1.0, delay: Span::ZERO, spread: Span::ZERO, doubled: 0.0, rate: 0 };
 
     /// After how long it arrives, once, twice or never.
     pub fn passes(&self, chance: &mut Chance) -> Vec<Span> {
--- a/fleet/src/net.rs
+++ b/fleet/src/net.rs
@@ -1,7 +1,7 @@
-//! The network between relays, for their datagrams: one address a relay at which the others reach it, and a bend for each
+//! The network between relays, for their datagrams: one address a relay at which the others reach it, and a fault for each
 //! directed pair. A relay's datagrams come from its own socket, so that who speaks to whom is seen here.
 use crate::clock::Stopwatch;
-use crate::link::Bend;
+use crate::link::LinkFault;
 use crate::stage::{Play, Stage, Works};
 use crate::tape::{RelayNo, Sighting, Tape};
 use polling::{Event, PollMode};
@@ -25,7 +25,7 @@
 
 pub enum Cue {
     /// From whom to whom, and how; none is as at first.
-    Bend(Vec<(RelayNo, RelayNo)>, Option<Bend>, &'static str),
+    LinkFault(Vec<(RelayNo, RelayNo)>, Option<LinkFault>, &'static str),
 }
 
 /// What passed and what did not, over all links.
@@ -42,7 +42,7 @@
     sockets: Vec<UdpSocket>,
     ways: Vec<Way>,
     by_source: BTreeMap<SocketAddr, usize>,
-    bends: BTreeMap<(usize, usize), Bend>,
+    link_faults: BTreeMap<(usize, usize), LinkFault>,
     /// What a link's rate still allows, and as of when.
     allowed: BTreeMap<(usize, usize), (f64, Moment)>,
     chance: Chance,
@@ -91,7 +91,7 @@
                 sockets,
                 ways: of,
                 by_source,
-                bends: BTreeMap::new(),
+                link_faults: BTreeMap::new(),
                 allowed: BTreeMap::new(),
                 chance: Chance::from_seed(seed),
                 sums: NetSums::default(),
@@ -140,9 +140,9 @@
                 self.sums.strange += 1;
                 continue;
             };
-            let bend = self.bends.get(&(from, to)).copied().unwrap_or_default();
-            let allowed = self.allows((from, to), bend.rate, length, works.now);
-            let passes = if allowed { bend.passes(&mut self.chance) } else { Vec::new() };
+            let fault = self.link_faults.get(&(from, to)).copied().unwrap_or_default();
+            let allowed = self.allows((from, to), fault.rate, length, works.now);
+            let passes = if allowed { fault.passes(&mut self.chance) } else { Vec::new() };
             self.sums.lost += u64::from(passes.is_empty());
             for after in passes {
                 let one = Delivery { from, to, bytes: bytes[..length].to_vec() };
@@ -161,14 +161,14 @@
 
     fn cue(&mut self, cue: Cue, works: &mut Works<Delivery>) -> bool {
         works.now = works.clock.now();
-        let Cue::Bend(links, bend, name) = cue;
+        let Cue::LinkFault(links, fault, name) = cue;
         for (from, to) in links {
             let link = (usize::from(from.0), usize::from(to.0));
-            match bend {
-                Some(bend) => drop(self.bends.insert(link, bend)),
-                None => drop(self.bends.remove(&link)),
+            match fault {
+                Some(fault) => drop(self.link_faults.insert(link, fault)),
+                None => drop(self.link_faults.remove(&link)),
             }
-            works.note(Sighting::Link { from, to, name, on: bend.is_some() });
+            works.note(Sighting::Link { from, to, name, on: fault.is_some() });
         }
         true
     }
--- a/fleet/src/rig.rs
+++ b/fleet/src/rig.rs
@@ -1,7 +1,7 @@
 //! Relays as processes that know of one another, for tests: started, cut off, healed, paused, killed and started again, and
 //! waited for until a stated condition holds, within a bound.
 use crate::clock::{Stopwatch, duration};
-use crate::link::Bend;
+use crate::link::LinkFault;
 use crate::model::{Cold, Make};
 use crate::net::{Cue, Net, Opened as OpenedNet};
 use crate::post::{ListenerTerms, Orders, PeersTerms, Post, Terms, free_address};
@@ -225,22 +225,22 @@
     }
 
     /// Each directed pair between these and those, one direction only.
-    pub fn bend(&self, from: &[usize], to: &[usize], bend: Option<Bend>) {
+    pub fn fault_links(&self, from: &[usize], to: &[usize], fault: Option<LinkFault>) {
         let no = |number: usize| RelayNo(number as u16);
         let pairs = from.iter().flat_map(|one| to.iter().map(move |other| (no(*one), no(*other))));
         let links = pairs.filter(|(one, other)| one != other).collect();
-        self.net.stage.cue(Cue::Bend(links, bend, "bent"));
+        self.net.stage.cue(Cue::LinkFault(links, fault, "bent"));
     }
 
     /// Both directions.
     pub fn cut(&self, these: &[usize], those: &[usize]) {
-        self.bend(these, those, Some(Bend::CUT));
-        self.bend(those, these, Some(Bend::CUT));
+        self.fault_links(these, those, Some(LinkFault::CUT));
+        self.fault_links(those, these, Some(LinkFault::CUT));
     }
 
     pub fn heal(&self) {
         let all: Vec<usize> = (0..self.posts.len()).collect();
-        self.bend(&all, &all, None);
+        self.fault_links(&all, &all, None);
     }
 
     pub fn door(&self, number: usize) -> SocketAddr {
--- a/fleet/src/mesh.rs
+++ b/fleet/src/simulated_network.rs
@@ -1,14 +1,14 @@
 //! Membership and leases of many processes over simulated links: the same code as on sockets, on a clock that is stepped.
-//! Each directed pair has its own bend; each process its own clock, off by a part; processes pause, die and start. No I/O.
+//! Each directed pair has its own link fault; each process its own clock, off by a part; processes pause, die and start. No I/O.
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use thistlecroft::units::{Chance, Moment, Span};
 use thistlecroft_leases::{LeaseConfig, Leases};
 use thistlecroft_peers::{Event, Identity, MemberState, Node, Terms};
 
-pub use crate::link::Bend;
+pub use crate::link::LinkFault;
 
-/// A process of the mesh.
+/// A process of the network.
 pub struct Host {
     pub name: String,
     pub node: Node,
@@ -51,15 +51,15 @@
     Wake(usize),
 }
 
-pub struct Mesh {
+pub struct SimulatedNetwork {
     pub now: Moment,
     pub hosts: Vec<Host>,
     flights: BTreeMap<(Moment, u64), Flight>,
     serial: u64,
     pub chance: Chance,
     /// What holds where nothing else is said.
-    pub bend: Bend,
-    pub links: BTreeMap<(usize, usize), Bend>,
+    pub link_fault: LinkFault,
+    pub links: BTreeMap<(usize, usize), LinkFault>,
     terms: Terms,
     lease_config: Option<LeaseConfig>,
     seeds: usize,
@@ -70,16 +70,20 @@
     SocketAddr::from((Ipv4Addr::new(127, 1, high, low), 7_946))
 }
 
-impl Mesh {
+impl SimulatedNetwork {
     /// `seeds`: the first so many processes are named to all as seeds.
-    pub fn new(terms: Terms, lease_config: Option<LeaseConfig>, seeds: usize, seed: u64) -> Mesh {
-        Mesh {
+    pub fn new(terms: Terms, lease_config: Option<LeaseConfig>, seeds: usize, seed: u64) -> SimulatedNetwork {
+        SimulatedNetwork {
             now: Moment::default(),
             hosts: Vec::new(),
             flights: BTreeMap::new(),
             serial: 0,
             chance: Chance::from_seed(seed),
-            bend: Bend { delay: Span::from_us(200), spread: Span::from_us(200), ..Bend::default() },
+            link_fault: LinkFault {
+                delay: Span::from_us(200),
+                spread: Span::from_us(200),
+                ..LinkFault::default()
+            },
             links: BTreeMap::new(),
             terms,
             lease_config,
@@ -109,7 +113,7 @@
     }
 
     fn process(&self, name: &str, number: usize, speed: f64) -> Host {
-        // Drawn from the mesh's own course, which is the same for the same seed and acts.
+        // Drawn from the network's own course, which is the same for the same seed and acts.
         let mut chance = self.chance.clone();
         let draw = chance.below(u64::MAX) ^ self.serial.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ number as u64;
         let offset = Span::from_us(1_000_000 + draw % 5_000_000);
@@ -153,8 +157,8 @@
     pub fn cut(&mut self, these: &[usize], those: &[usize]) {
         for &one in these {
             for &other in those {
-                self.links.insert((one, other), Bend::CUT);
-                self.links.insert((other, one), Bend::CUT);
+                self.links.insert((one, other), LinkFault::CUT);
+                self.links.insert((other, one), LinkFault::CUT);
             }
         }
     }
@@ -170,7 +174,7 @@
     }
 
     /// Until that is so, looked at each tenth of a period; when it was, or none within the span.
-    pub fn run_until(&mut self, within: Span, so: impl Fn(&Mesh) -> bool) -> Option<Span> {
+    pub fn run_until(&mut self, within: Span, so: impl Fn(&SimulatedNetwork) -> bool) -> Option<Span> {
         let (began, step) = (self.now, self.terms.pace.period * 0.1);
         while !so(self) {
             if self.now.since(began) >= within {
@@ -277,8 +281,8 @@
         }
         for (to, bytes) in host.node.take_datagrams() {
             let Some(to) = self.number_of(to) else { continue };
-            let bend = self.links.get(&(number, to)).copied().unwrap_or(self.bend);
-            for after in bend.passes(&mut self.chance) {
+            let link_fault = self.links.get(&(number, to)).copied().unwrap_or(self.link_fault);
+            for after in link_fault.passes(&mut self.chance) {
                 self.serial += 1;
                 let flight = Flight::Datagram { from: number, to, bytes: bytes.clone() };
                 self.flights.insert((now + after, self.serial), flight);
--- a/lab/src/peers.rs
+++ b/lab/src/peers.rs
@@ -6,9 +6,9 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use thistlecroft::units::Span;
-use thistlecroft_fleet::link::Bend;
-use thistlecroft_fleet::mesh::{Host, Mesh};
+use thistlecroft_fleet::link::LinkFault;
 use thistlecroft_fleet::rig::{Plan, Rig};
+use thistlecroft_fleet::simulated_network::{Host, SimulatedNetwork};
 use thistlecroft_peers::{Kind, MemberState, Pace, Terms};
 
 /// One size, under one loss, by one seed.
@@ -47,43 +47,46 @@
 pub fn simulated(trial: Trial) -> Found {
     let Trial { size, loss, seed, period } = trial;
     let pace = Pace { period };
-    let terms = Terms { fleet: "mesh".into(), secret: vec![7; 16], pace, rate: 32_768 };
-    let mut mesh = Mesh::new(terms, None, 3, seed);
+    let terms = Terms { fleet: "network".into(), secret: vec![7; 16], pace, rate: 32_768 };
+    let mut network = SimulatedNetwork::new(terms, None, 3, seed);
     for number in 0..size {
-        mesh.start(&format!("r{number}"), 1.0);
+        network.start(&format!("r{number}"), 1.0);
     }
     let mut found =
         Found { bound: pace.gone_within(size, 0).us() as f64 / period.us() as f64, ..Found::default() };
-    found.join = in_periods(mesh.run_until(period * 400.0, Mesh::agree), period);
-    mesh.bend.loss = loss;
+    found.join = in_periods(network.run_until(period * 400.0, SimulatedNetwork::agree), period);
+    network.link_fault.loss = loss;
     // Quiet: what it costs, and who is suspected though well.
-    mesh.run_for(period * 60.0);
-    let sent = |mesh: &Mesh| mesh.hosts.iter().map(|host| host.node.counts.sent_bytes).sum::<u64>();
-    let turns = |mesh: &Mesh, to: MemberState| {
-        let turns = mesh.hosts.iter().map(|host| host.turns.iter().filter(|turn| turn.2 == to).count());
+    network.run_for(period * 60.0);
+    let sent = |network: &SimulatedNetwork| {
+        network.hosts.iter().map(|host| host.node.counts.sent_bytes).sum::<u64>()
+    };
+    let turns = |network: &SimulatedNetwork, to: MemberState| {
+        let turns = network.hosts.iter().map(|host| host.turns.iter().filter(|turn| turn.2 == to).count());
         turns.sum::<usize>() as f64
     };
     // As many periods of relays in all at each size, at least.
     let quiet = (24_000.0 / size as f64).clamp(60.0, 600.0);
-    let before = (sent(&mesh), turns(&mesh, MemberState::Suspect), turns(&mesh, MemberState::Dead));
-    mesh.run_for(period * quiet);
-    found.bytes = (sent(&mesh) - before.0) as f64 / quiet / size as f64;
-    found.suspicions = (turns(&mesh, MemberState::Suspect) - before.1) / quiet * 3_600.0;
-    found.false_gone = (turns(&mesh, MemberState::Dead) - before.2) / quiet * 3_600.0;
-    mesh.act(size / 2, |host, now| {
+    let before = (sent(&network), turns(&network, MemberState::Suspect), turns(&network, MemberState::Dead));
+    network.run_for(period * quiet);
+    found.bytes = (sent(&network) - before.0) as f64 / quiet / size as f64;
+    found.suspicions = (turns(&network, MemberState::Suspect) - before.1) / quiet * 3_600.0;
+    found.false_gone = (turns(&network, MemberState::Dead) - before.2) / quiet * 3_600.0;
+    network.act(size / 2, |host, now| {
         host.node.announce(Kind::Note, b"subject", b"value", now);
     });
-    let known = |mesh: &Mesh| {
+    let known = |network: &SimulatedNetwork| {
         let knows =
-            |host: &Host| host.node.facts().of_kind(Kind::Note, host.clock(mesh.now)).next().is_some();
-        mesh.hosts.iter().all(knows)
+            |host: &Host| host.node.facts().of_kind(Kind::Note, host.clock(network.now)).next().is_some();
+        network.hosts.iter().all(knows)
     };
-    found.fact = in_periods(mesh.run_until(period * 200.0, known), period);
-    let dead = mesh.hosts[size - 1].node.me().clone();
-    mesh.kill(size - 1);
+    found.fact = in_periods(network.run_until(period * 200.0, known), period);
+    let dead = network.hosts[size - 1].node.me().clone();
+    network.kill(size - 1);
     let gone = |host: &Host| host.node.state_of(&dead) == Some(MemberState::Dead);
-    let first = mesh.run_until(period * 400.0, |mesh| mesh.hosts.iter().any(gone));
-    let rest = mesh.run_until(period * 400.0, |mesh| mesh.hosts.iter().filter(|host| host.alive).all(gone));
+    let first = network.run_until(period * 400.0, |network| network.hosts.iter().any(gone));
+    let rest =
+        network.run_until(period * 400.0, |network| network.hosts.iter().filter(|host| host.alive).all(gone));
     found.first = in_periods(first, period);
     found.gone = in_periods(first.zip(rest).map(|(first, rest)| first + rest), period);
     found
@@ -128,7 +131,7 @@
     let mut found =
         Found { bound: pace.gone_within(size, 0).us() as f64 / period.us() as f64, ..Found::default() };
     found.join = in_periods(rig.wait(period * 400.0, |rig| rig.agree(&all)), period);
-    rig.bend(&all, &all, (loss > 0.0).then(|| Bend { loss, ..Bend::default() }));
+    rig.fault_links(&all, &all, (loss > 0.0).then(|| LinkFault { loss, ..LinkFault::default() }));
     let cpu = |rig: &Rig| all.iter().filter_map(|one| rig.cpu(*one)).fold(Span::ZERO, |sum, one| sum + one);
     let quiet = Span::from_ms(10_000);
     // News of the start has gone round by then, and voters are no longer silent.
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -4,7 +4,7 @@
 use thistlecroft::deployment::{Effect, Scope};
 use thistlecroft::units::{Chance, Moment, Span};
 use thistlecroft_fleet::crowd::{Cue as CrowdCue, Dealing, Rude};
-use thistlecroft_fleet::link::Bend;
+use thistlecroft_fleet::link::LinkFault;
 use thistlecroft_fleet::model::{Cold, Make};
 use thistlecroft_fleet::post::{ListenerTerms, Terms};
 use thistlecroft_fleet::referee::Law;
@@ -35,7 +35,7 @@
     Start(RelayNo),
     /// Told to stop, and stays away.
     Leave(RelayNo),
-    Link(Vec<(RelayNo, RelayNo)>, Option<Bend>, &'static str),
+    Link(Vec<(RelayNo, RelayNo)>, Option<LinkFault>, &'static str),
 }
 
 #[derive(Clone, Debug)]
@@ -491,7 +491,7 @@
             let others = || (0..count).map(|one| RelayNo(one as u16)).filter(|one| !these.contains(one));
             let both = |one: RelayNo| others().flat_map(move |other| [(one, other), (other, one)]);
             let links: Vec<(RelayNo, RelayNo)> = these.iter().copied().flat_map(both).collect();
-            add(begins, Act::Link(links.clone(), Some(Bend::CUT), "cut"));
+            add(begins, Act::Link(links.clone(), Some(LinkFault::CUT), "cut"));
             ends.iter().for_each(|ends| add(*ends, Act::Link(links.clone(), None, "cut")));
         }
         "link" | "link-flaps" => {
@@ -507,22 +507,22 @@
                 || fault.spread.is_some()
                 || fault.doubled.is_some()
                 || fault.rate.is_some();
-            let bend = Bend {
+            let link_fault = LinkFault {
                 loss: fault.loss.unwrap_or(if bent { 0.0 } else { 1.0 }),
                 delay: span(fault.delay),
                 spread: span(fault.spread),
                 doubled: fault.doubled.unwrap_or(0.0),
                 rate: fault.rate.unwrap_or(0),
             };
-            let name = if bend == Bend::CUT { "cut" } else { "bent" };
+            let name = if link_fault == LinkFault::CUT { "cut" } else { "bent" };
             if fault.what == "link" {
-                add(begins, Act::Link(links.clone(), Some(bend), name));
+                add(begins, Act::Link(links.clone(), Some(link_fault), name));
                 ends.iter().for_each(|ends| add(*ends, Act::Link(links.clone(), None, name)));
             } else {
                 let (every, pause) = (span(fault.every), span(fault.pause));
                 let mut at = begins;
                 while ends.is_some_and(|ends| at < ends) {
-                    add(at, Act::Link(links.clone(), Some(bend), name));
+                    add(at, Act::Link(links.clone(), Some(link_fault), name));
                     add(at + pause, Act::Link(links.clone(), None, name));
                     at = at + every;
                 }
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -497,9 +497,9 @@
             Act::Leave(relay) => {
                 self.act(&Act::Stop(*relay, None));
             }
-            Act::Link(links, bend, name) => {
+            Act::Link(links, fault, name) => {
                 if let Some(net) = &self.net {
-                    net.stage.cue(NetCue::Bend(links.clone(), *bend, name));
+                    net.stage.cue(NetCue::LinkFault(links.clone(), *fault, name));
                 }
             }
             Act::HangUp(relay) => {
--- a/lab/src/scale/simulated.rs
+++ b/lab/src/scale/simulated.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 use thistlecroft::units::{Moment, Span};
-use thistlecroft_fleet::mesh::{Host, Mesh};
+use thistlecroft_fleet::simulated_network::{Host, SimulatedNetwork};
 use thistlecroft_peers::MemberState;
 
 const STEP: Span = Span::from_ms(250);
@@ -37,7 +37,7 @@
             let cut = fleet.converge(&sides, progress);
             fleet.pass(Span::from_ms(config.cut_s * 1_000));
             phases.push(fleet.phase("fault", Some(cut)));
-            fleet.mesh.heal();
+            fleet.network.heal();
             let healed = fleet.converge(std::slice::from_ref(&everyone), progress);
             phases.push(fleet.phase("healed", Some(healed)));
             fleet.settle(progress);
@@ -45,7 +45,7 @@
         }
         fault => {
             let lost = config.layout().lost_by(fault);
-            lost.iter().for_each(|member| fleet.mesh.kill(*member));
+            lost.iter().for_each(|member| fleet.network.kill(*member));
             let rest = everyone.iter().copied().filter(|member| !lost.contains(member)).collect();
             let after = fleet.converge(&[rest], progress);
             phases.push(fleet.phase("fault", Some(after)));
@@ -72,7 +72,7 @@
 
 struct Fleet<'a> {
     config: &'a ScaleConfig,
-    mesh: Mesh,
+    network: SimulatedNetwork,
     assignments: Vec<Assignment>,
     /// Changes of members that each has acted on.
     applied: Vec<usize>,
@@ -87,18 +87,19 @@
         let layout = config.layout();
         let seeds = SEEDS.min(layout.size());
         let voter_leases = config.lease_config(Role::Voter);
-        let mut mesh = Mesh::new(config.peer_terms(Role::Voter), Some(voter_leases), seeds, config.seed);
-        mesh.bend.loss = config.loss;
+        let mut network =
+            SimulatedNetwork::new(config.peer_terms(Role::Voter), Some(voter_leases), seeds, config.seed);
+        network.link_fault.loss = config.loss;
         let drift = 1.0 + thistlecroft_leases::DRIFT * 0.5;
         for member in 0..layout.size() {
             if member == config.voters {
-                mesh.set_rates(
+                network.set_rates(
                     config.peer_terms(Role::Relay).rate,
                     config.lease_config(Role::Relay).update_rate,
                 );
             }
             let speed = if member % 2 == 0 { drift } else { 1.0 / drift };
-            mesh.start(&layout.name(member), speed);
+            network.start(&layout.name(member), speed);
         }
         Fleet {
             config,
@@ -108,53 +109,55 @@
             applied: vec![usize::MAX; layout.size()],
             meters: vec![Meter::default(); layout.size()],
             witness: OwnershipWitness::default(),
-            mesh,
+            network,
             steps: 0,
             phase_began: Moment::default(),
         }
     }
 
     fn step(&mut self) {
-        self.mesh.run_for(STEP);
+        self.network.run_for(STEP);
         self.steps += 1;
         for member in 0..self.assignments.len() {
-            let host = &self.mesh.hosts[member];
+            let host = &self.network.hosts[member];
             if host.alive && self.applied[member] != host.turns.len() {
                 self.applied[member] = host.turns.len();
                 let assignment = &mut self.assignments[member];
-                self.mesh.act(member, |host, now| {
+                self.network.act(member, |host, now| {
                     if let Some(leases) = &mut host.leases {
                         assignment.apply(&host.node, leases, now);
                     }
                 });
             }
         }
-        let now = self.mesh.now;
-        for (member, host) in self.mesh.hosts.iter().enumerate().filter(|(_, host)| host.alive) {
+        let now = self.network.now;
+        for (member, host) in self.network.hosts.iter().enumerate().filter(|(_, host)| host.alive) {
             self.witness.look(member, holdings(host, now), now);
         }
         if self.steps.is_multiple_of(STEPS_A_SECOND) {
-            for (meter, host) in self.meters.iter_mut().zip(&self.mesh.hosts).filter(|(_, host)| host.alive) {
+            for (meter, host) in
+                self.meters.iter_mut().zip(&self.network.hosts).filter(|(_, host)| host.alive)
+            {
                 meter.second(&host.node.counts);
             }
         }
     }
 
     fn pass(&mut self, span: Span) {
-        let until = self.mesh.now + span;
-        while self.mesh.now < until {
+        let until = self.network.now + span;
+        while self.network.now < until {
             self.step();
         }
     }
 
     /// Until each of these sets sees itself alone, and all subjects are owned.
     fn converge(&mut self, sides: &[BTreeSet<usize>], progress: Progress<'_>) -> Convergence {
-        let began = self.mesh.now;
+        let began = self.network.now;
         let mut found = Convergence::default();
         let patience = self.config.period() * PATIENCE;
         while found.members_s.is_none() || found.owned_s.is_none() {
             self.step();
-            let passed = self.mesh.now.since(began);
+            let passed = self.network.now.since(began);
             if found.members_s.is_none() && sides.iter().all(|side| self.agree(side)) {
                 found.members_s = Some(passed.secs());
             }
@@ -166,7 +169,7 @@
             if self.steps.is_multiple_of(STEPS_A_SECOND * 5) {
                 progress(&format!(
                     "{:.0} s: {} subjects owned",
-                    self.mesh.now.since(Moment::default()).secs(),
+                    self.network.now.since(Moment::default()).secs(),
                     self.owned()
                 ));
             }
@@ -179,7 +182,7 @@
 
     /// Until what was told of the last change has gone round: nothing is sent any more but what calm needs.
     fn settle(&mut self, progress: Progress<'_>) {
-        progress(&format!("{:.0} s: settling", self.mesh.now.since(Moment::default()).secs()));
+        progress(&format!("{:.0} s: settling", self.network.now.since(Moment::default()).secs()));
         self.pass(self.config.period() * (SETTLE + SETTLE_EACH * self.assignments.len() as f64));
     }
 
@@ -190,18 +193,18 @@
             live.filter_map(|view| layout.member(&view.id.name)).all(|member| side.contains(&member))
         };
         side.iter().all(|member| {
-            let host = &self.mesh.hosts[*member];
+            let host = &self.network.hosts[*member];
             host.node.size() == side.len() && sees_others(host)
         })
     }
 
     fn owned(&self) -> usize {
-        let now = self.mesh.now;
+        let now = self.network.now;
         let held = |host: &Host| {
             let leases = host.leases.iter();
             leases.map(|leases| leases.holdings(host.clock(now)).count()).sum::<usize>()
         };
-        self.mesh.hosts.iter().filter(|host| host.alive).map(held).sum()
+        self.network.hosts.iter().filter(|host| host.alive).map(held).sum()
     }
 
     /// The two sides of it.
@@ -209,7 +212,7 @@
         let layout = self.config.layout();
         let is_first = |member: &usize| layout.zone(*member) < self.config.first_region;
         let (first, second): (Vec<usize>, Vec<usize>) = (0..layout.size()).partition(is_first);
-        self.mesh.cut(&first, &second);
+        self.network.cut(&first, &second);
         [first.into_iter().collect(), second.into_iter().collect()]
     }
 
@@ -219,11 +222,11 @@
             .meters
             .iter_mut()
             .enumerate()
-            .filter(|(member, _)| self.mesh.hosts[*member].alive)
+            .filter(|(member, _)| self.network.hosts[*member].alive)
             .map(|(member, meter)| (layout.role(member), meter.take()))
             .collect();
-        let seconds = self.mesh.now.since(self.phase_began).secs();
-        self.phase_began = self.mesh.now;
+        let seconds = self.network.now.since(self.phase_began).secs();
+        self.phase_began = self.network.now;
         Phase::new(name, seconds, &all, converged)
     }
 }
--- a/leases/tests/helper/mod.rs
+++ b/leases/tests/helper/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code, reason = "each file of tests uses a part of it")]
 use std::collections::BTreeMap;
 use thistlecroft::units::Span;
-use thistlecroft_fleet::mesh::Mesh;
+use thistlecroft_fleet::simulated_network::SimulatedNetwork;
 use thistlecroft_leases::{DRIFT, Electorate, LeaseConfig, Subject};
 use thistlecroft_peers::{Pace, Terms as PeerTerms};
 
@@ -25,41 +25,41 @@
     LeaseConfig { electorate: electorate(1, voters, &[]), term: TERM, update_rate }
 }
 
-pub fn fleet(size: usize, voters: &[&str], update_rate: u32, seed: u64) -> Mesh {
+pub fn fleet(size: usize, voters: &[&str], update_rate: u32, seed: u64) -> SimulatedNetwork {
     let peers =
         PeerTerms { fleet: "test".into(), secret: vec![1], pace: Pace { period: PERIOD }, rate: 65_536 };
-    let mut mesh = Mesh::new(peers, Some(config(voters, update_rate)), 3, seed);
+    let mut network = SimulatedNetwork::new(peers, Some(config(voters, update_rate)), 3, seed);
     for number in 0..size {
-        mesh.start(&format!("r{number}"), SPEEDS[number % SPEEDS.len()]);
+        network.start(&format!("r{number}"), SPEEDS[number % SPEEDS.len()]);
     }
-    mesh
+    network
 }
 
 pub fn subjects(count: usize) -> Vec<Subject> {
     (0..count).map(|number| format!("shard-{number}").into_bytes()).collect()
 }
 
-pub fn acquire(mesh: &mut Mesh, number: usize, subjects: &[Subject]) {
-    mesh.act(number, |host, now| {
+pub fn acquire(network: &mut SimulatedNetwork, number: usize, subjects: &[Subject]) {
+    network.act(number, |host, now| {
         let leases = host.leases.as_mut().unwrap();
         subjects.iter().for_each(|subject| leases.acquire(subject, now + FOR_LONG, now).unwrap());
     });
 }
 
-pub fn release(mesh: &mut Mesh, number: usize, subjects: &[Subject]) {
-    mesh.act(number, |host, now| {
+pub fn release(network: &mut SimulatedNetwork, number: usize, subjects: &[Subject]) {
+    network.act(number, |host, now| {
         let leases = host.leases.as_mut().unwrap();
         subjects.iter().for_each(|subject| leases.release(subject, now));
     });
 }
 
 /// What a process may act on now, with the epochs.
-pub fn held(mesh: &Mesh, number: usize) -> BTreeMap<Subject, u64> {
-    let host = &mesh.hosts[number];
+pub fn held(network: &SimulatedNetwork, number: usize) -> BTreeMap<Subject, u64> {
+    let host = &network.hosts[number];
     if !host.alive {
         return BTreeMap::new();
     }
-    let leases = host.leases.iter().flat_map(|leases| leases.holdings(host.clock(mesh.now)));
+    let leases = host.leases.iter().flat_map(|leases| leases.holdings(host.clock(network.now)));
     leases.map(|(subject, held)| (subject.to_vec(), held.epoch)).collect()
 }
 
@@ -72,41 +72,46 @@
 
 impl Witness {
     /// `paused` processes do not act.
-    pub fn look(&mut self, mesh: &Mesh, paused: &[usize]) {
+    pub fn look(&mut self, network: &SimulatedNetwork, paused: &[usize]) {
         let mut now: BTreeMap<Subject, (usize, u64)> = BTreeMap::new();
-        for number in (0..mesh.hosts.len()).filter(|number| !paused.contains(number)) {
-            for (subject, epoch) in held(mesh, number) {
+        for number in (0..network.hosts.len()).filter(|number| !paused.contains(number)) {
+            for (subject, epoch) in held(network, number) {
                 let other = now.insert(subject.clone(), (number, epoch));
-                assert_eq!(other, None, "two hold {subject:?} at {:?}, one of them {number}", mesh.now);
+                assert_eq!(other, None, "two hold {subject:?} at {:?}, one of them {number}", network.now);
             }
         }
         for (subject, holding) in now {
             let before = self.last.insert(subject.clone(), holding);
             if before != Some(holding) {
                 let grown = before.is_none_or(|(_, epoch)| holding.1 > epoch);
-                assert!(grown, "{subject:?}: {holding:?} after {before:?} at {:?}", mesh.now);
+                assert!(grown, "{subject:?}: {holding:?} after {before:?} at {:?}", network.now);
                 self.holdings += 1;
             }
         }
     }
 
-    pub fn watch(&mut self, mesh: &mut Mesh, span: Span, paused: &[usize]) {
-        let until = mesh.now + span;
-        while mesh.now < until {
-            mesh.run_for(LOOK);
-            self.look(mesh, paused);
+    pub fn watch(&mut self, network: &mut SimulatedNetwork, span: Span, paused: &[usize]) {
+        let until = network.now + span;
+        while network.now < until {
+            network.run_for(LOOK);
+            self.look(network, paused);
         }
     }
 
     /// Until that is so, looked at all the time; how long it took.
-    pub fn until(&mut self, mesh: &mut Mesh, within: Span, so: impl Fn(&Mesh) -> bool) -> Option<Span> {
-        let began = mesh.now;
-        while !so(mesh) {
-            if mesh.now.since(began) >= within {
+    pub fn until(
+        &mut self,
+        network: &mut SimulatedNetwork,
+        within: Span,
+        so: impl Fn(&SimulatedNetwork) -> bool,
+    ) -> Option<Span> {
+        let began = network.now;
+        while !so(network) {
+            if network.now.since(began) >= within {
                 return None;
             }
-            self.watch(mesh, LOOK, &[]);
+            self.watch(network, LOOK, &[]);
         }
-        Some(mesh.now.since(began))
+        Some(network.now.since(began))
     }
 }
--- a/leases/tests/sessions.rs
+++ b/leases/tests/sessions.rs
@@ -4,7 +4,7 @@
 
 use helper::{RATE, TERM, VOTERS, Witness, acquire, config, electorate, fleet, held, release, subjects};
 use thistlecroft::units::{Chance, Moment, Span};
-use thistlecroft_fleet::mesh::{Bend, Mesh};
+use thistlecroft_fleet::simulated_network::{LinkFault, SimulatedNetwork};
 use thistlecroft_leases::legacy::{LegacyMessage, LegacyReason, NO_GENERATION};
 use thistlecroft_leases::{
     AcquireError, ChangeError, LeaseConfig, Leases, MAX_CLAIMS, MAX_SUBJECT_BYTES, Message, Reason, State,
@@ -16,42 +16,44 @@
 const START: Span = Span::from_ms(3_000);
 const SEEDS: u64 = 100;
 
-fn count(mesh: &Mesh, number: usize) -> usize {
-    held(mesh, number).len()
+fn count(network: &SimulatedNetwork, number: usize) -> usize {
+    held(network, number).len()
 }
 
-fn total(mesh: &Mesh) -> usize {
-    (0..mesh.hosts.len()).map(|number| count(mesh, number)).sum()
+fn total(network: &SimulatedNetwork) -> usize {
+    (0..network.hosts.len()).map(|number| count(network, number)).sum()
 }
 
 #[test]
 fn two_that_want_the_same_subjects_share_them_out_and_both_go_on() {
     for seed in 1..=SEEDS {
-        let (mut mesh, mut witness, all) = (fleet(5, &VOTERS, RATE, seed), Witness::default(), subjects(40));
-        mesh.bend.spread = Span::from_ms(40);
-        acquire(&mut mesh, 3, &all);
-        acquire(&mut mesh, 4, &all);
-        let owned = witness.until(&mut mesh, START + TERM * 4.0, |mesh| total(mesh) == all.len());
-        assert!(owned.is_some(), "seed {seed}: {} owned", total(&mesh));
-        let before = (held(&mesh, 3), held(&mesh, 4));
-        witness.watch(&mut mesh, TERM * 2.0, &[]);
-        assert_eq!((held(&mesh, 3), held(&mesh, 4)), before, "seed {seed}");
+        let (mut network, mut witness, all) =
+            (fleet(5, &VOTERS, RATE, seed), Witness::default(), subjects(40));
+        network.link_fault.spread = Span::from_ms(40);
+        acquire(&mut network, 3, &all);
+        acquire(&mut network, 4, &all);
+        let owned = witness.until(&mut network, START + TERM * 4.0, |network| total(network) == all.len());
+        assert!(owned.is_some(), "seed {seed}: {} owned", total(&network));
+        let before = (held(&network, 3), held(&network, 4));
+        witness.watch(&mut network, TERM * 2.0, &[]);
+        assert_eq!((held(&network, 3), held(&network, 4)), before, "seed {seed}");
     }
 }
 
 #[test]
 fn an_owner_that_gives_back_a_part_keeps_the_rest_without_a_break() {
     for seed in 1..=SEEDS {
-        let (mut mesh, mut witness, all) = (fleet(5, &VOTERS, RATE, seed), Witness::default(), subjects(60));
-        mesh.bend.loss = 0.02;
-        acquire(&mut mesh, 3, &all);
-        witness.until(&mut mesh, START + TERM, |mesh| count(mesh, 3) == 60).expect("owned");
-        let before = held(&mesh, 3);
-        release(&mut mesh, 3, &all[..20]);
-        acquire(&mut mesh, 4, &all[..20]);
-        let moved = witness.until(&mut mesh, TERM * 2.0, |mesh| count(mesh, 4) == 20);
+        let (mut network, mut witness, all) =
+            (fleet(5, &VOTERS, RATE, seed), Witness::default(), subjects(60));
+        network.link_fault.loss = 0.02;
+        acquire(&mut network, 3, &all);
+        witness.until(&mut network, START + TERM, |network| count(network, 3) == 60).expect("owned");
+        let before = held(&network, 3);
+        release(&mut network, 3, &all[..20]);
+        acquire(&mut network, 4, &all[..20]);
+        let moved = witness.until(&mut network, TERM * 2.0, |network| count(network, 4) == 20);
         assert!(moved.is_some(), "seed {seed}");
-        let kept = held(&mesh, 3);
+        let kept = held(&network, 3);
         assert!(all[20..].iter().all(|subject| kept.get(subject) == before.get(subject)), "seed {seed}");
         assert_eq!(kept.len(), 40);
     }
@@ -60,19 +62,20 @@
 #[test]
 fn a_session_that_lapsed_comes_back_by_a_renewal_with_higher_epochs_if_nobody_took_of_it() {
     for seed in 1..=SEEDS {
-        let (mut mesh, mut witness, all) = (fleet(5, &VOTERS, RATE, seed), Witness::default(), subjects(200));
-        acquire(&mut mesh, 3, &all);
-        witness.until(&mut mesh, START + TERM, |mesh| count(mesh, 3) == 200).expect("owned");
-        let before = held(&mesh, 3);
-        mesh.cut(&[3], &[0, 1, 2, 4]);
-        witness.watch(&mut mesh, TERM * 1.5, &[]);
-        assert_eq!(count(&mesh, 3), 0, "it stops by its own clock");
-        mesh.heal();
-        let sent = mesh.hosts[3].leases.as_ref().unwrap().counts();
-        witness.until(&mut mesh, TERM * 2.0, |mesh| count(mesh, 3) == 200).expect("owned again");
-        assert!(held(&mesh, 3).iter().all(|(subject, epoch)| *epoch > before[subject]), "seed {seed}");
+        let (mut network, mut witness, all) =
+            (fleet(5, &VOTERS, RATE, seed), Witness::default(), subjects(200));
+        acquire(&mut network, 3, &all);
+        witness.until(&mut network, START + TERM, |network| count(network, 3) == 200).expect("owned");
+        let before = held(&network, 3);
+        network.cut(&[3], &[0, 1, 2, 4]);
+        witness.watch(&mut network, TERM * 1.5, &[]);
+        assert_eq!(count(&network, 3), 0, "it stops by its own clock");
+        network.heal();
+        let sent = network.hosts[3].leases.as_ref().unwrap().counts();
+        witness.until(&mut network, TERM * 2.0, |network| count(network, 3) == 200).expect("owned again");
+        assert!(held(&network, 3).iter().all(|(subject, epoch)| *epoch > before[subject]), "seed {seed}");
         // Attached still: no subject was sent again.
-        assert_eq!(mesh.hosts[3].leases.as_ref().unwrap().counts().sessions_lost, sent.sessions_lost);
+        assert_eq!(network.hosts[3].leases.as_ref().unwrap().counts().sessions_lost, sent.sessions_lost);
     }
 }
 
@@ -80,100 +83,102 @@
 fn a_voter_that_is_lost_and_back_while_hundreds_of_subjects_move_delays_and_doubles_nothing() {
     for seed in 1..=SEEDS {
         // At this rate 600 subjects take some seconds.
-        let (mut mesh, mut witness, all) =
+        let (mut network, mut witness, all) =
             (fleet(5, &VOTERS, 16_384, seed), Witness::default(), subjects(600));
-        mesh.bend.loss = 0.005;
-        acquire(&mut mesh, 3, &all);
-        witness.until(&mut mesh, START + TERM * 6.0, |mesh| count(mesh, 3) == 600).expect("owned");
-        mesh.kill(3);
-        acquire(&mut mesh, 4, &all);
-        let some = witness.until(&mut mesh, TERM * 4.0, |mesh| count(mesh, 4) > 100);
-        assert!(some.is_some_and(|_| count(&mesh, 4) < 600), "seed {seed}: in the midst");
+        network.link_fault.loss = 0.005;
+        acquire(&mut network, 3, &all);
+        witness.until(&mut network, START + TERM * 6.0, |network| count(network, 3) == 600).expect("owned");
+        network.kill(3);
+        acquire(&mut network, 4, &all);
+        let some = witness.until(&mut network, TERM * 4.0, |network| count(network, 4) > 100);
+        assert!(some.is_some_and(|_| count(&network, 4) < 600), "seed {seed}: in the midst");
         let voter = seed as usize % 3;
-        mesh.kill(voter);
-        witness.watch(&mut mesh, TERM * 0.2, &[]);
-        mesh.restart(voter);
-        let taken = witness.until(&mut mesh, TERM * 6.0, |mesh| count(mesh, 4) == 600);
-        assert!(taken.is_some(), "seed {seed}: {}", count(&mesh, 4));
+        network.kill(voter);
+        witness.watch(&mut network, TERM * 0.2, &[]);
+        network.restart(voter);
+        let taken = witness.until(&mut network, TERM * 6.0, |network| count(network, 4) == 600);
+        assert!(taken.is_some(), "seed {seed}: {}", count(&network, 4));
         // The voter that forgot is told all of it again: another may be lost now.
-        witness.watch(&mut mesh, TERM * 4.0, &[]);
-        let before = held(&mesh, 4);
-        mesh.kill((voter + 1) % 3);
-        witness.watch(&mut mesh, TERM * 2.0, &[]);
-        assert_eq!(held(&mesh, 4), before, "seed {seed}");
+        witness.watch(&mut network, TERM * 4.0, &[]);
+        let before = held(&network, 4);
+        network.kill((voter + 1) % 3);
+        witness.watch(&mut network, TERM * 2.0, &[]);
+        assert_eq!(held(&network, 4), before, "seed {seed}");
     }
 }
 
 #[test]
 fn with_the_last_majority_lost_nobody_owns_and_once_it_is_back_all_is_owned_with_higher_epochs() {
     for seed in 1..=SEEDS {
-        let (mut mesh, mut witness, all) = (fleet(5, &VOTERS, RATE, seed), Witness::default(), subjects(80));
-        acquire(&mut mesh, 3, &all[..40]);
-        acquire(&mut mesh, 4, &all[40..]);
-        witness.until(&mut mesh, START + TERM, |mesh| total(mesh) == 80).expect("owned");
-        let before = (held(&mesh, 3), held(&mesh, 4));
-        mesh.kill(1);
-        mesh.kill(2);
-        witness.watch(&mut mesh, TERM * 1.1, &[]);
-        assert_eq!(total(&mesh), 0, "seed {seed}");
-        mesh.restart(1);
-        mesh.restart(2);
-        witness.until(&mut mesh, START + TERM * 2.0, |mesh| total(mesh) == 80).expect("owned again");
-        assert!(held(&mesh, 3).iter().all(|(subject, epoch)| *epoch > before.0[subject]), "seed {seed}");
-        assert!(held(&mesh, 4).iter().all(|(subject, epoch)| *epoch > before.1[subject]), "seed {seed}");
+        let (mut network, mut witness, all) =
+            (fleet(5, &VOTERS, RATE, seed), Witness::default(), subjects(80));
+        acquire(&mut network, 3, &all[..40]);
+        acquire(&mut network, 4, &all[40..]);
+        witness.until(&mut network, START + TERM, |network| total(network) == 80).expect("owned");
+        let before = (held(&network, 3), held(&network, 4));
+        network.kill(1);
+        network.kill(2);
+        witness.watch(&mut network, TERM * 1.1, &[]);
+        assert_eq!(total(&network), 0, "seed {seed}");
+        network.restart(1);
+        network.restart(2);
+        witness.until(&mut network, START + TERM * 2.0, |network| total(network) == 80).expect("owned again");
+        assert!(held(&network, 3).iter().all(|(subject, epoch)| *epoch > before.0[subject]), "seed {seed}");
+        assert!(held(&network, 4).iter().all(|(subject, epoch)| *epoch > before.1[subject]), "seed {seed}");
     }
 }
 
 #[test]
 fn a_renewal_keeps_nothing_alive_that_its_voter_has_forgotten() {
     for seed in 1..=SEEDS {
-        let (mut mesh, mut witness, all) = (fleet(5, &VOTERS, RATE, seed), Witness::default(), subjects(30));
-        acquire(&mut mesh, 3, &all);
-        witness.until(&mut mesh, START + TERM, |mesh| count(mesh, 3) == 30).expect("owned");
+        let (mut network, mut witness, all) =
+            (fleet(5, &VOTERS, RATE, seed), Witness::default(), subjects(30));
+        acquire(&mut network, 3, &all);
+        witness.until(&mut network, START + TERM, |network| count(network, 3) == 30).expect("owned");
         // One voter does not hear the owner any more; the others forget, one after the other, and hear it all the time.
-        mesh.cut(&[3], &[2]);
-        acquire(&mut mesh, 4, &all);
+        network.cut(&[3], &[2]);
+        acquire(&mut network, 4, &all);
         for voter in [0, 1] {
-            mesh.kill(voter);
-            mesh.restart(voter);
-            witness.watch(&mut mesh, TERM * 1.6, &[]);
+            network.kill(voter);
+            network.restart(voter);
+            witness.watch(&mut network, TERM * 1.6, &[]);
         }
-        mesh.heal();
-        witness.watch(&mut mesh, TERM * 3.0, &[]);
-        assert_eq!(total(&mesh), 30, "seed {seed}");
+        network.heal();
+        witness.watch(&mut network, TERM * 3.0, &[]);
+        assert_eq!(total(&network), 30, "seed {seed}");
     }
 }
 
 /// Faults, releases and wishes drawn at random.
-fn shake(mesh: &mut Mesh, witness: &mut Witness, chance: &mut Chance, all: &[Vec<u8>]) {
+fn shake(network: &mut SimulatedNetwork, witness: &mut Witness, chance: &mut Chance, all: &[Vec<u8>]) {
     let number = chance.below(5) as usize;
     let some = chance.below(all.len() as u64) as usize;
     let mut paused = Vec::new();
     match chance.below(8) {
-        0 => drop(mesh.links.insert((number, chance.below(5) as usize), Bend::CUT)),
+        0 => drop(network.links.insert((number, chance.below(5) as usize), LinkFault::CUT)),
         1 => {
-            mesh.pause(number);
+            network.pause(number);
             paused.push(number);
         }
         2 | 3 => {
-            mesh.kill(number);
-            mesh.restart(number);
-            acquire(mesh, number, &all[some..]);
+            network.kill(number);
+            network.restart(number);
+            acquire(network, number, &all[some..]);
         }
-        4 => release(mesh, number, &all[..some]),
+        4 => release(network, number, &all[..some]),
         5 => {
-            release(mesh, number, &all[some..]);
-            acquire(mesh, number, &all[some / 2..]);
+            release(network, number, &all[some..]);
+            acquire(network, number, &all[some / 2..]);
         }
-        6 => acquire(mesh, number, all),
-        _ => mesh.heal(),
+        6 => acquire(network, number, all),
+        _ => network.heal(),
     }
     let span = Span::from_ms(100 + chance.below(2_500));
-    witness.watch(mesh, span, &paused);
+    witness.watch(network, span, &paused);
     if !paused.is_empty() {
-        mesh.resume(number);
+        network.resume(number);
         // From the very moment on: it goes on with its old state.
-        witness.look(mesh, &[]);
+        witness.look(network, &[]);
     }
 }
 
@@ -181,19 +186,21 @@
 fn faults_releases_and_wishes_drawn_at_random_never_give_two_owners() {
     let mut holdings = 0;
     for seed in 1..=300 {
-        let (mut mesh, mut witness, all) = (fleet(5, &VOTERS, RATE, seed), Witness::default(), subjects(6));
+        let (mut network, mut witness, all) =
+            (fleet(5, &VOTERS, RATE, seed), Witness::default(), subjects(6));
         let mut chance = Chance::from_seed(seed * 7_919);
-        mesh.bend = Bend { loss: 0.05, doubled: 0.05, spread: Span::from_ms(150), ..mesh.bend };
-        (0..5).for_each(|number| acquire(&mut mesh, number, &all[number..]));
-        witness.watch(&mut mesh, START, &[]);
+        network.link_fault =
+            LinkFault { loss: 0.05, doubled: 0.05, spread: Span::from_ms(150), ..network.link_fault };
+        (0..5).for_each(|number| acquire(&mut network, number, &all[number..]));
+        witness.watch(&mut network, START, &[]);
         for _ in 0..16 {
-            shake(&mut mesh, &mut witness, &mut chance, &all);
+            shake(&mut network, &mut witness, &mut chance, &all);
         }
-        mesh.heal();
-        mesh.bend = Bend { delay: Span::from_us(200), ..Bend::default() };
-        (0..5).for_each(|number| acquire(&mut mesh, number, &all));
-        let owned = witness.until(&mut mesh, TERM * 8.0, |mesh| total(mesh) == all.len());
-        assert!(owned.is_some(), "seed {seed}: {} owned once all is well", total(&mesh));
+        network.heal();
+        network.link_fault = LinkFault { delay: Span::from_us(200), ..LinkFault::default() };
+        (0..5).for_each(|number| acquire(&mut network, number, &all));
+        let owned = witness.until(&mut network, TERM * 8.0, |network| total(network) == all.len());
+        assert!(owned.is_some(), "seed {seed}: {} owned once all is well", total(&network));
         holdings += witness.holdings;
     }
     assert!(holdings > 6 * 300 * 2, "they changed hands {holdings} times");
@@ -202,52 +209,55 @@
 #[test]
 fn the_last_step_of_a_change_of_voters_waits_until_what_the_old_ones_granted_is_over() {
     for seed in 1..=20 {
-        let (mut mesh, mut witness, all) = (fleet(6, &VOTERS, RATE, seed), Witness::default(), subjects(10));
-        acquire(&mut mesh, 5, &all);
-        witness.until(&mut mesh, START + TERM, |mesh| count(mesh, 5) == 10).expect("owned");
+        let (mut network, mut witness, all) =
+            (fleet(6, &VOTERS, RATE, seed), Witness::default(), subjects(10));
+        acquire(&mut network, 5, &all);
+        witness.until(&mut network, START + TERM, |network| count(network, 5) == 10).expect("owned");
         let next = ["r2", "r3", "r4"];
         let joint = LeaseConfig { electorate: electorate(2, &next, &VOTERS), ..config(&VOTERS, RATE) };
         let last = LeaseConfig { electorate: electorate(3, &next, &[]), ..config(&VOTERS, RATE) };
-        let change = |mesh: &mut Mesh, number: usize, to: &LeaseConfig| {
+        let change = |network: &mut SimulatedNetwork, number: usize, to: &LeaseConfig| {
             let mut done = Ok(());
-            mesh.act(number, |host, now| done = host.leases.as_mut().unwrap().change(to.clone(), now));
+            network.act(number, |host, now| done = host.leases.as_mut().unwrap().change(to.clone(), now));
             done
         };
         // The owner is told of nothing and hears nobody; all others go on as fast as they are let.
-        mesh.cut(&[5], &[0, 1, 2, 3, 4]);
-        (0..5).for_each(|number| change(&mut mesh, number, &joint).unwrap());
-        witness.watch(&mut mesh, TERM * 0.4, &[]);
-        assert_eq!(change(&mut mesh, 3, &last), Err(ChangeError::NotSettled), "seed {seed}");
-        acquire(&mut mesh, 4, &all);
-        let began = mesh.now;
-        while !(0..5).all(|number| change(&mut mesh, number, &last).is_ok()) {
-            assert!(mesh.now.since(began) < TERM * 3.0, "seed {seed}: never settled");
-            witness.watch(&mut mesh, TERM * 0.02, &[]);
+        network.cut(&[5], &[0, 1, 2, 3, 4]);
+        (0..5).for_each(|number| change(&mut network, number, &joint).unwrap());
+        witness.watch(&mut network, TERM * 0.4, &[]);
+        assert_eq!(change(&mut network, 3, &last), Err(ChangeError::NotSettled), "seed {seed}");
+        acquire(&mut network, 4, &all);
+        let began = network.now;
+        while !(0..5).all(|number| change(&mut network, number, &last).is_ok()) {
+            assert!(network.now.since(began) < TERM * 3.0, "seed {seed}: never settled");
+            witness.watch(&mut network, TERM * 0.02, &[]);
         }
-        witness.until(&mut mesh, TERM * 2.0, |mesh| count(mesh, 4) == 10).expect("owned by the next");
+        witness
+            .until(&mut network, TERM * 2.0, |network| count(network, 4) == 10)
+            .expect("owned by the next");
     }
 }
 
 /// Bytes that a process's leases send in so long, and requests.
-fn spent(mesh: &mut Mesh, number: usize, span: Span) -> (u64, u64) {
-    let look = |mesh: &Mesh| {
-        let host = &mesh.hosts[number];
+fn spent(network: &mut SimulatedNetwork, number: usize, span: Span) -> (u64, u64) {
+    let look = |network: &SimulatedNetwork| {
+        let host = &network.hosts[number];
         (host.node.counts.sent_bytes, host.leases.as_ref().unwrap().counts().requests)
     };
-    let before = look(mesh);
-    mesh.run_for(span);
-    let after = look(mesh);
+    let before = look(network);
+    network.run_for(span);
+    let after = look(network);
     (after.0 - before.0, after.1 - before.1)
 }
 
 #[test]
 fn a_renewal_costs_the_same_whatever_is_owned() {
     let cost = |owned: usize| {
-        let mut mesh = fleet(5, &VOTERS, 1_000_000, 1);
-        acquire(&mut mesh, 4, &subjects(owned));
-        mesh.run_until(START + TERM * 4.0, |mesh| count(mesh, 4) == owned).expect("owned");
-        mesh.run_for(TERM * 8.0);
-        spent(&mut mesh, 4, TERM * 10.0)
+        let mut network = fleet(5, &VOTERS, 1_000_000, 1);
+        acquire(&mut network, 4, &subjects(owned));
+        network.run_until(START + TERM * 4.0, |network| count(network, 4) == owned).expect("owned");
+        network.run_for(TERM * 8.0);
+        spent(&mut network, 4, TERM * 10.0)
     };
     let (bytes, requests) = cost(1);
     for owned in [8, 64, 512, 4_096] {
@@ -264,34 +274,34 @@
 fn a_take_over_stays_within_its_rate_and_takes_the_time_that_the_page_says() {
     const SUBJECTS: usize = 2_000;
     for rate in [8_192_u32, 32_768] {
-        let (mut mesh, all) = (fleet(5, &VOTERS, rate, 3), subjects(SUBJECTS));
-        mesh.run_for(START * 4.0);
-        acquire(&mut mesh, 4, &all);
-        let began = mesh.now;
+        let (mut network, all) = (fleet(5, &VOTERS, rate, 3), subjects(SUBJECTS));
+        network.run_for(START * 4.0);
+        acquire(&mut network, 4, &all);
+        let began = network.now;
         let calm = 1_500;
-        while count(&mesh, 4) < SUBJECTS {
-            let (bytes, _) = spent(&mut mesh, 4, Span::from_ms(1_000));
+        while count(&network, 4) < SUBJECTS {
+            let (bytes, _) = spent(&mut network, 4, Span::from_ms(1_000));
             // A burst of half a second, and one message that began below it.
             let most = u64::from(rate) * 3 / 2 + 1_200 + calm;
             assert!(bytes <= most, "{bytes} bytes in a second at {rate}");
-            assert!(mesh.now.since(began) < Span::from_ms(120_000), "{rate}");
+            assert!(network.now.since(began) < Span::from_ms(120_000), "{rate}");
         }
         // Three voters, each subject with its length: so many bytes at that rate, and a tenth for the rest.
         let bytes = 3.0 * all.iter().map(|subject| subject.len() + 1).sum::<usize>() as f64;
         let messages = 3.0 * (SUBJECTS as f64 / 80.0).ceil();
         let expected = (bytes + messages * 150.0) / f64::from(rate);
-        let took = mesh.now.since(began).secs();
+        let took = network.now.since(began).secs();
         assert!(took <= expected * 1.2 + 2.0, "{rate}: {took} s, {expected} by the formula");
     }
 }
 
 #[test]
 fn what_is_over_a_limit_is_refused_with_a_reason_and_counted() {
-    let mut mesh = fleet(4, &["r0"], 100_000_000, 1);
+    let mut network = fleet(4, &["r0"], 100_000_000, 1);
     let all = subjects(MAX_CLAIMS);
-    acquire(&mut mesh, 3, &all);
+    acquire(&mut network, 3, &all);
     let (mut over, mut long) = (Ok(()), Ok(()));
-    mesh.act(3, |host, now| {
+    network.act(3, |host, now| {
         let leases = host.leases.as_mut().unwrap();
         over = leases.acquire(b"one more", now + TERM, now);
         long = leases.acquire(&[b'x'; MAX_SUBJECT_BYTES + 1], now + TERM, now);
--- a/leases/tests/mesh.rs
+++ b/leases/tests/single_subject.rs
@@ -2,7 +2,7 @@
 //! moment, epochs that only grow, and none for a side without a majority.
 use std::collections::BTreeMap;
 use thistlecroft::units::{Chance, Moment, Span};
-use thistlecroft_fleet::mesh::{Bend, Mesh};
+use thistlecroft_fleet::simulated_network::{LinkFault, SimulatedNetwork};
 use thistlecroft_leases::{
     DRIFT, Electorate, LeaseConfig, Leases, Message, Reason, SessionToken, State, To, Update,
 };
@@ -23,14 +23,14 @@
     LeaseConfig { electorate: electorate(1, voters, &[]), term: TERM, update_rate: 32_768 }
 }
 
-fn mesh(count: usize, voters: &[&str], seed: u64) -> Mesh {
+fn network(count: usize, voters: &[&str], seed: u64) -> SimulatedNetwork {
     let peers =
         PeerTerms { fleet: "test".into(), secret: vec![1], pace: Pace { period: PERIOD }, rate: 65_536 };
-    let mut mesh = Mesh::new(peers, Some(config(voters)), 3, seed);
+    let mut network = SimulatedNetwork::new(peers, Some(config(voters)), 3, seed);
     for number in 0..count {
-        mesh.start(&format!("r{number}"), SPEEDS[number % SPEEDS.len()]);
+        network.start(&format!("r{number}"), SPEEDS[number % SPEEDS.len()]);
     }
-    mesh
+    network
 }
 
 /// Who acts, looked at from outside at each step of true time.
@@ -45,13 +45,13 @@
 
 impl Witness {
     /// `paused` processes do not act; all others that think they may, do.
-    fn look(&mut self, mesh: &Mesh, paused: &[usize]) {
-        let acts = |(number, host): (usize, &thistlecroft_fleet::mesh::Host)| {
-            let held = host.leases.as_ref()?.held(TURN, host.clock(mesh.now))?;
+    fn look(&mut self, network: &SimulatedNetwork, paused: &[usize]) {
+        let acts = |(number, host): (usize, &thistlecroft_fleet::simulated_network::Host)| {
+            let held = host.leases.as_ref()?.held(TURN, host.clock(network.now))?;
             (host.alive && !paused.contains(&number)).then(|| (host.name.clone(), held.epoch))
         };
-        let all: Vec<(String, u64)> = mesh.hosts.iter().enumerate().filter_map(acts).collect();
-        assert!(all.len() <= 1, "{all:?} at {:?}", mesh.now);
+        let all: Vec<(String, u64)> = network.hosts.iter().enumerate().filter_map(acts).collect();
+        assert!(all.len() <= 1, "{all:?} at {:?}", network.now);
         let Some((name, epoch)) = all.into_iter().next() else { return };
         *self.held.entry(name.clone()).or_default() += 1;
         let now = Some((name, epoch));
@@ -62,18 +62,18 @@
         }
     }
 
-    fn watch(&mut self, mesh: &mut Mesh, span: Span, paused: &[usize]) {
-        let until = mesh.now + span;
-        while mesh.now < until {
-            mesh.run_for(Span::from_ms(5));
-            self.look(mesh, paused);
+    fn watch(&mut self, network: &mut SimulatedNetwork, span: Span, paused: &[usize]) {
+        let until = network.now + span;
+        while network.now < until {
+            network.run_for(Span::from_ms(5));
+            self.look(network, paused);
         }
     }
 }
 
-fn all_want(mesh: &mut Mesh) {
-    for number in 0..mesh.hosts.len() {
-        mesh.act(number, |host, now| {
+fn all_want(network: &mut SimulatedNetwork) {
+    for number in 0..network.hosts.len() {
+        network.act(number, |host, now| {
             if let Some(leases) = &mut host.leases {
                 leases.acquire(TURN, now + Span::from_ms(3_600_000), now).unwrap();
             }
@@ -81,9 +81,10 @@
     }
 }
 
-fn held_by(mesh: &Mesh) -> Option<usize> {
-    mesh.hosts.iter().position(|host| {
-        host.alive && host.leases.as_ref().is_some_and(|one| one.held(TURN, host.clock(mesh.now)).is_some())
+fn held_by(network: &SimulatedNetwork) -> Option<usize> {
+    network.hosts.iter().position(|host| {
+        host.alive
+            && host.leases.as_ref().is_some_and(|one| one.held(TURN, host.clock(network.now)).is_some())
     })
 }
 
@@ -91,59 +92,61 @@
 
 #[test]
 fn one_holds_after_the_first_silence_and_goes_on_holding() {
-    let mut mesh = mesh(5, &VOTERS, 1);
+    let mut network = network(5, &VOTERS, 1);
     let mut witness = Witness::default();
-    all_want(&mut mesh);
-    witness.watch(&mut mesh, TERM, &[]);
+    all_want(&mut network);
+    witness.watch(&mut network, TERM, &[]);
     assert_eq!(witness.holdings, 0, "voters that have just started are silent");
-    witness.watch(&mut mesh, TERM, &[]);
+    witness.watch(&mut network, TERM, &[]);
     assert_eq!(witness.holdings, 1);
-    witness.watch(&mut mesh, TERM * 10.0, &[]);
+    witness.watch(&mut network, TERM * 10.0, &[]);
     assert_eq!(witness.holdings, 1, "renewed in time, ten terms long");
 }
 
 #[test]
 fn a_holder_that_is_killed_or_released_or_paused_gives_way_and_nobody_acts_beside_it() {
-    type Lose = fn(&mut Mesh, usize);
+    type Lose = fn(&mut SimulatedNetwork, usize);
     // What becomes of the holder, and how long others wait at most: its promise, and what an ask takes.
     let cases: &[(&str, Lose, Span)] = &[
-        ("killed", |mesh, holder| mesh.kill(holder), TERM * 1.25),
-        ("paused", Mesh::pause, TERM * 1.25),
+        ("killed", |network, holder| network.kill(holder), TERM * 1.25),
+        ("paused", SimulatedNetwork::pause, TERM * 1.25),
         (
             "released",
-            |mesh, holder| mesh.act(holder, |host, now| host.leases.as_mut().unwrap().release(TURN, now)),
+            |network, holder| {
+                network.act(holder, |host, now| host.leases.as_mut().unwrap().release(TURN, now))
+            },
             TERM * 0.2,
         ),
         (
             "left",
-            |mesh, holder| mesh.act(holder, |host, _| host.leases.as_mut().unwrap().leave(|_| false)),
+            |network, holder| network.act(holder, |host, _| host.leases.as_mut().unwrap().leave(|_| false)),
             TERM * 0.2,
         ),
     ];
     for (what, lose, within) in cases {
         for seed in 1..=5 {
-            let mut mesh = mesh(5, &VOTERS, seed);
+            let mut network = network(5, &VOTERS, seed);
             // Those who do not vote hold, so that a majority stays.
             let mut witness = Witness::default();
             for number in [3, 4] {
-                mesh.act(number, |host, now| {
+                network.act(number, |host, now| {
                     host.leases.as_mut().unwrap().acquire(TURN, now + Span::from_ms(3_600_000), now).unwrap();
                 });
             }
-            witness.watch(&mut mesh, TERM * 3.0, &[]);
-            let holder = held_by(&mesh).expect("one holds");
-            lose(&mut mesh, holder);
+            witness.watch(&mut network, TERM * 3.0, &[]);
+            let holder = held_by(&network).expect("one holds");
+            lose(&mut network, holder);
             let paused: &[usize] = if *what == "paused" { &[holder] } else { &[] };
-            witness.watch(&mut mesh, *within, paused);
-            let next = held_by(&mesh).filter(|next| *next != holder);
+            witness.watch(&mut network, *within, paused);
+            let next = held_by(&network).filter(|next| *next != holder);
             assert!(next.is_some() || *what == "paused" && witness.holdings == 2, "{what}, seed {seed}");
             assert_eq!(witness.holdings, 2, "{what}, seed {seed}");
             if *what == "paused" {
-                mesh.run_for(TERM * 10.0);
-                mesh.resume(holder);
+                network.run_for(TERM * 10.0);
+                network.resume(holder);
                 // From the very moment on: it goes on with its old state.
-                witness.look(&mesh, &[]);
-                witness.watch(&mut mesh, TERM * 3.0, &[]);
+                witness.look(&network, &[]);
+                witness.watch(&mut network, TERM * 3.0, &[]);
                 assert_eq!(witness.holdings, 2, "the one who took over goes on");
             }
         }
@@ -153,27 +156,27 @@
 #[test]
 fn the_side_without_a_majority_gets_none_however_long_and_the_other_goes_on() {
     for seed in 1..=5 {
-        let mut mesh = mesh(5, &["r0", "r1", "r2", "r3", "r4"], seed);
+        let mut network = network(5, &["r0", "r1", "r2", "r3", "r4"], seed);
         let mut witness = Witness::default();
-        all_want(&mut mesh);
-        witness.watch(&mut mesh, TERM * 3.0, &[]);
-        let holder = held_by(&mesh).expect("one holds");
+        all_want(&mut network);
+        witness.watch(&mut network, TERM * 3.0, &[]);
+        let holder = held_by(&network).expect("one holds");
         // The holder is on the small side.
         let other = (holder + 1) % 5;
         let rest: Vec<usize> = (0..5).filter(|number| ![holder, other].contains(number)).collect();
-        mesh.cut(&[holder, other], &rest);
+        network.cut(&[holder, other], &rest);
         // All three that are left have to promise it to the same one of them.
-        witness.watch(&mut mesh, TERM * 4.0, &[]);
-        let next = held_by(&mesh).expect("the majority has a new one");
+        witness.watch(&mut network, TERM * 4.0, &[]);
+        let next = held_by(&network).expect("the majority has a new one");
         assert!(rest.contains(&next), "seed {seed}");
         let before = witness.held.clone();
-        witness.watch(&mut mesh, TERM * 20.0, &[]);
+        witness.watch(&mut network, TERM * 20.0, &[]);
         for number in [holder, other] {
             let name = format!("r{number}");
             assert_eq!(witness.held.get(&name), before.get(&name), "seed {seed}");
         }
-        mesh.heal();
-        witness.watch(&mut mesh, TERM * 5.0, &[]);
+        network.heal();
+        witness.watch(&mut network, TERM * 5.0, &[]);
         assert_eq!(witness.holdings, 2);
     }
 }
@@ -181,66 +184,67 @@
 #[test]
 fn voters_that_restart_one_after_the_other_break_no_promise_and_repeat_no_epoch() {
     for seed in 1..=5 {
-        let mut mesh = mesh(5, &VOTERS, seed);
+        let mut network = network(5, &VOTERS, seed);
         let mut witness = Witness::default();
-        all_want(&mut mesh);
-        witness.watch(&mut mesh, TERM * 3.0, &[]);
+        all_want(&mut network);
+        witness.watch(&mut network, TERM * 3.0, &[]);
         for round in 0..6 {
             let voter = round % 3;
-            mesh.kill(voter);
-            witness.watch(&mut mesh, TERM * 0.3, &[]);
-            mesh.restart(voter);
-            all_want(&mut mesh);
-            witness.watch(&mut mesh, TERM * 2.5, &[]);
+            network.kill(voter);
+            witness.watch(&mut network, TERM * 0.3, &[]);
+            network.restart(voter);
+            all_want(&mut network);
+            witness.watch(&mut network, TERM * 2.5, &[]);
         }
         // And all of them at once: what they promised and knew is forgotten by all, what others hold is not.
-        (0..3).for_each(|voter| mesh.kill(voter));
-        (0..3).for_each(|voter| mesh.restart(voter));
-        all_want(&mut mesh);
-        witness.watch(&mut mesh, TERM * 4.0, &[]);
-        assert!(held_by(&mesh).is_some(), "seed {seed}");
+        (0..3).for_each(|voter| network.kill(voter));
+        (0..3).for_each(|voter| network.restart(voter));
+        all_want(&mut network);
+        witness.watch(&mut network, TERM * 4.0, &[]);
+        assert!(held_by(&network).is_some(), "seed {seed}");
     }
 }
 
 #[test]
 fn cuts_pauses_kills_losses_and_doubles_drawn_at_random_never_give_two() {
     for seed in 1..=12 {
-        let mut mesh = mesh(5, &VOTERS, seed);
+        let mut network = network(5, &VOTERS, seed);
         let mut witness = Witness::default();
         let mut chance = Chance::from_seed(seed * 77);
-        mesh.bend = Bend { loss: 0.05, doubled: 0.05, spread: Span::from_ms(150), ..mesh.bend };
-        all_want(&mut mesh);
+        network.link_fault =
+            LinkFault { loss: 0.05, doubled: 0.05, spread: Span::from_ms(150), ..network.link_fault };
+        all_want(&mut network);
         for _ in 0..30 {
             let number = chance.below(5) as usize;
             let mut paused = Vec::new();
             match chance.below(5) {
                 0 => {
                     let other = chance.below(5) as usize;
-                    mesh.links.insert((number, other), Bend::CUT);
+                    network.links.insert((number, other), LinkFault::CUT);
                 }
                 1 => {
-                    mesh.pause(number);
+                    network.pause(number);
                     paused.push(number);
                 }
                 2 => {
-                    mesh.kill(number);
-                    mesh.restart(number);
-                    all_want(&mut mesh);
+                    network.kill(number);
+                    network.restart(number);
+                    all_want(&mut network);
                 }
                 3 => {
-                    mesh.act(number, |host, now| {
+                    network.act(number, |host, now| {
                         let leases = host.leases.as_mut().unwrap();
                         leases.release(TURN, now);
                         leases.acquire(TURN, now + Span::from_ms(3_600_000), now).unwrap();
                     });
                 }
-                _ => mesh.heal(),
+                _ => network.heal(),
             }
             let span = Span::from_ms(200 + chance.below(4_000));
-            witness.watch(&mut mesh, span, &paused);
+            witness.watch(&mut network, span, &paused);
             if !paused.is_empty() {
-                mesh.resume(number);
-                witness.look(&mesh, &[]);
+                network.resume(number);
+                witness.look(&network, &[]);
             }
         }
         assert!(witness.holdings > 0, "seed {seed}");
@@ -249,44 +253,44 @@
 
 #[test]
 fn voters_change_in_two_steps_and_nobody_holds_twice_meanwhile() {
-    let mut mesh = mesh(5, &VOTERS, 4);
+    let mut network = network(5, &VOTERS, 4);
     let mut witness = Witness::default();
-    all_want(&mut mesh);
-    witness.watch(&mut mesh, TERM * 3.0, &[]);
+    all_want(&mut network);
+    witness.watch(&mut network, TERM * 3.0, &[]);
     let joint = LeaseConfig { electorate: electorate(2, &["r2", "r3", "r4"], &VOTERS), ..config(&VOTERS) };
     let last = LeaseConfig { electorate: electorate(3, &["r2", "r3", "r4"], &[]), ..config(&VOTERS) };
-    let change = |mesh: &mut Mesh, number: usize, to: &LeaseConfig| {
+    let change = |network: &mut SimulatedNetwork, number: usize, to: &LeaseConfig| {
         let mut done = Ok(());
-        mesh.act(number, |host, now| {
+        network.act(number, |host, now| {
             let changed = host.leases.as_mut().unwrap().change(to.clone(), now);
             done = changed.map_err(|fault| fault.to_string());
         });
         done
     };
     // One relay is told late, and one step may not be left out.
-    let skipped = change(&mut mesh, 0, &last).unwrap_err();
+    let skipped = change(&mut network, 0, &last).unwrap_err();
     assert!(skipped.contains("generation: 2 follows 1"), "{skipped}");
     let odd = LeaseConfig { electorate: electorate(2, &["r3", "r4"], &["r0"]), ..config(&VOTERS) };
-    assert!(change(&mut mesh, 0, &odd).unwrap_err().contains("voters_before"));
-    assert_eq!(change(&mut mesh, 3, &joint), Ok(()));
-    assert!(change(&mut mesh, 3, &last).unwrap_err().contains("majority"), "nobody else has it yet");
-    witness.watch(&mut mesh, TERM, &[]);
+    assert!(change(&mut network, 0, &odd).unwrap_err().contains("voters_before"));
+    assert_eq!(change(&mut network, 3, &joint), Ok(()));
+    assert!(change(&mut network, 3, &last).unwrap_err().contains("majority"), "nobody else has it yet");
+    witness.watch(&mut network, TERM, &[]);
     for number in [0, 1, 2, 4] {
-        assert_eq!(change(&mut mesh, number, &joint), Ok(()));
-        witness.watch(&mut mesh, TERM * 0.4, &[]);
+        assert_eq!(change(&mut network, number, &joint), Ok(()));
+        witness.watch(&mut network, TERM * 0.4, &[]);
     }
-    witness.watch(&mut mesh, TERM * 3.0, &[]);
-    assert!(held_by(&mesh).is_some());
+    witness.watch(&mut network, TERM * 3.0, &[]);
+    assert!(held_by(&network).is_some());
     for number in 0..5 {
-        assert_eq!(change(&mut mesh, number, &last), Ok(()), "r{number}");
-        witness.watch(&mut mesh, TERM * 0.4, &[]);
+        assert_eq!(change(&mut network, number, &last), Ok(()), "r{number}");
+        witness.watch(&mut network, TERM * 0.4, &[]);
     }
-    witness.watch(&mut mesh, TERM * 3.0, &[]);
-    assert!(held_by(&mesh).is_some());
-    mesh.kill(0);
-    mesh.kill(1);
-    witness.watch(&mut mesh, TERM * 4.0, &[]);
-    assert!(held_by(&mesh).is_some(), "the voters before are not needed any more");
+    witness.watch(&mut network, TERM * 3.0, &[]);
+    assert!(held_by(&network).is_some());
+    network.kill(0);
+    network.kill(1);
+    witness.watch(&mut network, TERM * 4.0, &[]);
+    assert!(held_by(&network).is_some(), "the voters before are not needed any more");
 }
 
 #[test]
--- a/peers/tests/mesh.rs
+++ b/peers/tests/membership.rs
@@ -1,7 +1,7 @@
 //! Membership over simulated links: deaths, cuts, pauses, losses, growth, and what the bounds say of them.
 use std::collections::BTreeSet;
 use thistlecroft::units::{Moment, Span};
-use thistlecroft_fleet::mesh::{Bend, Host, Mesh};
+use thistlecroft_fleet::simulated_network::{Host, LinkFault, SimulatedNetwork};
 use thistlecroft_peers::identity::Row;
 use thistlecroft_peers::wire::{Body, Datagram, MOST, Rejection, ReplayWindow, Seal};
 use thistlecroft_peers::{Identity, Kind, MemberState, Node, Pace, Terms};
@@ -13,30 +13,30 @@
     Terms { fleet: "test".into(), secret: b"of the test".to_vec(), pace, rate: 32_768 }
 }
 
-fn mesh(count: usize, seed: u64) -> Mesh {
-    let mut mesh = Mesh::new(terms(), None, 3, seed);
+fn network(count: usize, seed: u64) -> SimulatedNetwork {
+    let mut network = SimulatedNetwork::new(terms(), None, 3, seed);
     for number in 0..count {
-        mesh.start(&format!("r{number}"), 1.0);
+        network.start(&format!("r{number}"), 1.0);
     }
-    mesh
+    network
 }
 
-fn together(count: usize, seed: u64) -> Mesh {
-    let mut mesh = mesh(count, seed);
-    mesh.run_until(PERIOD * 40.0, Mesh::agree).expect("all see all");
-    mesh
+fn together(count: usize, seed: u64) -> SimulatedNetwork {
+    let mut network = network(count, seed);
+    network.run_until(PERIOD * 40.0, SimulatedNetwork::agree).expect("all see all");
+    network
 }
 
 /// All that one process was seen as by the others, in order.
-fn seen_as(mesh: &Mesh, name: &str) -> Vec<MemberState> {
-    let turns = mesh.hosts.iter().flat_map(|host| &host.turns);
+fn seen_as(network: &SimulatedNetwork, name: &str) -> Vec<MemberState> {
+    let turns = network.hosts.iter().flat_map(|host| &host.turns);
     turns.filter(|(_, id, _)| id.name == name).map(|(.., standing)| *standing).collect()
 }
 
 #[test]
 fn started_at_once_with_seeds_that_start_themselves_all_see_all() {
     for (count, seed) in [(2, 1), (5, 2), (12, 3), (48, 4)] {
-        let took = mesh(count, seed).run_until(PERIOD * 40.0, Mesh::agree);
+        let took = network(count, seed).run_until(PERIOD * 40.0, SimulatedNetwork::agree);
         assert!(took.is_some(), "{count} relays");
     }
 }
@@ -44,16 +44,16 @@
 #[test]
 fn a_death_is_known_to_all_within_the_stated_time_and_never_before_it_was_suspected() {
     for (count, seed) in [(3, 1), (5, 2), (12, 3), (24, 4)] {
-        let mut mesh = together(count, seed);
-        mesh.kill(1);
+        let mut network = together(count, seed);
+        network.kill(1);
         let bound = terms().pace.gone_within(count, 0);
-        let dead = mesh.hosts[1].node.me().clone();
+        let dead = network.hosts[1].node.me().clone();
         let gone = |host: &Host| !host.alive || host.node.state_of(&dead) == Some(MemberState::Dead);
-        let took = mesh.run_until(bound, |mesh| mesh.hosts.iter().all(gone));
+        let took = network.run_until(bound, |network| network.hosts.iter().all(gone));
         assert!(took.is_some(), "{count} relays, {bound:?}");
-        let seen = seen_as(&mesh, "r1");
+        let seen = seen_as(&network, "r1");
         assert!(seen.contains(&MemberState::Suspect) && seen.contains(&MemberState::Dead), "{seen:?}");
-        let others = mesh.hosts.iter().filter(|host| host.alive).flat_map(|host| &host.turns);
+        let others = network.hosts.iter().filter(|host| host.alive).flat_map(|host| &host.turns);
         assert!(others.filter(|(_, id, _)| id.name != "r1").all(|(.., to)| *to == MemberState::Alive));
     }
 }
@@ -61,53 +61,57 @@
 #[test]
 fn one_way_cuts_bridges_and_losses_end_in_the_verdict_that_is_stated() {
     // What is cut, from whom to whom; and who is gone for the rest at the end.
-    type Cut = fn(&mut Mesh);
+    type Cut = fn(&mut SimulatedNetwork);
     let cases: &[(&str, Cut, &[&str])] = &[
         (
             "hears all, is heard by none",
-            |mesh| {
+            |network| {
                 for other in 1..5 {
-                    mesh.links.insert((0, other), Bend::CUT);
+                    network.links.insert((0, other), LinkFault::CUT);
                 }
             },
             &["r0"],
         ),
         (
             "is heard by all, hears none",
-            |mesh| {
+            |network| {
                 for other in 1..5 {
-                    mesh.links.insert((other, 0), Bend::CUT);
+                    network.links.insert((other, 0), LinkFault::CUT);
                 }
             },
             &["r0"],
         ),
         (
             "one direction of one pair",
-            |mesh| {
-                mesh.links.insert((0, 1), Bend::CUT);
+            |network| {
+                network.links.insert((0, 1), LinkFault::CUT);
             },
             &[],
         ),
-        ("two on either side, one reaches both", |mesh| mesh.cut(&[0, 1], &[3, 4]), &[]),
+        ("two on either side, one reaches both", |network| network.cut(&[0, 1], &[3, 4]), &[]),
         (
             "a tenth lost, 100 ms late",
-            |mesh| {
-                mesh.bend =
-                    Bend { loss: 0.1, delay: Span::from_ms(40), spread: Span::from_ms(20), ..mesh.bend };
+            |network| {
+                network.link_fault = LinkFault {
+                    loss: 0.1,
+                    delay: Span::from_ms(40),
+                    spread: Span::from_ms(20),
+                    ..network.link_fault
+                };
             },
             &[],
         ),
     ];
     for (what, cut, gone) in cases {
         for seed in 1..=4 {
-            let mut mesh = together(5, seed);
-            cut(&mut mesh);
-            mesh.run_for(terms().pace.gone_within(5, 8));
+            let mut network = together(5, seed);
+            cut(&mut network);
+            network.run_for(terms().pace.gone_within(5, 8));
             let left: BTreeSet<String> = (0..5)
                 .map(|number| format!("r{number}"))
                 .filter(|name| !gone.contains(&name.as_str()))
                 .collect();
-            let rest = mesh.hosts.iter().filter(|host| left.contains(&host.name));
+            let rest = network.hosts.iter().filter(|host| left.contains(&host.name));
             // A suspicion that is answered in time is no verdict.
             for host in rest {
                 let views = host.node.members().filter(|view| view.state >= MemberState::Dead);
@@ -115,8 +119,8 @@
                 assert_eq!(&found, gone, "{what}, seed {seed}, seen by {}", host.name);
             }
             // Others reach whom one does not: nobody is even suspected.
-            if gone.is_empty() && mesh.bend.loss == 0.0 {
-                let suspected = mesh.hosts.iter().map(|host| host.node.counts.suspected).sum::<u64>();
+            if gone.is_empty() && network.link_fault.loss == 0.0 {
+                let suspected = network.hosts.iter().map(|host| host.node.counts.suspected).sum::<u64>();
                 assert_eq!(suspected, 0, "{what}, seed {seed}");
             }
         }
@@ -126,87 +130,88 @@
 #[test]
 fn a_process_that_stood_still_blames_nobody_and_is_back_after_its_own_refutation() {
     for (still, gone) in [(Span::from_ms(1_000), false), (Span::from_ms(20_000), true)] {
-        let mut mesh = together(6, 9);
-        mesh.pause(2);
-        mesh.run_for(still);
-        mesh.resume(2);
-        let took = mesh.run_until(PERIOD * 60.0, Mesh::agree);
+        let mut network = together(6, 9);
+        network.pause(2);
+        network.run_for(still);
+        network.resume(2);
+        let took = network.run_until(PERIOD * 60.0, SimulatedNetwork::agree);
         assert!(took.is_some(), "{still:?}");
-        assert_eq!(seen_as(&mesh, "r2").contains(&MemberState::Dead), gone, "{still:?}");
+        assert_eq!(seen_as(&network, "r2").contains(&MemberState::Dead), gone, "{still:?}");
         // Nobody else was ever taken for gone by it, or by anybody.
         for name in ["r0", "r1", "r3", "r4", "r5"] {
-            assert!(!seen_as(&mesh, name).contains(&MemberState::Dead), "{name}, {still:?}");
+            assert!(!seen_as(&network, name).contains(&MemberState::Dead), "{name}, {still:?}");
         }
-        assert!(!gone || mesh.hosts[2].node.incarnation() > 0);
+        assert!(!gone || network.hosts[2].node.incarnation() > 0);
     }
 }
 
 #[test]
 fn a_suspicion_from_before_it_stood_still_is_no_verdict_after_it() {
-    let mut mesh = together(6, 12);
-    mesh.cut(&[4], &[0, 1, 2, 3, 5]);
-    let accused = mesh.hosts[4].node.me().clone();
-    let suspects = |mesh: &Mesh| mesh.hosts[2].node.state_of(&accused) == Some(MemberState::Suspect);
-    mesh.run_until(PERIOD * 20.0, suspects).expect("suspected");
-    mesh.pause(2);
+    let mut network = together(6, 12);
+    network.cut(&[4], &[0, 1, 2, 3, 5]);
+    let accused = network.hosts[4].node.me().clone();
+    let suspects =
+        |network: &SimulatedNetwork| network.hosts[2].node.state_of(&accused) == Some(MemberState::Suspect);
+    network.run_until(PERIOD * 20.0, suspects).expect("suspected");
+    network.pause(2);
     // The others hear that it is well; this one does not, and nothing waits for it.
-    mesh.heal();
-    mesh.cut(&[2], &[0, 1, 3, 4, 5]);
-    mesh.run_for(PERIOD * 100.0);
-    mesh.heal();
-    mesh.resume(2);
-    let turns = mesh.hosts[2].turns.len();
-    mesh.run_until(PERIOD * 60.0, Mesh::agree).expect("all see all");
-    let later = &mesh.hosts[2].turns[turns.saturating_sub(1)..];
+    network.heal();
+    network.cut(&[2], &[0, 1, 3, 4, 5]);
+    network.run_for(PERIOD * 100.0);
+    network.heal();
+    network.resume(2);
+    let turns = network.hosts[2].turns.len();
+    network.run_until(PERIOD * 60.0, SimulatedNetwork::agree).expect("all see all");
+    let later = &network.hosts[2].turns[turns.saturating_sub(1)..];
     assert!(later.iter().all(|(_, id, to)| *id != accused || *to != MemberState::Dead), "{later:?}");
 }
 
 #[test]
 fn a_restart_within_the_suspicion_time_is_a_new_process_and_the_old_one_has_left() {
-    let mut mesh = together(5, 3);
-    let old = mesh.hosts[1].node.me().clone();
-    mesh.kill(1);
-    mesh.run_for(PERIOD);
-    mesh.restart(1);
+    let mut network = together(5, 3);
+    let old = network.hosts[1].node.me().clone();
+    network.kill(1);
+    network.run_for(PERIOD);
+    network.restart(1);
     let took =
-        mesh.run_until(terms().pace.gone_within(5, 0), |mesh| {
-            mesh.agree()
-                && mesh.hosts.iter().filter(|host| host.name != "r1").all(|host| {
+        network.run_until(terms().pace.gone_within(5, 0), |network| {
+            network.agree()
+                && network.hosts.iter().filter(|host| host.name != "r1").all(|host| {
                     host.node.state_of(&old).is_some_and(|standing| standing >= MemberState::Dead)
                 })
         });
     assert!(took.is_some());
-    assert_eq!(mesh.hosts[0].node.unreachable(), 0, "a newer run of its name is here");
+    assert_eq!(network.hosts[0].node.unreachable(), 0, "a newer run of its name is here");
 }
 
 #[test]
 fn halves_that_took_each_other_for_gone_and_grew_find_one_another_again() {
-    let mut mesh = together(6, 5);
-    mesh.cut(&[0, 1, 2], &[3, 4, 5]);
-    mesh.run_for(PERIOD * 60.0);
-    assert_eq!(mesh.hosts[0].node.unreachable(), 3);
+    let mut network = together(6, 5);
+    network.cut(&[0, 1, 2], &[3, 4, 5]);
+    network.run_for(PERIOD * 60.0);
+    assert_eq!(network.hosts[0].node.unreachable(), 3);
     // One joins on either side meanwhile; each reaches its own side's seeds only.
-    let (left, right) = (mesh.start("r6", 1.0), mesh.start("r7", 1.0));
-    mesh.cut(&[left], &[3, 4, 5, right]);
-    mesh.cut(&[right], &[0, 1, 2]);
-    mesh.run_for(PERIOD * 240.0);
-    assert!(!mesh.agree());
-    mesh.heal();
-    let took = mesh.run_until(PERIOD * 60.0, Mesh::agree);
+    let (left, right) = (network.start("r6", 1.0), network.start("r7", 1.0));
+    network.cut(&[left], &[3, 4, 5, right]);
+    network.cut(&[right], &[0, 1, 2]);
+    network.run_for(PERIOD * 240.0);
+    assert!(!network.agree());
+    network.heal();
+    let took = network.run_until(PERIOD * 60.0, SimulatedNetwork::agree);
     assert!(took.is_some());
-    assert_eq!(mesh.hosts[0].node.unreachable(), 0);
+    assert_eq!(network.hosts[0].node.unreachable(), 0);
 }
 
 #[test]
 fn who_leaves_is_gone_at_once_and_does_not_come_back() {
-    let mut mesh = together(12, 6);
-    mesh.act(4, |host, now| host.node.leave(now));
-    mesh.kill(4);
-    let took = mesh.run_until(PERIOD * 10.0, Mesh::agree).expect("told, not found out");
+    let mut network = together(12, 6);
+    network.act(4, |host, now| host.node.leave(now));
+    network.kill(4);
+    let took = network.run_until(PERIOD * 10.0, SimulatedNetwork::agree).expect("told, not found out");
     assert!(took <= PERIOD * 10.0);
-    assert!(!seen_as(&mesh, "r4").contains(&MemberState::Suspect));
-    mesh.run_for(PERIOD * 40.0);
-    assert!(mesh.agree());
+    assert!(!seen_as(&network, "r4").contains(&MemberState::Suspect));
+    network.run_for(PERIOD * 40.0);
+    assert!(network.agree());
 }
 
 #[test]
@@ -247,38 +252,38 @@
 
 #[test]
 fn a_fact_reaches_all_and_a_lost_one_by_comparing() {
-    let mut mesh = together(24, 7);
-    mesh.bend.loss = 0.2;
-    mesh.act(3, |host, now| assert!(host.node.announce(Kind::Ban, b"box-1", b"out", now)));
-    let known = |mesh: &Mesh| {
+    let mut network = together(24, 7);
+    network.link_fault.loss = 0.2;
+    network.act(3, |host, now| assert!(host.node.announce(Kind::Ban, b"box-1", b"out", now)));
+    let known = |network: &SimulatedNetwork| {
         let has = |host: &Host| {
-            host.node.facts().of_kind(Kind::Ban, host.clock(mesh.now)).any(|fact| fact.value == b"out")
+            host.node.facts().of_kind(Kind::Ban, host.clock(network.now)).any(|fact| fact.value == b"out")
         };
-        mesh.hosts.iter().all(has)
+        network.hosts.iter().all(has)
     };
-    let took = mesh.run_until(PERIOD * 20.0, known).expect("all know");
+    let took = network.run_until(PERIOD * 20.0, known).expect("all know");
     // One who was cut off all that while has it by an exchange; its age is at least what passed.
-    mesh.cut(&[20], &(0..20).chain(21..24).collect::<Vec<_>>());
-    mesh.act(3, |host, now| assert!(host.node.announce(Kind::Note, b"n", b"later", now)));
-    mesh.run_for(PERIOD * 30.0);
-    mesh.heal();
-    let has = |mesh: &Mesh| {
-        let host = &mesh.hosts[20];
-        host.node.facts().of_kind(Kind::Note, host.clock(mesh.now)).any(|fact| fact.age >= PERIOD * 30.0)
+    network.cut(&[20], &(0..20).chain(21..24).collect::<Vec<_>>());
+    network.act(3, |host, now| assert!(host.node.announce(Kind::Note, b"n", b"later", now)));
+    network.run_for(PERIOD * 30.0);
+    network.heal();
+    let has = |network: &SimulatedNetwork| {
+        let host = &network.hosts[20];
+        host.node.facts().of_kind(Kind::Note, host.clock(network.now)).any(|fact| fact.age >= PERIOD * 30.0)
     };
-    assert!(mesh.run_until(PERIOD * 60.0, has).is_some(), "after {took:?}");
+    assert!(network.run_until(PERIOD * 60.0, has).is_some(), "after {took:?}");
 }
 
 #[test]
 fn what_is_said_no_more_is_forgotten_everywhere_and_what_is_said_stays() {
-    let mut mesh = together(5, 8);
-    mesh.act(0, |host, now| assert!(host.node.announce(Kind::Ejection, b"b", b"1", now)));
-    mesh.act(1, |host, now| assert!(host.node.announce(Kind::Ejection, b"c", b"2", now)));
-    mesh.run_for(PERIOD * 10.0);
-    mesh.act(0, |host, _| host.node.withdraw(Kind::Ejection, b"b"));
-    mesh.run_for(PERIOD * 200.0);
-    for host in &mesh.hosts {
-        let now = host.clock(mesh.now);
+    let mut network = together(5, 8);
+    network.act(0, |host, now| assert!(host.node.announce(Kind::Ejection, b"b", b"1", now)));
+    network.act(1, |host, now| assert!(host.node.announce(Kind::Ejection, b"c", b"2", now)));
+    network.run_for(PERIOD * 10.0);
+    network.act(0, |host, _| host.node.withdraw(Kind::Ejection, b"b"));
+    network.run_for(PERIOD * 200.0);
+    for host in &network.hosts {
+        let now = host.clock(network.now);
         let subjects: Vec<&[u8]> =
             host.node.facts().of_kind(Kind::Ejection, now).map(|fact| fact.subject).collect();
         assert_eq!(subjects, [b"c"], "{}", host.name);
@@ -287,40 +292,41 @@
 
 #[test]
 fn a_big_table_comes_in_pieces_and_what_is_lost_is_asked_for_again() {
-    let mut mesh = together(3, 10);
+    let mut network = together(3, 10);
     for number in 0..200_u32 {
         let subject = format!("a subject of some length, {number}");
         let value = [7; 90];
-        mesh.act(0, |host, now| assert!(host.node.announce(Kind::Share, subject.as_bytes(), &value, now)));
+        network.act(0, |host, now| assert!(host.node.announce(Kind::Share, subject.as_bytes(), &value, now)));
     }
-    mesh.bend.loss = 0.3;
-    let late = mesh.start("late", 1.0);
-    let whole = |mesh: &Mesh| mesh.hosts[late].node.facts().len() == 200;
-    assert!(mesh.run_until(PERIOD * 150.0, whole).is_some(), "{}", mesh.hosts[late].node.facts().len());
+    network.link_fault.loss = 0.3;
+    let late = network.start("late", 1.0);
+    let whole = |network: &SimulatedNetwork| network.hosts[late].node.facts().len() == 200;
+    assert!(network.run_until(PERIOD * 150.0, whole).is_some(), "{}", network.hosts[late].node.facts().len());
 }
 
 #[test]
 fn a_relay_never_sends_more_than_its_rate() {
-    let mut mesh = Mesh::new(Terms { rate: 4_096, ..terms() }, None, 3, 11);
+    let mut network = SimulatedNetwork::new(Terms { rate: 4_096, ..terms() }, None, 3, 11);
     for number in 0..24 {
-        mesh.start(&format!("r{number}"), 1.0);
+        network.start(&format!("r{number}"), 1.0);
     }
     let mut most = 0;
     for _ in 0..20 {
-        let before: Vec<u64> = mesh.hosts.iter().map(|host| host.node.counts.sent_bytes).collect();
+        let before: Vec<u64> = network.hosts.iter().map(|host| host.node.counts.sent_bytes).collect();
         for number in 0..24 {
-            let text = format!("{:?}", mesh.now);
-            mesh.act(number, |host, now| {
+            let text = format!("{:?}", network.now);
+            network.act(number, |host, now| {
                 host.node.announce(Kind::Note, text.as_bytes(), &[1; 90], now);
             });
         }
-        mesh.run_for(Span::from_ms(1_000));
-        let sent = mesh.hosts.iter().zip(before).map(|(host, before)| host.node.counts.sent_bytes - before);
+        network.run_for(Span::from_ms(1_000));
+        let sent =
+            network.hosts.iter().zip(before).map(|(host, before)| host.node.counts.sent_bytes - before);
         most = most.max(sent.max().unwrap_or_default());
     }
     // What was saved up in a second comes on top once.
     assert!(most <= 2 * 4_096, "{most} bytes in a second");
-    assert!(mesh.hosts.iter().any(|host| host.node.counts.held_back > 0), "the cap was met");
+    assert!(network.hosts.iter().any(|host| host.node.counts.held_back > 0), "the cap was met");
 }
 
 #[test]
--- a/relay/tests/peers.rs
+++ b/relay/tests/peers.rs
@@ -3,7 +3,7 @@
 use std::net::UdpSocket;
 use std::path::PathBuf;
 use thistlecroft::units::Span;
-use thistlecroft_fleet::link::Bend;
+use thistlecroft_fleet::link::LinkFault;
 use thistlecroft_fleet::rig::{Plan, Rig};
 use thistlecroft_fleet::tape::Sighting;
 use thistlecroft_fleet::together::{Pact, judge_together};
@@ -90,7 +90,7 @@
     let rig = rig("cuts", 5, 5);
     let others = [1, 2, 3, 4];
     for (from, to) in [([0].as_slice(), others.as_slice()), (&others, &[0])] {
-        rig.bend(from, to, Some(Bend::CUT));
+        rig.fault_links(from, to, Some(LinkFault::CUT));
         rig.wait(gone_within(5), |rig| rig.agree(&others)).expect("gone for the rest");
         rig.heal();
         rig.wait(gone_within(5), |rig| rig.agree(&[0, 1, 2, 3, 4])).expect("healed");
@@ -123,7 +123,11 @@
     let rig = rig("lossy", 6, 6);
     let all: Vec<usize> = (0..6).collect();
     let ms = Span::from_ms;
-    rig.bend(&all, &all, Some(Bend { loss: 0.1, delay: ms(20), spread: ms(20), doubled: 0.1, rate: 0 }));
+    rig.fault_links(
+        &all,
+        &all,
+        Some(LinkFault { loss: 0.1, delay: ms(20), spread: ms(20), doubled: 0.1, rate: 0 }),
+    );
     assert_eq!(rig.ask(3, "NOTE release 1.4").as_deref(), Some("200 told"));
     let told = |rig: &Rig| {
         all.iter().all(|one| {
