Scenarios of a burst: lines held back for a second and let go at once

The relay stands still for a second while each client sends one; what is above a second is the time to the last, there and back.

--- a/command/src/shipped.rs
+++ b/command/src/shipped.rs
@@ -10,7 +10,7 @@
 scenarios! {
     "box-silent", "boxes-pause", "charter-swap", "cold-rush", "descriptors", "discovery-lost", "drain-in-rush", "mixed-effects",
     "relay-killed", "relay-replaced", "return-wave", "rude-clients", "second-copies", "second-copies-pauses", "slow-fleet", "set-ups", "standing-5000", "steady", "demo", "upgrade", "ban",
-    "messages", "standing-1000", "standing-2000", "standing-4000", "standing-8000", "lines-1000", "lines-2000", "lines-4000", "lines-8000", "peers-partition", "peers-paused", "peers-grow", "peers-upgrade",
+    "messages", "standing-1000", "standing-2000", "standing-4000", "standing-8000", "lines-1000", "lines-2000", "lines-4000", "lines-8000", "burst-1400", "burst-2800", "burst-5600", "peers-partition", "peers-paused", "peers-grow", "peers-upgrade",
 }
 
 /// Budgets for `lab scale`, and what each is.
