--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -27,7 +27,13 @@
     let has_trouble = begin(Duration::from_secs(100));
     // Twelve backends in four cells of three, two cells in each zone.
     let backends: Vec<_> = (0..12)
-        .map(|i| Backend::start(&format!("s-{i:02}"), ["ikeja", "lekki"][i / 6], i as u32 / 3))
+        .map(|i| {
+            Backend::start(
+                &format!("s-{i:02}"),
+                ["ikeja", "lekki"][i / 6],
+                i as u32 / 3,
+            )
+        })
         .collect();
     for backend in &backends {
         backend.set_behavior(Behavior::ResetEvery(4));
@@ -47,7 +53,10 @@
     if has_trouble {
         config.settings = settings(None);
         write_config(&relay.config_path, &config.json());
-        relay.signal(SIGHUP, "SIGHUP; the new file lacks the key dedupScope of slot-view");
+        relay.signal(
+            SIGHUP,
+            "SIGHUP; the new file lacks the key dedupScope of slot-view",
+        );
     }
     sleep_ms(1_500);
     start_traffic(listen, CLASSES, 250);
@@ -61,7 +70,9 @@
     for backend in &backends {
         for request in backend.requests.lock().unwrap().iter() {
             if request.line.contains(&format!("c={KEYED},")) {
-                runs.entry(request.id.clone()).or_default().push((request.at, backend));
+                runs.entry(request.id.clone())
+                    .or_default()
+                    .push((request.at, backend));
             }
         }
     }
@@ -71,17 +82,28 @@
         repeated += usize::from(places.len() > 1);
         let cell = places[0].1.cell;
         if places.iter().any(|(_, backend)| backend.cell != cell) {
-            let names: Vec<String> =
-                places.iter().map(|(_, at)| format!("{} (cell {})", at.name, at.cell)).collect();
+            let names: Vec<String> = places
+                .iter()
+                .map(|(_, at)| format!("{} (cell {})", at.name, at.cell))
+                .collect();
             record(&format!("BROKEN: {id} ran at {}", names.join(", then at ")));
             broken += 1;
         }
     }
     if repeated < 2 && broken == 0 {
-        finish(COULD_NOT_RUN, "too few sessions were sent again to judge by");
+        finish(
+            COULD_NOT_RUN,
+            "too few sessions were sent again to judge by",
+        );
     }
     if broken > 0 {
-        finish(BROKEN, &format!("{broken} of {repeated} repeated sessions ran again in another cell"));
+        finish(
+            BROKEN,
+            &format!("{broken} of {repeated} repeated sessions ran again in another cell"),
+        );
     }
-    finish(HELD, &format!("all of {repeated} repeated sessions ran in one cell"));
+    finish(
+        HELD,
+        &format!("all of {repeated} repeated sessions ran in one cell"),
+    );
 }
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -80,7 +80,10 @@
         }
     }
     if cut > 0 {
-        finish(BROKEN, &format!("{cut} of {SESSIONS} connections were cut off without MOVE, {moved} moved"));
+        finish(
+            BROKEN,
+            &format!("{cut} of {SESSIONS} connections were cut off without MOVE, {moved} moved"),
+        );
     }
     finish(HELD, &format!("all of {SESSIONS} connections were moved"));
 }
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -8,15 +8,28 @@
 
 /// The grace of the settings, and the 50 ms that the protocol page adds to each time limit.
 const GRACE: Duration = Duration::from_millis(2_050);
-const CLASSES: &[(&str, u64)] =
-    &[("slot-view", 4_800), ("temp-feed", 1_200), ("queue-view", 4_800), ("slot-hold", 1_200)];
+const CLASSES: &[(&str, u64)] = &[
+    ("slot-view", 4_800),
+    ("temp-feed", 1_200),
+    ("queue-view", 4_800),
+    ("slot-hold", 1_200),
+];
 
 fn main() {
     let has_trouble = begin(Duration::from_secs(100));
     let backends: Vec<_> = (0..12)
-        .map(|i| Backend::start(&format!("s-{i:02}"), ["ikeja", "lekki"][i % 2], i as u32 / 3))
+        .map(|i| {
+            Backend::start(
+                &format!("s-{i:02}"),
+                ["ikeja", "lekki"][i % 2],
+                i as u32 / 3,
+            )
+        })
+        .collect();
+    let list: Vec<_> = backends
+        .iter()
+        .map(|backend| backend.instance("Ready"))
         .collect();
-    let list: Vec<_> = backends.iter().map(|backend| backend.instance("Ready")).collect();
     let discovery = Discovery::start(list);
     let platform = TcpListener::bind("127.0.0.1:0").unwrap();
     let listen = platform.local_addr().unwrap();
@@ -59,16 +72,28 @@
         let late = backend.requests_after(out_at + GRACE);
         for request in &late {
             let after = request.at.duration_since(out_at).as_millis();
-            record(&format!("BROKEN: {} is out, and got {after} ms later: {}", backend.name, request.line));
+            record(&format!(
+                "BROKEN: {} is out, and got {after} ms later: {}",
+                backend.name, request.line
+            ));
         }
         late_requests += late.len();
     }
-    let served: usize = backends.iter().map(|backend| backend.requests.lock().unwrap().len()).sum();
+    let served: usize = backends
+        .iter()
+        .map(|backend| backend.requests.lock().unwrap().len())
+        .sum();
     if served < 60 {
         finish(COULD_NOT_RUN, "too few sessions to judge by");
     }
     if late_requests > 0 {
-        finish(BROKEN, &format!("{late_requests} of {served} requests went to a backend that was out"));
+        finish(
+            BROKEN,
+            &format!("{late_requests} of {served} requests went to a backend that was out"),
+        );
     }
-    finish(HELD, &format!("none of {served} requests went to a backend that was out, after the grace"));
+    finish(
+        HELD,
+        &format!("none of {served} requests went to a backend that was out, after the grace"),
+    );
 }
--- a/review/common/harness.rs
+++ b/review/common/harness.rs
@@ -62,7 +62,10 @@
         eprintln!("cannot write record.txt");
         std::process::exit(COULD_NOT_RUN);
     };
-    let _ = RECORD.set(Record { started: Instant::now(), file: Mutex::new(file) });
+    let _ = RECORD.set(Record {
+        started: Instant::now(),
+        file: Mutex::new(file),
+    });
     // Descriptors up to the passed one stay occupied, so that no other descriptor takes its place.
     while let Ok(null) = File::open("/dev/null") {
         let descriptor = null.as_raw_fd();
@@ -71,7 +74,10 @@
             break;
         }
     }
-    let unique = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos();
+    let unique = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_nanos();
     let temporary = std::env::var("TMPDIR").unwrap_or_else(|_| "/tmp".into());
     let path = Path::new(&temporary).join(format!("rv-{}-{unique:x}", std::process::id()));
     if std::fs::create_dir_all(&path).is_err() {
@@ -90,7 +96,11 @@
         finish(COULD_NOT_RUN, "the case took too long");
     });
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    record(if has_trouble { "run with the disruption" } else { "run without the disruption" });
+    record(if has_trouble {
+        "run with the disruption"
+    } else {
+        "run without the disruption"
+    });
     has_trouble
 }
 
@@ -120,14 +130,19 @@
 
 /// An address on loopback that is free at present.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
 }
 
 static SERIAL: AtomicU64 = AtomicU64::new(1);
 
 /// Sixteen hexadecimal digits that differ from call to call.
 pub fn new_id() -> String {
-    let mut x = SERIAL.fetch_add(1, Ordering::Relaxed).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mut x = SERIAL
+        .fetch_add(1, Ordering::Relaxed)
+        .wrapping_mul(0x9e37_79b9_7f4a_7c15);
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     format!("{:016x}", x ^ (x >> 31))
@@ -209,7 +224,9 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         let mut line = String::new();
         let mut is_up = false;
@@ -232,7 +249,11 @@
             } else if let Some(rest) = text.strip_prefix("OPEN ") {
                 let id = rest.split(' ').next().unwrap_or("").to_string();
                 let behavior = *self.behavior.lock().unwrap();
-                let request = Received { at: Instant::now(), id, line: text.into() };
+                let request = Received {
+                    at: Instant::now(),
+                    id,
+                    line: text.into(),
+                };
                 record(&format!("backend {} ran ({behavior:?}): {text}", self.name));
                 let number = {
                     let mut requests = self.requests.lock().unwrap();
@@ -245,7 +266,10 @@
                     _ => false,
                 };
                 if resets {
-                    record(&format!("backend {} resets the connection of {rest}", self.name));
+                    record(&format!(
+                        "backend {} resets the connection of {rest}",
+                        self.name
+                    ));
                     reset(reader.get_ref());
                     break;
                 }
@@ -276,7 +300,11 @@
     /// Returns the requests that came after this time.
     pub fn requests_after(&self, at: Instant) -> Vec<Received> {
         let requests = self.requests.lock().unwrap();
-        requests.iter().filter(|request| request.at > at).cloned().collect()
+        requests
+            .iter()
+            .filter(|request| request.at > at)
+            .cloned()
+            .collect()
     }
 }
 
@@ -334,10 +362,16 @@
     pub fn start(instances: Vec<Instance>) -> Arc<Discovery> {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let generation = 41;
-        let entries = instances.into_iter().map(|instance| (generation, instance)).collect();
+        let entries = instances
+            .into_iter()
+            .map(|instance| (generation, instance))
+            .collect();
         let discovery = Arc::new(Discovery {
             address: listener.local_addr().unwrap(),
-            state: Mutex::new(DiscoveryState { entries, generation }),
+            state: Mutex::new(DiscoveryState {
+                entries,
+                generation,
+            }),
             changed: Condvar::new(),
         });
         let accepting = discovery.clone();
@@ -359,7 +393,10 @@
 
     /// Replaces the entry of one instance, and tells all watches.
     pub fn update(&self, instance: Instance) {
-        record(&format!("discovery tells: {} is {}", instance.name, instance.lifecycle));
+        record(&format!(
+            "discovery tells: {} is {}",
+            instance.name, instance.lifecycle
+        ));
         let mut state = self.state.lock().unwrap();
         state.generation += 1;
         let generation = state.generation;
@@ -370,7 +407,9 @@
 
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(reader) = stream.try_clone() else { return };
+        let Ok(reader) = stream.try_clone() else {
+            return;
+        };
         let mut head = Vec::new();
         for line in BufReader::new(reader).lines() {
             match line {
@@ -390,7 +429,9 @@
             return;
         }
         let since = request.split("since=").nth(1).and_then(|rest| {
-            rest.split([' ', '&']).next().and_then(|number| number.parse::<u64>().ok())
+            rest.split([' ', '&'])
+                .next()
+                .and_then(|number| number.parse::<u64>().ok())
         });
         let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\
                     Transfer-Encoding: chunked\r\n\r\n";
@@ -444,7 +485,9 @@
 
 impl Class {
     fn json(&self) -> String {
-        let scope = self.scope.map_or(String::new(), |scope| format!("\"dedupScope\":\"{scope}\","));
+        let scope = self.scope.map_or(String::new(), |scope| {
+            format!("\"dedupScope\":\"{scope}\",")
+        });
         format!(
             "{{\"name\":\"{}\",\"deadlineUs\":{},\"handshakeTargetUs\":{},\"effect\":\"{}\",{scope}\
              \"dedupWindowUs\":{},\"streamed\":true,\"tardyUtility\":0.0,\"utility\":{:.1}}}",
@@ -517,16 +560,14 @@
 
 impl RelayConfig {
     pub fn json(&self) -> String {
-        let admin = self.admin.map_or(String::new(), |at| format!("\"admin_addr\":\"{at}\","));
+        let admin = self
+            .admin
+            .map_or(String::new(), |at| format!("\"admin_addr\":\"{at}\","));
         format!(
             "{{\"name\":\"n1\",\"listen\":\"{}\",\"discovery\":\"{}\",{admin}\"seed\":\"{}\",\
              \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\
              \"known\":{},\"settings\":{}}}",
-            self.listen,
-            self.discovery,
-            SEED,
-            self.known,
-            self.settings
+            self.listen, self.discovery, SEED, self.known, self.settings
         )
     }
 }
@@ -609,7 +650,9 @@
     /// Returns whether the process has ended.
     pub fn has_ended(&self) -> bool {
         let mut children = CHILDREN.lock().unwrap();
-        let child = children.iter_mut().find(|child| child.id() as i32 == self.pid);
+        let child = children
+            .iter_mut()
+            .find(|child| child.id() as i32 == self.pid);
         child.is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
 }
@@ -657,7 +700,10 @@
         }
         sleep_ms(10);
     }
-    finish(COULD_NOT_RUN, "a relay process did not get ready within 6 s");
+    finish(
+        COULD_NOT_RUN,
+        "a relay process did not get ready within 6 s",
+    );
 }
 
 // ---- clients ----
@@ -713,12 +759,17 @@
     /// Returns how it ended.
     pub fn stay_until_end(mut self) -> End {
         let _ = self.reader.get_ref().set_read_timeout(None);
-        let Ok(mut writer) = self.reader.get_ref().try_clone() else { return End::Cut };
+        let Ok(mut writer) = self.reader.get_ref().try_clone() else {
+            return End::Cut;
+        };
         thread::spawn(move || {
             let mut number = 0;
             loop {
                 number += 1;
-                if writer.write_all(format!("line {number}\r\n").as_bytes()).is_err() {
+                if writer
+                    .write_all(format!("line {number}\r\n").as_bytes())
+                    .is_err()
+                {
                     return;
                 }
                 sleep_ms(2_000);
@@ -730,7 +781,11 @@
             match self.reader.read_line(&mut line) {
                 Ok(1..) => is_moved |= line.trim_end() == "MOVE",
                 end => {
-                    let end = if is_moved { "was moved".into() } else { format!("was cut off: {end:?}") };
+                    let end = if is_moved {
+                        "was moved".into()
+                    } else {
+                        format!("was cut off: {end:?}")
+                    };
                     record(&format!("client {} {end}", self.id));
                     let _ = self.reader.get_ref().shutdown(Shutdown::Both);
                     return if is_moved { End::Moved } else { End::Cut };
