Log the limits of the settings that a reload changes

Cause: after SIGHUP the log named the values of routes alone. Change: Settings::changes_to lists timeout and idempotency of each listener, shutdown timeout, drain grace and retry budget; the relay logs them as 'settings in force: ...' each time it applies settings.

--- a/relay/src/service/reconfiguration.rs
+++ b/relay/src/service/reconfiguration.rs
@@ -156,6 +156,7 @@
 
     /// Applies settings and routes together, for everything that arrives from now on.
     fn apply_settings(&mut self, settings: Settings, routes: RouteTable) {
+        let settings_changes = self.configuration.settings.changes_to(&settings);
         let changes = self.sessions.routes().changes_to(&routes);
         let configured = settings.deployment.clone();
         let zone_name = settings.zones.get(usize::from(configured.zone.0)).cloned();
@@ -186,6 +187,13 @@
                 changes.join("; ")
             );
         }
+        if !settings_changes.is_empty() {
+            log::info!(
+                target: LOG_TARGET,
+                "settings in force: {}",
+                settings_changes.join("; ")
+            );
+        }
         self.configuration.settings = settings;
     }
 }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each section of the text has a module that defines its keys and converts its values. Unknown
 //! keys are ignored. The crate does no I/O.
+mod changes;
 mod costs;
 mod error;
 mod extensions;
--- a/settings/src/tests.rs
+++ b/settings/src/tests.rs
@@ -233,3 +233,33 @@
         assert_eq!(during_change.client_timeouts.len(), 3);
     }
 }
+
+#[test]
+fn changes_name_each_limit_that_differs() {
+    let keyed = |scope: &str, window: u32| {
+        format!(
+            r#""deadlineUs":9000,"effect":"dedup","dedupScope":"{scope}","dedupWindowUs":{window}"#
+        )
+    };
+    let before = [("a", IDEMPOTENT), ("b", &keyed("cell", 5_000))];
+    let after = [("c", IDEMPOTENT), ("b", &keyed("all", 4_000))];
+    let settings = |listeners, budget: &str| {
+        let text = settings_json(listeners, "3");
+        let text = text.replace("\"fallUs\":3", &format!("\"fallUs\":3{budget}"));
+        parse(text.as_bytes()).unwrap()
+    };
+    let before = settings(&before, r#","drainGraceUs":250000"#);
+    let after = settings(
+        &after,
+        r#","extraFree":3,"repeatRatio":0.5,"extraWindowUs":5000000"#,
+    );
+    assert_eq!(before.changes_to(&before), Vec::<String>::new());
+    assert_eq!(
+        before.changes_to(&after),
+        [
+            "listener b: timeout 9 ms, keyed in one cell for 5 ms -> timeout 9 ms, keyed in all backends for 4 ms",
+            "drain grace: 250 ms -> 3200 ms",
+            "retry budget: none -> 3 and 0.5 a session in 5000 ms",
+        ]
+    );
+}
