Settings: a keyed listener without dedupScope or dedupWindowUs is rejected

Cause: listeners.rs read the missing key as 'all', the widest scope, so the file counted as complete. Fix: both keys are required of a keyed listener. The reload then rejects the file as a whole, and the settings in force keep the scope; no default is safe for every deployment.

--- a/relay/tests/service/configuration.rs
+++ b/relay/tests/service/configuration.rs
@@ -1,5 +1,6 @@
 //! Tests of the configuration file, at the start and when it is reloaded.
 use crate::helper::*;
+use std::collections::BTreeSet;
 use std::io::Read;
 
 #[test]
@@ -87,6 +88,76 @@
     }
 }
 
+/// A change of the settings: the listener `safe` is keyed, and the backends of one cell recognise a
+/// repeated request.
+const KEYED_WITHIN_CELL: (&str, &str) = (
+    "\"effect\": \"retryable\", \"utility\": 1.0}",
+    "\"effect\": \"dedup\", \"dedupScope\": \"cell\", \"dedupWindowUs\": 5000000, \"utility\": 1.0}",
+);
+
+/// Guards against a repeat outside of the backends that recognise it, after a file without the key
+/// that says which they are.
+#[test]
+fn reloaded_file_without_deduplication_keys_leaves_repeats_in_their_cell() {
+    let (first, at_first) = start_backend(BackendBehavior::CloseImmediately);
+    let (second, at_second) = start_backend(BackendBehavior::CloseImmediately);
+    let list = endpoint_list(1, true, &[("b0", first, "Ready"), ("b1", second, "Ready")]);
+    let (before_cell, after_cell) = list.rsplit_once("\"cell\":0").unwrap();
+    let relay = start_relay_with_settings(
+        unused_address(),
+        &format!("{before_cell}\"cell\":1{after_cell}"),
+        &[KEYED_WITHIN_CELL, THREE_ATTEMPTS],
+    );
+    // The file also renames the other listener, so that the log shows if any of it is applied.
+    let renamed = relay.config_text.replace("\"once\"", "\"twice\"");
+    for lost_key in ["\"dedupScope\": \"cell\", ", "\"dedupWindowUs\": 5000000, "] {
+        assert!(renamed.contains(lost_key));
+        write_config(&renamed.replace(lost_key, ""));
+        relay.signal("HUP");
+        let verdict = relay.wait_for_log("in force");
+        assert!(
+            verdict.contains("the previous configuration stays in force"),
+            "without {lost_key}: {verdict}"
+        );
+    }
+    let (mut at_first, mut at_second) = (OpenedIds::new(at_first), OpenedIds::new(at_second));
+    wait_for("sessions that ran at each backend", || {
+        let mut client = relay.open_session("safe", 1_000);
+        while client.next_line() != "end" {}
+        (at_first.update() > 0 && at_second.update() > 0).then_some(())
+    });
+    assert!(
+        at_first.ids.is_disjoint(&at_second.ids),
+        "{:?} {:?}",
+        at_first.ids,
+        at_second.ids
+    );
+}
+
+/// The ids of the sessions that a backend was asked to open.
+struct OpenedIds {
+    received: Received,
+    ids: BTreeSet<String>,
+}
+
+impl OpenedIds {
+    fn new(received: Received) -> OpenedIds {
+        OpenedIds {
+            received,
+            ids: BTreeSet::new(),
+        }
+    }
+
+    /// Takes in what the backend has received, and returns the number of ids.
+    fn update(&mut self) -> usize {
+        let lines = self.received.try_iter();
+        let opened = lines.filter(|line| line.starts_with("OPEN"));
+        self.ids
+            .extend(opened.filter_map(|line| line.split(' ').nth(1).map(str::to_string)));
+        self.ids.len()
+    }
+}
+
 #[test]
 fn reloaded_settings_leave_waiting_session_unchanged() {
     let (mute, received) = start_backend(BackendBehavior::NeverRespond);
--- a/settings/src/error.rs
+++ b/settings/src/error.rs
@@ -22,6 +22,14 @@
         /// The name that both have.
         name: String,
     },
+    /// A keyed listener does not say which backends recognise a repeated request, or for how long.
+    #[error("settings: missing field `{key}` of listener \"{name}\", whose effect is dedup")]
+    MissingDeduplicationKey {
+        /// The listener's name.
+        name: String,
+        /// The missing key.
+        key: &'static str,
+    },
     /// The settings permit no attempt at all.
     #[error("settings: maxDials is zero")]
     ZeroAttempts,
--- a/settings/src/listeners.rs
+++ b/settings/src/listeners.rs
@@ -19,7 +19,7 @@
     #[serde(default, rename = "dedupScope")]
     deduplication_scope: Option<ScopeText>,
     #[serde(default, rename = "dedupWindowUs")]
-    deduplication_window_us: u64,
+    deduplication_window_us: Option<u64>,
     #[serde(rename = "utility")]
     priority_weight: f64,
 }
@@ -47,10 +47,15 @@
         Duration::from_micros(self.client_timeout_us)
     }
 
-    pub(crate) fn route(&self, permissions: &PermissionsText) -> Route {
-        Route {
+    /// Returns the route of the listener.
+    ///
+    /// # Errors
+    /// Returns an error if the listener is keyed and does not state which backends recognise a
+    /// repeated request, or for how long.
+    pub(crate) fn route(&self, permissions: &PermissionsText) -> Result<Route, SettingsError> {
+        Ok(Route {
             handshake_objective: Duration::from_micros(self.handshake_objective_us),
-            idempotency: self.idempotency(),
+            idempotency: self.idempotency()?,
             priority_weight: self.priority_weight,
             connect_timeout: permissions.connect_timeout(),
             max_attempts: permissions.max_attempts,
@@ -60,21 +65,40 @@
             backoff_cap: BACKOFF_CAP,
             stable_after: STABLE_AFTER,
             ..Route::default()
-        }
+        })
     }
 
-    fn idempotency(&self) -> Idempotency {
+    fn idempotency(&self) -> Result<Idempotency, SettingsError> {
         match self.idempotency {
-            IdempotencyText::Idempotent => Idempotency::Idempotent,
-            IdempotencyText::NonIdempotent => Idempotency::NonIdempotent,
-            IdempotencyText::Keyed => Idempotency::Keyed {
-                scope: match self.deduplication_scope {
-                    Some(ScopeText::Zone) => DeduplicationScope::Zone,
-                    Some(ScopeText::Cell) => DeduplicationScope::Cell,
-                    Some(ScopeText::All) | None => DeduplicationScope::All,
-                },
-                window: Duration::from_micros(self.deduplication_window_us),
-            },
+            IdempotencyText::Idempotent => Ok(Idempotency::Idempotent),
+            IdempotencyText::NonIdempotent => Ok(Idempotency::NonIdempotent),
+            IdempotencyText::Keyed => Ok(Idempotency::Keyed {
+                scope: self.deduplication_scope()?,
+                window: self.deduplication_window()?,
+            }),
+        }
+    }
+
+    fn deduplication_scope(&self) -> Result<DeduplicationScope, SettingsError> {
+        match self.deduplication_scope {
+            Some(ScopeText::All) => Ok(DeduplicationScope::All),
+            Some(ScopeText::Zone) => Ok(DeduplicationScope::Zone),
+            Some(ScopeText::Cell) => Ok(DeduplicationScope::Cell),
+            None => Err(self.missing("dedupScope")),
+        }
+    }
+
+    fn deduplication_window(&self) -> Result<Duration, SettingsError> {
+        let window_us = self.deduplication_window_us;
+        window_us
+            .map(Duration::from_micros)
+            .ok_or_else(|| self.missing("dedupWindowUs"))
+    }
+
+    fn missing(&self, key: &'static str) -> SettingsError {
+        SettingsError::MissingDeduplicationKey {
+            name: self.name.clone(),
+            key,
         }
     }
 }
--- a/settings/src/text.rs
+++ b/settings/src/text.rs
@@ -91,16 +91,15 @@
     }
 
     fn deployment(&self) -> Result<Deployment, SettingsError> {
-        let routes = self.listeners.iter();
+        let listeners = self.listeners.iter();
+        let routes = listeners.map(|listener| listener.route(&self.permissions));
         let subscribes = self.discovery == DiscoveryText::Subscribe;
         Ok(Deployment {
             relay_index: self.relay_index,
             relay_count: self.relay_count,
             zone: ZoneId(self.zone),
             tick: Duration::from_micros(self.tick_us),
-            routes: routes
-                .map(|listener| listener.route(&self.permissions))
-                .collect(),
+            routes: routes.collect::<Result<_, _>>()?,
             message_objective: self.extensions.message_objective(self.listeners.len()),
             observes_latency: self.extensions.reports_latency,
             slow_start: self.invariants.slow_start(),
