Reload rejects settings that lost a key with a default

What callers would see: after SIGHUP with a file that lacks drainGraceUs the grace counts as 3.2 s whatever it was, so that the watch waits up to 0.8 s for an answer; one that lacks a listener's name drops that listener, and its clients are answered ERR after 1.2 s. Cause: a key with a default that is missing counts as stated, also where the file in force states it. Fix: the settings remember which keys with a default their text states; a reloaded file that lost one is rejected as a whole and the key is named.

--- a/relay/src/service/reconfiguration.rs
+++ b/relay/src/service/reconfiguration.rs
@@ -44,10 +44,14 @@
             .map_or(&self.settings, |pending| &pending.settings)
     }
 
-    /// Reads the configuration file again.
+    /// Reads the configuration file again. A file whose settings lost a key is incomplete.
     fn reread_file(&self) -> Result<StartupConfig, ConfigError> {
         let path = self.source.path.as_deref();
-        read_config_file(path.ok_or(ConfigError::NotFromFile)?)
+        let reloaded = read_config_file(path.ok_or(ConfigError::NotFromFile)?)?;
+        self.latest_settings()
+            .check_keeps_keys(&reloaded.settings)
+            .map_err(|error| ConfigError::Settings(error.to_string()))?;
+        Ok(reloaded)
     }
 
     fn resolve_routes(
--- a/relay/tests/helper/config.rs
+++ b/relay/tests/helper/config.rs
@@ -57,5 +57,11 @@
     "\"askWithinUs\": 1, \"drainGraceUs\": 4000000",
 );
 
+/// A change of the settings: a drain must be obeyed within a quarter of a second.
+pub(crate) const SHORT_DRAIN_GRACE: (&str, &str) = (
+    "\"askWithinUs\": 1",
+    "\"askWithinUs\": 1, \"drainGraceUs\": 250000",
+);
+
 /// A change of the settings: a session may have three attempts.
 pub(crate) const THREE_ATTEMPTS: (&str, &str) = ("\"maxDials\": 1", "\"maxDials\": 3");
--- a/relay/tests/service/configuration.rs
+++ b/relay/tests/service/configuration.rs
@@ -134,6 +134,39 @@
     );
 }
 
+/// Guards against a drain that is obeyed late, and against clients whose listener is unknown, after
+/// a file without a key that falls back to a default.
+#[test]
+fn reloaded_file_that_lost_a_key_with_a_default_changes_nothing() {
+    let (address, _received) = start_backend(BackendBehavior::Echo);
+    let relay = start_relay_with_settings(
+        unused_address(),
+        &endpoint_list(1, true, &[("b", address, "Ready")]),
+        &[SHORT_DRAIN_GRACE],
+    );
+    // Each file also renames the other listener, so that the log shows if any of it is applied.
+    let renamed = relay.config_text.replace("\"once\"", "\"twice\"");
+    for (lost_key, path) in [
+        (", \"drainGraceUs\": 250000", "invariants.drainGraceUs"),
+        ("\"name\": \"safe\", ", "listeners[].name"),
+        ("\"connIdleUs\": 9000000, ", "permissions.connIdleUs"),
+        (", \"how\": \"pull\"", "report.how"),
+        ("\"zones\": [\"a\"], ", "zones"),
+    ] {
+        assert!(renamed.contains(lost_key), "{lost_key}");
+        write_config(&renamed.replace(lost_key, ""));
+        relay.signal("HUP");
+        let verdict = relay.wait_for_log("in force");
+        assert!(
+            verdict.contains(&format!("missing field `{path}`"))
+                && verdict.contains("the previous configuration stays in force"),
+            "without {lost_key}: {verdict}"
+        );
+        let first_line = relay.open_session("safe", 1_000).next_line();
+        assert_eq!(first_line, "UP receipt", "without {lost_key}");
+    }
+}
+
 /// The ids of the sessions that a backend was asked to open.
 struct OpenedIds {
     received: Received,
--- a/settings/src/error.rs
+++ b/settings/src/error.rs
@@ -30,6 +30,12 @@
         /// The missing key.
         key: &'static str,
     },
+    /// Settings that were read again lack a key that the former ones state.
+    #[error("settings: missing field `{path}`, which the former settings state")]
+    LostKey {
+        /// The path of the key.
+        path: &'static str,
+    },
     /// The settings permit no attempt at all.
     #[error("settings: maxDials is zero")]
     ZeroAttempts,
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -10,6 +10,7 @@
 mod listeners;
 mod permissions;
 mod report;
+mod stated_keys;
 mod text;
 mod transition;
 
@@ -19,6 +20,7 @@
 pub use error::SettingsError;
 pub use report::{CONNECTION_FIELDS, LOAD_FIELDS, ReportFields};
 
+use stated_keys::StatedKeys;
 use thistlecroft::deployment::Deployment;
 use thistlecroft::time::Duration;
 
@@ -46,6 +48,22 @@
     /// Whether the value that backends report for a connection is the latency of its messages, in
     /// milliseconds, instead of its load.
     pub connection_value_is_latency: bool,
+    /// The keys with a default that the text states.
+    stated_keys: StatedKeys,
+}
+
+impl Settings {
+    /// Checks that settings which were read later have every key that these state. A key that was
+    /// lost would silently fall back to its default, which may be less strict.
+    ///
+    /// # Errors
+    /// Returns an error that names the first lost key.
+    pub fn check_keeps_keys(&self, later: &Settings) -> Result<(), SettingsError> {
+        match self.stated_keys.first_missing_in(&later.stated_keys) {
+            Some(path) => Err(SettingsError::LostKey { path }),
+            None => Ok(()),
+        }
+    }
 }
 
 /// Parses settings.
@@ -53,6 +71,7 @@
 /// # Errors
 /// Returns the first error in the text.
 pub fn parse(text: &[u8]) -> Result<Settings, SettingsError> {
-    let text: text::SettingsText = serde_json::from_slice(text)?;
-    text.try_into()
+    let settings_text: text::SettingsText = serde_json::from_slice(text)?;
+    let stated_keys = StatedKeys::of(&serde_json::from_slice(text)?);
+    Settings::from_text(settings_text, stated_keys)
 }
--- a/settings/src/text.rs
+++ b/settings/src/text.rs
@@ -5,6 +5,7 @@
 use crate::listeners::{self, ListenerText};
 use crate::permissions::PermissionsText;
 use crate::report::ReportText;
+use crate::stated_keys::StatedKeys;
 use crate::{Settings, SettingsError};
 use serde::Deserialize;
 use thistlecroft::deployment::Deployment;
@@ -52,10 +53,15 @@
     Subscribe,
 }
 
-impl TryFrom<SettingsText> for Settings {
-    type Error = SettingsError;
-
-    fn try_from(text: SettingsText) -> Result<Settings, SettingsError> {
+impl Settings {
+    /// Converts the text of the settings, which states these keys.
+    ///
+    /// # Errors
+    /// Returns an error if a value is out of its range, or a listener lacks a key that it needs.
+    pub(crate) fn from_text(
+        text: SettingsText,
+        stated_keys: StatedKeys,
+    ) -> Result<Settings, SettingsError> {
         text.check()?;
         let deployment = text.deployment()?;
         let client_timeouts = text.listeners.iter().map(ListenerText::client_timeout);
@@ -73,6 +79,7 @@
                 .map(|listener| listener.name)
                 .collect(),
             zones: text.zones,
+            stated_keys,
         })
     }
 }
--- a/settings/tests/golden.rs
+++ b/settings/tests/golden.rs
@@ -280,3 +280,36 @@
     }
     assert_eq!(parsed(&settings), parsed(&every_key()));
 }
+
+/// Optional keys of the retry budget: a platform without a budget states none of them.
+const RETRY_BUDGET: &[&str] = &["/invariants/extraFree", "/invariants/repeatRatio"];
+
+#[test]
+fn later_settings_without_a_stated_key_are_rejected_by_name() {
+    let parse = |settings: &Value| {
+        thistlecroft_settings::parse(settings.to_string().as_bytes())
+            .unwrap_or_else(|error| panic!("{error}"))
+    };
+    let former = parse(&every_key());
+    assert!(former.check_keeps_keys(&former).is_ok());
+    for (path, _) in defaults() {
+        let later = parse(&without_key(path));
+        let verdict = former.check_keeps_keys(&later);
+        if RETRY_BUDGET.contains(&path) {
+            assert!(verdict.is_ok(), "{path}");
+            continue;
+        }
+        let error = verdict.expect_err(path).to_string();
+        let key = path.rsplit('/').next().unwrap();
+        assert!(error.contains(key), "{path}: {error}");
+        // A key that the former settings did not state either was not lost.
+        assert!(later.check_keeps_keys(&later).is_ok(), "{path}");
+        assert!(later.check_keeps_keys(&former).is_ok(), "{path}");
+    }
+    let null_grace = parse(&with_value("/invariants/drainGraceUs", &Value::Null));
+    let error = former.check_keeps_keys(&null_grace).unwrap_err();
+    assert_eq!(
+        error.to_string(),
+        "settings: missing field `invariants.drainGraceUs`, which the former settings state"
+    );
+}
