Endpoints whose cell is not told share no cell with any other

What callers would see: with a scope of one cell and a list that leaves cells out, a request that may have run is repeated at any backend, and its effect is applied twice. Cause: the registry read a missing cell as cell 0 and cut numbers from 65,536 on to 16 bits, so that all such backends seemed to share a cell. Fix: Endpoint::cell is an Option; an unknown cell matches only the backend itself. Where lists tell cells nothing changes.

--- a/adapter/src/ids.rs
+++ b/adapter/src/ids.rs
@@ -68,7 +68,7 @@
             backend: self.backend_or_add(entry.address),
             stable_hash: u64::from_le_bytes(hash),
             zone: entry.zone,
-            cell: entry.cell,
+            cell: Some(entry.cell),
             state: entry.state,
             weight: entry.weight,
             started_at: entry.started_at,
--- a/relay/src/discovery/decoding.rs
+++ b/relay/src/discovery/decoding.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use thistlecroft::endpoint::EndpointState;
+use thistlecroft::ids::CellId;
 
 /// An endpoint list as the agent sends it.
 #[derive(Deserialize)]
@@ -28,7 +29,7 @@
     address: String,
     #[serde(default)]
     pub(super) zone: String,
-    pub(super) cell: Option<u64>,
+    cell: Option<u64>,
     lifecycle: String,
     pub(super) weight: Option<f64>,
     pub(super) started_at_ms: Option<u64>,
@@ -46,6 +47,12 @@
         })
     }
 
+    /// Returns the cell; `None` if the list tells none, or one beyond the range of cells.
+    pub(super) fn cell(&self) -> Option<CellId> {
+        let number = u16::try_from(self.cell?).ok()?;
+        Some(CellId(number))
+    }
+
     /// Returns the state that the lifecycle stands for.
     ///
     /// # Errors
--- a/relay/src/discovery/registry.rs
+++ b/relay/src/discovery/registry.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use thistlecroft::endpoint::{Endpoint, EndpointState};
-use thistlecroft::ids::{BackendId, CellId, ZoneId};
+use thistlecroft::ids::{BackendId, ZoneId};
 use thistlecroft::time::Instant;
 use thistlecroft_settings::ReportFields;
 
@@ -139,7 +139,7 @@
             backend,
             stable_hash: stable_hash(endpoint.name.as_bytes()),
             zone: self.zone(&endpoint.zone),
-            cell: CellId(endpoint.cell.unwrap_or_default() as u16),
+            cell: endpoint.cell(),
             state,
             weight: self.report_fields.weight(endpoint.weight.unwrap_or(1.0)),
             started_at: started_at_ms.map(|ms| Instant::from_micros(ms.saturating_mul(1_000))),
--- a/relay/tests/discovery/lists.rs
+++ b/relay/tests/discovery/lists.rs
@@ -194,3 +194,24 @@
         }
     }
 }
+
+/// Guards against a repeat at a backend that may not recognise it, after a list that does not tell
+/// the backends' cells.
+#[test]
+fn repeat_is_not_sent_to_a_backend_whose_cell_is_not_told() {
+    // What the list says of the cells of both backends: nothing, and numbers beyond their range.
+    for [first_cell, second_cell] in [["", ""], ["\"cell\":65536,", "\"cell\":131072,"]] {
+        let (first, at_first) = start_backend(BackendBehavior::CloseImmediately);
+        let (second, at_second) = start_backend(BackendBehavior::CloseImmediately);
+        let list = endpoint_list(1, true, &[("b0", first, "Ready"), ("b1", second, "Ready")]);
+        let known = list.replacen("\"cell\":0,", first_cell, 1);
+        let known = known.replacen("\"cell\":0,", second_cell, 1);
+        assert!(!known.contains("\"cell\":0,"));
+        let relay = start_relay_with_settings(
+            unused_address(),
+            &known,
+            &[KEYED_WITHIN_CELL, THREE_ATTEMPTS],
+        );
+        assert_repeats_stay_apart(&relay, at_first, at_second);
+    }
+}
--- a/relay/tests/helper/config.rs
+++ b/relay/tests/helper/config.rs
@@ -63,5 +63,12 @@
     "\"askWithinUs\": 1, \"drainGraceUs\": 250000",
 );
 
+/// A change of the settings: the listener `safe` is keyed, and the backends of one cell recognise a
+/// repeated request.
+pub(crate) const KEYED_WITHIN_CELL: (&str, &str) = (
+    "\"effect\": \"retryable\", \"utility\": 1.0}",
+    "\"effect\": \"dedup\", \"dedupScope\": \"cell\", \"dedupWindowUs\": 5000000, \"utility\": 1.0}",
+);
+
 /// A change of the settings: a session may have three attempts.
 pub(crate) const THREE_ATTEMPTS: (&str, &str) = ("\"maxDials\": 1", "\"maxDials\": 3");
--- a/relay/tests/helper/mod.rs
+++ b/relay/tests/helper/mod.rs
@@ -7,6 +7,7 @@
 mod discovery;
 pub(crate) mod host;
 mod relay;
+mod repeats;
 mod wait;
 
 pub(crate) use backend::*;
@@ -15,4 +16,6 @@
 pub(crate) use config::*;
 pub(crate) use discovery::*;
 pub(crate) use relay::*;
+#[allow(unused_imports, reason = "some test targets repeat no request")]
+pub(crate) use repeats::*;
 pub(crate) use wait::*;
--- a/relay/tests/service/configuration.rs
+++ b/relay/tests/service/configuration.rs
@@ -1,6 +1,5 @@
 //! Tests of the configuration file, at the start and when it is reloaded.
 use crate::helper::*;
-use std::collections::BTreeSet;
 use std::io::Read;
 
 #[test]
@@ -88,13 +87,6 @@
     }
 }
 
-/// A change of the settings: the listener `safe` is keyed, and the backends of one cell recognise a
-/// repeated request.
-const KEYED_WITHIN_CELL: (&str, &str) = (
-    "\"effect\": \"retryable\", \"utility\": 1.0}",
-    "\"effect\": \"dedup\", \"dedupScope\": \"cell\", \"dedupWindowUs\": 5000000, \"utility\": 1.0}",
-);
-
 /// Guards against a repeat outside of the backends that recognise it, after a file without the key
 /// that says which they are.
 #[test]
@@ -120,18 +112,7 @@
             "without {lost_key}: {verdict}"
         );
     }
-    let (mut at_first, mut at_second) = (OpenedIds::new(at_first), OpenedIds::new(at_second));
-    wait_for("sessions that ran at each backend", || {
-        let mut client = relay.open_session("safe", 1_000);
-        while client.next_line() != "end" {}
-        (at_first.update() > 0 && at_second.update() > 0).then_some(())
-    });
-    assert!(
-        at_first.ids.is_disjoint(&at_second.ids),
-        "{:?} {:?}",
-        at_first.ids,
-        at_second.ids
-    );
+    assert_repeats_stay_apart(&relay, at_first, at_second);
 }
 
 /// Guards against a drain that is obeyed late, and against clients whose listener is unknown, after
@@ -167,30 +148,6 @@
     }
 }
 
-/// The ids of the sessions that a backend was asked to open.
-struct OpenedIds {
-    received: Received,
-    ids: BTreeSet<String>,
-}
-
-impl OpenedIds {
-    fn new(received: Received) -> OpenedIds {
-        OpenedIds {
-            received,
-            ids: BTreeSet::new(),
-        }
-    }
-
-    /// Takes in what the backend has received, and returns the number of ids.
-    fn update(&mut self) -> usize {
-        let lines = self.received.try_iter();
-        let opened = lines.filter(|line| line.starts_with("OPEN"));
-        self.ids
-            .extend(opened.filter_map(|line| line.split(' ').nth(1).map(str::to_string)));
-        self.ids.len()
-    }
-}
-
 #[test]
 fn reloaded_settings_leave_waiting_session_unchanged() {
     let (mute, received) = start_backend(BackendBehavior::NeverRespond);
--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -316,7 +316,12 @@
         Idempotency::Keyed {
             scope: DeduplicationScope::Cell,
             ..
-        } => first.cell == endpoint.cell,
+        } => first.backend == endpoint.backend || is_in_same_cell(first, endpoint),
         _ => true,
     }
 }
+
+/// Returns whether two backends are known to be in one cell.
+fn is_in_same_cell(first: &Endpoint, second: &Endpoint) -> bool {
+    first.cell.is_some() && first.cell == second.cell
+}
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -34,8 +34,8 @@
     pub stable_hash: u64,
     /// The zone that the backend runs in.
     pub zone: ZoneId,
-    /// The cell of the backend within its zone.
-    pub cell: CellId,
+    /// The cell of the backend within its zone; `None` if the list does not tell it.
+    pub cell: Option<CellId>,
     /// Whether the backend takes new connections.
     pub state: EndpointState,
     /// A weight that falls as the backend holds more connections; 1 if the list has no weight.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -167,7 +167,8 @@
     state: EndpointState,
     started_at: Option<Instant>,
 ) -> Endpoint {
-    let (zone, cell) = (ZoneId((backend % 2) as u16), CellId((backend / 4) as u16));
+    let zone = ZoneId((backend % 2) as u16);
+    let cell = Some(CellId((backend / 4) as u16));
     Endpoint {
         backend: BackendId(backend),
         stable_hash: u64::from(backend) * 7919,
