Shutdown: settings read after SIGTERM leave its time limit

Cause: the balancer planned its steps at SIGTERM from the settings in force then, 2.7 s; the service ended the process by Service::shutdown_timeout, which apply_settings replaced at SIGHUP, 2.5 s less 0.15 s. The process ended before the last step at 2.43 s. Evidence: log 'shutdown timeout: 2700 ms -> 2500 ms' 0.5 s after SIGTERM; moves 1.34, 1.61, 1.88 and 2.15 s after it and none later; 'relay stopped' at 2.40 s with the six cuts; SIGKILL came 0.3 s later. Fix: start and limit of a shutdown are one value, taken at SIGTERM, when the platform begins to count; the service has no timeout of its own that a reload could change.

--- a/relay/src/service/actions.rs
+++ b/relay/src/service/actions.rs
@@ -44,7 +44,7 @@
 
     fn readiness(&self) -> Readiness {
         Readiness {
-            is_stopping: self.shutdown_started.is_some(),
+            is_stopping: self.is_shutting_down(),
             has_endpoints: self.discovery.known_list() != KnownList::None,
             accepts_clients: self.sessions.is_accepting(),
         }
--- a/relay/src/service/hot_restart.rs
+++ b/relay/src/service/hot_restart.rs
@@ -126,7 +126,7 @@
                 version: VERSION,
                 relay,
             } if self.hot_restart.is_same_relay(&relay) => {
-                if self.shutdown_started.is_some() {
+                if self.is_shutting_down() {
                     self.hand_over_to_successor();
                     return Ok(ControlFlow::Break(()));
                 }
@@ -183,7 +183,7 @@
                 self.io.events.push_back(Event::PredecessorEnded);
                 // No other process accepts clients now, so this one does, unless it shuts down as
                 // well.
-                if self.shutdown_started.is_none() {
+                if !self.is_shutting_down() {
                     self.sessions.start_accepting();
                 }
             }
@@ -213,7 +213,7 @@
     /// Accepts a session that the predecessor offers if there is room for it, and declines it
     /// otherwise.
     fn answer_offer(&mut self, serial: u32, offered: Option<OfferedSession>) {
-        let can_take = self.shutdown_started.is_none() && self.sessions.can_adopt(&self.io);
+        let can_take = !self.is_shutting_down() && self.sessions.can_adopt(&self.io);
         match offered.filter(|_| can_take) {
             Some(offered) => self.hot_restart.accept_offer(serial, offered),
             None => self.hot_restart.decline_offer(serial),
--- a/relay/src/service/mod.rs
+++ b/relay/src/service/mod.rs
@@ -20,6 +20,7 @@
 use crate::timers::Clock;
 use polling::Poller;
 use reconfiguration::Reconfiguration;
+use shutdown::Shutdown;
 use std::rc::Rc;
 use thistlecroft::balancer::Balancer;
 use thistlecroft::time::{Duration, Instant};
@@ -63,8 +64,7 @@
     listener_origin: ListenerOrigin,
     /// The actions that the balancer requested in this turn.
     actions: Vec<Action>,
-    shutdown_timeout: Duration,
-    shutdown_started: Option<Instant>,
+    shutdown: Option<Shutdown>,
     signals: Signals,
     configuration: Reconfiguration,
 }
@@ -72,10 +72,7 @@
 impl Service {
     /// Starts accepting clients if they can be served by now and no shutdown has begun.
     fn accept_clients_when_ready(&mut self) {
-        if self.shutdown_started.is_none()
-            && !self.sessions.is_accepting()
-            && self.can_serve_clients()
-        {
+        if !self.is_shutting_down() && !self.sessions.is_accepting() && self.can_serve_clients() {
             self.sessions.start_accepting();
             if self.listener_origin == ListenerOrigin::Inherited {
                 log::info!(target: LOG_TARGET, "accepting clients");
--- a/relay/src/service/reconfiguration.rs
+++ b/relay/src/service/reconfiguration.rs
@@ -176,7 +176,6 @@
         self.health_checks
             .set_timeouts(deployment.connect_timeout, settings.backend_idle_timeout);
         self.discovery.set_drain_grace(settings.drain_grace);
-        self.shutdown_timeout = deployment.shutdown_timeout;
         self.io
             .events
             .push_back(Event::Reconfigured(Box::new(deployment)));
--- a/relay/src/service/shutdown.rs
+++ b/relay/src/service/shutdown.rs
@@ -3,20 +3,33 @@
 use crate::admin::connections::AdminConnections;
 use crate::driver::Event;
 use crate::timers::Timer;
-use thistlecroft::time::Duration;
+use thistlecroft::time::{Duration, Instant};
 
 /// How long new connections are still accepted after the signal, if no other process accepts them.
 const ACCEPT_AFTER_SIGNAL: Duration = Duration::from_millis(600);
 /// Subtracted from the shutdown timeout, so that the process ends before the platform kills it.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(150);
 
+/// A shutdown that has begun. Its time limit is that of the settings in force at the signal: the
+/// platform counts from there, whatever settings are read later.
+pub(super) struct Shutdown {
+    started: Instant,
+    /// The time from the signal after which the process ends in any case.
+    time_limit: Duration,
+}
+
 impl Service {
     /// Begins the shutdown: announces it to the balancer and the peers, and hands over to the
     /// successor, if there is one.
     pub(super) fn begin_shutdown(&mut self) {
         let now = self.io.now;
         log::info!(target: LOG_TARGET, "relay told to stop; open_sessions={}", self.sessions.len());
-        self.shutdown_started = Some(now);
+        let settings = &self.configuration.settings;
+        let time_limit = settings.deployment.shutdown_timeout - SHUTDOWN_MARGIN;
+        self.shutdown = Some(Shutdown {
+            started: now,
+            time_limit,
+        });
         self.io.events.push_back(Event::ShutDown);
         if let Some(peers) = &mut self.peers {
             peers.leave(now);
@@ -30,26 +43,26 @@
             // endpoint list, and no other process would answer them.
             ListenerOrigin::Bound => self.sessions.start_accepting(),
         }
-        for wait in [ACCEPT_AFTER_SIGNAL, self.shutdown_time_limit()] {
+        for wait in [ACCEPT_AFTER_SIGNAL, time_limit] {
             self.io.timers.set(now + wait, Timer::Shutdown);
         }
     }
 
-    /// Returns the time from the signal after which the process ends in any case.
-    fn shutdown_time_limit(&self) -> Duration {
-        self.shutdown_timeout - SHUTDOWN_MARGIN
+    /// Returns whether a shutdown has begun.
+    pub(super) fn is_shutting_down(&self) -> bool {
+        self.shutdown.is_some()
     }
 
     /// Returns whether the shutdown is complete or has reached its time limit.
     pub(super) fn is_shut_down(&self) -> bool {
-        let Some(started) = self.shutdown_started else {
+        let Some(shutdown) = &self.shutdown else {
             return false;
         };
-        let elapsed = self.io.now.duration_since(started);
+        let elapsed = self.io.now.duration_since(shutdown.started);
         let still_accepts =
             self.listener_origin == ListenerOrigin::Bound && elapsed < ACCEPT_AFTER_SIGNAL;
         let admin_is_idle = self.admin.connections.iter().all(AdminConnections::is_idle);
         !still_accepts && self.sessions.is_empty() && admin_is_idle
-            || elapsed >= self.shutdown_time_limit()
+            || elapsed >= shutdown.time_limit
     }
 }
--- a/relay/src/service/signals.rs
+++ b/relay/src/service/signals.rs
@@ -65,7 +65,7 @@
         if was_received(&mut self.signals.statistics) {
             self.log_statistics();
         }
-        if was_received(&mut self.signals.shutdown) && self.shutdown_started.is_none() {
+        if was_received(&mut self.signals.shutdown) && !self.is_shutting_down() {
             self.begin_shutdown();
         }
         if was_received(&mut self.signals.reload) {
--- a/relay/src/service/startup.rs
+++ b/relay/src/service/startup.rs
@@ -101,8 +101,7 @@
             started: now,
             listener_origin,
             actions,
-            shutdown_timeout: settings.deployment.shutdown_timeout,
-            shutdown_started: None,
+            shutdown: None,
             signals,
             configuration: Reconfiguration {
                 source: config.source,
--- a/relay/tests/session/shutdown.rs
+++ b/relay/tests/session/shutdown.rs
@@ -178,3 +178,47 @@
     drop(client);
     assert!(wait_for_exit(&mut relay.child).success());
 }
+
+/// A listener whose clients wait longer than those of the other listeners.
+const PATIENT_LISTENER: &str = "{\"name\": \"patient\", \"deadlineUs\": 3000000, \
+    \"handshakeTargetUs\": 300000, \"effect\": \"retryable\", \"utility\": 1.0}, ";
+
+/// Guards against connections that are cut off without a migration, after settings with a shorter
+/// shutdown timeout are read while the shutdown runs.
+#[test]
+fn settings_reloaded_during_shutdown_leave_its_time_limit() {
+    let listeners = format!("\"listeners\": [{PATIENT_LISTENER}");
+    for signals_arrive_together in [false, true] {
+        let (address, _received) = start_backend(BackendBehavior::Echo);
+        let mut relay = start_relay_with_settings(
+            unused_address(),
+            &endpoint_list(1, true, &[("b", address, "Ready")]),
+            &[("\"listeners\": [", &listeners)],
+        );
+        let mut established: Vec<Client> =
+            (0..10).map(|_| relay.open_session("safe", 1_000)).collect();
+        for client in &mut established {
+            assert_eq!(client.next_line(), "UP receipt");
+        }
+        if signals_arrive_together {
+            relay.suspend_while_polling();
+        }
+        relay.signal("TERM");
+        if !signals_arrive_together {
+            relay.wait_for_log("told to stop");
+        }
+        relay.reload_with(PATIENT_LISTENER, "");
+        if signals_arrive_together {
+            relay.signal("CONT");
+        }
+        relay.wait_for_log("shutdown timeout: 3700 ms -> 2200 ms");
+        for (number, client) in established.iter_mut().enumerate() {
+            assert_eq!(
+                [client.next_line(), client.next_line()],
+                ["MOVE", "end"],
+                "session {number}; signals together: {signals_arrive_together}"
+            );
+        }
+        assert!(wait_for_exit(&mut relay.child).success());
+    }
+}
