Shutdown: the balancer's steps count from the time at which the process ends

Callers would see connections cut off without MOVE at a planned restart where the longest deadline is 0.8 s or less, without any SIGHUP. Cause: two parts reckoned the end of one shutdown by different formulas, the balancer nine tenths of the timeout for its last step, the service the timeout less 0.15 s for the end. With 0.7 s: 1.26 s and 1.25 s. Fix: the service hands the balancer the time limit by which it ends the process, and the steps are tenths of that. For a timeout of 3.7 s the steps come 75 to 135 ms earlier. Settings hold the shutdown timeout now, since the balancer no longer decides by it.

--- a/relay/src/driver.rs
+++ b/relay/src/driver.rs
@@ -35,7 +35,10 @@
     /// The predecessor no longer accepts clients, or has ended.
     PredecessorEnded,
     Wake,
-    ShutDown,
+    /// The process ends after this time at the latest.
+    ShutDown {
+        time_limit: Duration,
+    },
 }
 
 /// An action that the balancer requests.
@@ -138,7 +141,7 @@
         | Event::SnapshotReceived(_)
         | Event::PredecessorEnded
         | Event::Wake
-        | Event::ShutDown => None,
+        | Event::ShutDown { .. } => None,
     }
 }
 
@@ -170,6 +173,6 @@
         Event::SnapshotReceived(snapshot) => balancer.restore(&snapshot, true),
         Event::PredecessorEnded => balancer.predecessor_ended(now),
         Event::Wake => balancer.wake(now, recorder),
-        Event::ShutDown => balancer.shut_down(now, recorder),
+        Event::ShutDown { time_limit } => balancer.shut_down(now, time_limit, recorder),
     }
 }
--- a/relay/src/service/shutdown.rs
+++ b/relay/src/service/shutdown.rs
@@ -25,12 +25,12 @@
         let now = self.io.now;
         log::info!(target: LOG_TARGET, "relay told to stop; open_sessions={}", self.sessions.len());
         let settings = &self.configuration.settings;
-        let time_limit = settings.deployment.shutdown_timeout - SHUTDOWN_MARGIN;
+        let time_limit = settings.shutdown_timeout - SHUTDOWN_MARGIN;
         self.shutdown = Some(Shutdown {
             started: now,
             time_limit,
         });
-        self.io.events.push_back(Event::ShutDown);
+        self.io.events.push_back(Event::ShutDown { time_limit });
         if let Some(peers) = &mut self.peers {
             peers.leave(now);
         }
--- a/relay/src/trace.rs
+++ b/relay/src/trace.rs
@@ -54,7 +54,7 @@
         | Event::SnapshotReceived(_)
         | Event::PredecessorEnded
         | Event::Wake
-        | Event::ShutDown => {}
+        | Event::ShutDown { .. } => {}
     }
 }
 
--- a/relay/tests/session/shutdown.rs
+++ b/relay/tests/session/shutdown.rs
@@ -222,3 +222,32 @@
         assert!(wait_for_exit(&mut relay.child).success());
     }
 }
+
+/// Guards against connections that are cut off without a migration where all clients wait so short
+/// a time that little is left of the shutdown after the balancer's last step.
+#[test]
+fn shutdown_of_impatient_listeners_migrates_all_sessions() {
+    for client_timeout_us in ["700000", "100000", "1000"] {
+        let (address, _received) = start_backend(BackendBehavior::Echo);
+        let deadline = format!("\"deadlineUs\": {client_timeout_us}");
+        let mut relay = start_relay_with_settings(
+            unused_address(),
+            &endpoint_list(1, true, &[("b", address, "Ready")]),
+            &[("\"deadlineUs\": 1500000", &deadline)],
+        );
+        let mut established: Vec<Client> =
+            (0..10).map(|_| relay.open_session("safe", 1_000)).collect();
+        for client in &mut established {
+            assert_eq!(client.next_line(), "UP receipt");
+        }
+        relay.signal("TERM");
+        for (number, client) in established.iter_mut().enumerate() {
+            assert_eq!(
+                [client.next_line(), client.next_line()],
+                ["MOVE", "end"],
+                "session {number}; client timeout {client_timeout_us} us"
+            );
+        }
+        assert!(wait_for_exit(&mut relay.child).success());
+    }
+}
--- a/settings/src/changes.rs
+++ b/settings/src/changes.rs
@@ -15,11 +15,10 @@
                 changes.record(&format!("listener {name}"), before, after);
             }
         }
-        let (before, after) = (&self.deployment, &later.deployment);
         changes.record(
             "shutdown timeout",
-            Milliseconds(before.shutdown_timeout),
-            Milliseconds(after.shutdown_timeout),
+            Milliseconds(self.shutdown_timeout),
+            Milliseconds(later.shutdown_timeout),
         );
         changes.record(
             "drain grace",
@@ -28,8 +27,8 @@
         );
         changes.record(
             "retry budget",
-            Budget(before.retry_budget),
-            Budget(after.retry_budget),
+            Budget(self.deployment.retry_budget),
+            Budget(later.deployment.retry_budget),
         );
         changes.lines
     }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -43,6 +43,8 @@
     /// The time in which new sessions may still be sent to a backend after the notification that it
     /// is draining.
     pub drain_grace: Duration,
+    /// The time from the shutdown signal within which all sessions have to end.
+    pub shutdown_timeout: Duration,
     /// Whether relays may exchange messages.
     pub may_use_peers: bool,
     /// Whether the value that backends report for a connection is the latency of its messages, in
--- a/settings/src/text.rs
+++ b/settings/src/text.rs
@@ -71,6 +71,7 @@
             client_timeouts: client_timeouts.collect(),
             backend_idle_timeout: text.permissions.backend_idle_timeout(),
             drain_grace: text.invariants.drain_grace(),
+            shutdown_timeout: text.shutdown_timeout(),
             may_use_peers: text.permissions.peers,
             connection_value_is_latency: text.extensions.connection_value_is_latency(),
             listeners: text
@@ -122,7 +123,6 @@
             migration_cost: self.costs.migration,
             health_check_cost: self.costs.health_check,
             groups_share_work: self.extensions.groups_share_work,
-            shutdown_timeout: self.shutdown_timeout(),
         })
     }
 
--- a/settings/tests/golden.rs
+++ b/settings/tests/golden.rs
@@ -148,8 +148,11 @@
             settings.listeners, settings.client_timeouts, settings.backend_idle_timeout
         )
         + &format!(
-            "{:?} {} {}",
-            settings.drain_grace, settings.may_use_peers, settings.connection_value_is_latency
+            "{:?} {:?} {} {}",
+            settings.drain_grace,
+            settings.shutdown_timeout,
+            settings.may_use_peers,
+            settings.connection_value_is_latency
         )
         + &format!("{:?} {:?}", fields.connections, fields.load)
         + &format!("{}", fields.weight(7.0));
@@ -197,7 +200,7 @@
         (deployment.retry_budget.unwrap().window, 1_000_000),
         (deployment.routes[0].handshake_objective, 300_000),
         (deployment.routes[0].max_retry_after, 2_000_000),
-        (deployment.shutdown_timeout, 3_100_000),
+        (settings.shutdown_timeout, 3_100_000),
         (settings.client_timeouts[1], 2_400_000),
         (settings.backend_idle_timeout, 9_000_000),
         (settings.drain_grace, 2_000_000),
--- a/src/balancer/sessions.rs
+++ b/src/balancer/sessions.rs
@@ -8,9 +8,9 @@
 use crate::ids::{BackendId, SessionId};
 use crate::time::{Duration, Instant};
 
-/// Tenths of the shutdown timeout after which no attempt may be under way.
+/// Tenths of a shutdown's time limit after which no attempt may be under way.
 const SHUTDOWN_LAST_ATTEMPT_TENTHS: f64 = 8.0;
-/// Tenths of the shutdown timeout after which a part of the sessions is migrated. The steps come
+/// Tenths of a shutdown's time limit after which a part of the sessions is migrated. The steps come
 /// late, since the relay that a client reconnects to may itself have just been stopped.
 const SHUTDOWN_STEPS_TENTHS: std::ops::RangeInclusive<usize> = 5..=9;
 
@@ -179,9 +179,9 @@
     }
 
     /// Begins the shutdown: established sessions are migrated in even steps, and no attempt may
-    /// last beyond the shutdown deadline.
-    pub fn shut_down(&mut self, now: Instant, driver: &mut dyn Driver) {
-        let tenth = self.deployment.shutdown_timeout * 0.1;
+    /// last beyond the shutdown deadline. The process ends after `time_limit`.
+    pub fn shut_down(&mut self, now: Instant, time_limit: Duration, driver: &mut dyn Driver) {
+        let tenth = time_limit * 0.1;
         self.shutdown_deadline = Some(now + tenth * SHUTDOWN_LAST_ATTEMPT_TENTHS);
         for step in SHUTDOWN_STEPS_TENTHS {
             let steps_left = SHUTDOWN_STEPS_TENTHS.end() + 1 - step;
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -151,6 +151,4 @@
     pub health_check_cost: f64,
     /// Whether connections of one group share work on the backend that holds them.
     pub groups_share_work: bool,
-    /// Time from the shutdown signal within which all sessions have to end.
-    pub shutdown_timeout: Duration,
 }
--- a/tests/hedging.rs
+++ b/tests/hedging.rs
@@ -123,7 +123,7 @@
                 Shutdown => {
                     harness
                         .balancer
-                        .shut_down(harness.now, &mut harness.recorder);
+                        .shut_down(harness.now, ms(3_700), &mut harness.recorder);
                     harness.advance(ms(3_500));
                 }
             }
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -3,17 +3,12 @@
 
 use support::{Action, Harness, IDEMPOTENT, arrival, deployment, ms, ready_endpoints};
 use thistlecroft::attempt::AttemptOutcome;
-use thistlecroft::deployment::Deployment;
 
 #[test]
 fn shutdown_ends_all_sessions_in_steps() {
-    // Each case: the number of established connections, and the shutdown timeout in milliseconds.
+    // Each case: the number of established connections, and the time limit in milliseconds.
     for (established, timeout) in [(0, 3_700), (1, 3_700), (30, 3_700), (30, 1_900)] {
-        let deployment = Deployment {
-            shutdown_timeout: ms(timeout),
-            ..deployment(IDEMPOTENT)
-        };
-        let mut harness = Harness::new(deployment, &ready_endpoints(6));
+        let mut harness = Harness::new(deployment(IDEMPOTENT), &ready_endpoints(6));
         for id in 0..established {
             harness.arrive(id, arrival(u64::from(id), 0, ms(1_000)));
             harness.establish(id, 0);
@@ -25,7 +20,7 @@
         harness.end(101, 0, AttemptOutcome::Saturated, false);
         harness
             .balancer
-            .shut_down(harness.now, &mut harness.recorder);
+            .shut_down(harness.now, ms(timeout), &mut harness.recorder);
         // No connection is migrated at first: another relay may just have been stopped too, so that
         // clients would find no relay to reconnect to.
         harness.advance(ms(timeout * 2 / 5));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -132,7 +132,6 @@
         migration_cost: 0.0,
         health_check_cost: 0.0,
         groups_share_work: true,
-        shutdown_timeout: ms(3_700),
     }
 }
 
