Settings during a change: the shorter shutdown timeout holds

What could happen: SIGHUP adds a listener with a longer deadline, SIGTERM follows within the 1.2 s of the transition, and the platform kills by the settings that still bind. Cause: during_change_to takes the stricter of most limits, and took the later shutdown timeout as it was. Fix: the shorter of the two holds until the change is complete, which is in time by either count. Test, before the fix (shutdown_timeout_during_a_change_is_the_shorter_one): panicked at settings/src/tests.rs:247:5: left: [3.2 s, 1.7 s] right: [1.7 s, 1.7 s] (in microseconds) After: 20 of 20 passed, and 20 of 20 beside six busy loops.

--- a/settings/src/tests.rs
+++ b/settings/src/tests.rs
@@ -234,6 +234,22 @@
     }
 }
 
+/// Guards against a process that is killed before it has migrated its sessions: a shutdown during
+/// the change counts by the shorter of the two timeouts.
+#[test]
+fn shutdown_timeout_during_a_change_is_the_shorter_one() {
+    let settings = |timeout_us: &str| {
+        let keys = IDEMPOTENT.replace("1200000", timeout_us);
+        parse(settings_json(&[("a", &keys)], "3").as_bytes()).unwrap()
+    };
+    let (short, long) = (settings("1000000"), settings("2500000"));
+    let during_change = [short.during_change_to(&long), long.during_change_to(&short)];
+    assert_eq!(
+        during_change.map(|settings| settings.shutdown_timeout),
+        [Duration::from_millis(1_700); 2]
+    );
+}
+
 #[test]
 fn changes_name_each_limit_that_differs() {
     let keyed = |scope: &str, window: u32| {
--- a/settings/src/transition.rs
+++ b/settings/src/transition.rs
@@ -25,6 +25,7 @@
             }
         }
         both.drain_grace = self.drain_grace.min(later.drain_grace);
+        both.shutdown_timeout = self.shutdown_timeout.min(later.shutdown_timeout);
         both.deployment.may_hedge &= self.deployment.may_hedge;
         both.deployment.retry_budget =
             stricter_budget(self.deployment.retry_budget, later.deployment.retry_budget);
