SIGTERM without a successor: clients that connect late are accepted

Cause: whether a stopping process accepts was decided by where its socket came from, not by whether a successor serves. Fix: it accepts until its end unless it has handed over to a successor; if the successor is lost while new clients still come, it accepts again.

--- a/relay/src/service/hot_restart.rs
+++ b/relay/src/service/hot_restart.rs
@@ -14,8 +14,8 @@
 const MAX_PACKETS: usize = 32;
 
 impl Service {
-    /// Sends a snapshot of the balancer and starts to hand over the sessions, if there is a
-    /// successor.
+    /// Sends a snapshot of the balancer and leaves new clients and the sessions to the successor, if
+    /// there is one.
     pub(super) fn hand_over_to_successor(&mut self) {
         let Some(successor) = &self.hot_restart.successor else {
             return;
@@ -23,7 +23,10 @@
         let sent = send_snapshot(&self.balancer, &self.discovery.registry, successor)
             .and_then(|()| successor.send(&Message::Leaving, &[], &[]));
         match sent {
-            Ok(true) => self.sessions.start_handover(&mut self.io),
+            Ok(true) => {
+                self.sessions.stop_accepting();
+                self.sessions.start_handover(&mut self.io);
+            }
             Ok(false) => self.lose_successor("the successor does not read its messages"),
             Err(error) => self.lose_successor(&error.to_string()),
         }
@@ -72,6 +75,7 @@
             log::info!(target: LOG_TARGET, "the channel to the successor is closed: {reason}");
             self.io.sockets.set_open_in_other_process(0);
             self.sessions.cancel_handover(&mut self.io);
+            self.accept_without_successor();
         }
     }
 
--- a/relay/src/service/shutdown.rs
+++ b/relay/src/service/shutdown.rs
@@ -1,5 +1,5 @@
 //! The graceful shutdown, from the signal to the end of the process.
-use super::{LOG_TARGET, ListenerOrigin, Service};
+use super::{LOG_TARGET, Service};
 use crate::admin::connections::AdminConnections;
 use crate::driver::Event;
 use crate::timers::Timer;
@@ -34,20 +34,24 @@
         if let Some(peers) = &mut self.peers {
             peers.leave(now);
         }
-        match self.listener_origin {
-            ListenerOrigin::Inherited => {
-                self.sessions.stop_accepting();
-                self.hand_over_to_successor();
-            }
-            // Clients that are already connecting may not have been accepted yet for lack of an
-            // endpoint list, and no other process would answer them.
-            ListenerOrigin::Bound => self.sessions.start_accepting(),
-        }
+        // Clients that are already connecting may not have been accepted yet for lack of an endpoint
+        // list. Without a successor, no other process would answer them.
+        self.sessions.start_accepting();
+        self.hand_over_to_successor();
         for wait in [ACCEPT_AFTER_SIGNAL, time_limit] {
             self.io.timers.set(now + wait, Timer::Shutdown);
         }
     }
 
+    /// Accepts clients again if the successor was lost while a shutdown still expects new ones.
+    pub(super) fn accept_without_successor(&mut self) {
+        let shutdown = self.shutdown.as_ref();
+        let elapsed = shutdown.map(|shutdown| self.io.now.duration_since(shutdown.started));
+        if elapsed.is_some_and(|elapsed| elapsed < ACCEPT_AFTER_SIGNAL) {
+            self.sessions.start_accepting();
+        }
+    }
+
     /// Returns whether a shutdown has begun.
     pub(super) fn is_shutting_down(&self) -> bool {
         self.shutdown.is_some()
@@ -59,8 +63,7 @@
             return false;
         };
         let elapsed = self.io.now.duration_since(shutdown.started);
-        let still_accepts =
-            self.listener_origin == ListenerOrigin::Bound && elapsed < ACCEPT_AFTER_SIGNAL;
+        let still_accepts = self.sessions.is_accepting() && elapsed < ACCEPT_AFTER_SIGNAL;
         let admin_is_idle = self.admin.connections.iter().all(AdminConnections::is_idle);
         !still_accepts && self.sessions.is_empty() && admin_is_idle
             || elapsed >= shutdown.time_limit
--- a/relay/tests/operators.rs
+++ b/relay/tests/operators.rs
@@ -274,12 +274,46 @@
     }
 }
 
+/// Guards against clients that no process accepts, after a process on the platform's listening
+/// socket is told to stop and no other process has taken its place.
+#[test]
+fn client_connecting_after_sigterm_without_a_successor_is_answered() {
+    let (address, _received) = start_backend(BackendBehavior::Echo);
+    let host = new_host("no-successor", &[address]);
+    for has_lost_successor in [false, true] {
+        let mut process = host.start(new_program());
+        // They keep the process until its last step.
+        let mut clients = open_sessions(&process.relay, 5);
+        let channel = has_lost_successor.then(|| greet_as_successor(&host, "r0"));
+        process.wait_until_ready();
+        process.relay.suspend_while_polling();
+        process.relay.signal("TERM");
+        if let Some(channel) = channel {
+            // The shutdown and the end of the successor are handled in one turn.
+            drop(channel);
+        }
+        process.relay.signal("CONT");
+        process.relay.wait_for_log("told to stop");
+        let mut late = process.relay.open_session("safe", 1_000);
+        assert_eq!(
+            late.next_line(),
+            "UP receipt",
+            "lost a successor: {has_lost_successor}"
+        );
+        clients.push(late);
+        for client in &mut clients {
+            assert_eq!([client.next_line(), client.next_line()], ["MOVE", "end"]);
+        }
+        assert!(wait_for_exit(&mut process.relay.child).success());
+    }
+}
+
 /// Connects to the process that serves on this host, and sends the first message of a successor.
 fn greet_as_successor(host: &Host, relay: &str) -> Socket {
     let socket = Socket::new(Domain::UNIX, Type::SEQPACKET, None).unwrap();
     let path = host.folder().join("thistlecroft-next");
     socket.connect(&SockAddr::unix(path).unwrap()).unwrap();
-    let hello = format!("{{\"Hello\":{{\"version\":1,\"relay\":\"{relay}\"}}}}\n");
+    let hello = format!("{{\"Hello\":{{\"version\":2,\"relay\":\"{relay}\"}}}}\n");
     socket.send(hello.as_bytes()).unwrap();
     socket
 }
