Bans: what another process changed is announced whichever call read it

Cause: BanStore::set refreshes the list from the file and dropped the result, the only notice of a change; the next refresh then found nothing new, and registry and balancer were never told. Fix: refresh returns nothing that could be dropped; after each refresh and each command the store's bans are compared with what registry and balancer were last told, and the difference is told. Answers come from the store: ENABLE of a backend that the other process has just banned is 'back', was 'was not out'. The store's tests checked the dropped result; they compare the lists now.

--- a/relay/src/admin/commands.rs
+++ b/relay/src/admin/commands.rs
@@ -10,6 +10,7 @@
 use crate::peers::Peers;
 use crate::timers::Timer;
 use std::collections::BTreeSet;
+use thistlecroft::ids::BackendId;
 use thistlecroft::time::{Duration, Instant};
 
 /// How often the ban store is checked for changes by another process of this relay.
@@ -63,26 +64,32 @@
     /// Applies bans that another process has changed in the store.
     pub(crate) fn refresh_bans(&mut self, registry: &mut EndpointRegistry, io: &mut IoContext) {
         let Some(store) = &mut self.store else { return };
-        if store.refresh() {
-            let banned = store.list().banned.clone();
-            for name in self.banned.symmetric_difference(&banned) {
-                let is_banned = banned.contains(name);
-                let backend = registry.find_or_insert(name);
-                registry.set_banned(backend, is_banned);
-                io.events.push_back(Event::BanChanged(backend, is_banned));
-            }
-            log::info!(
-                "bans of another process taken over: {} out of use",
-                banned.len()
-            );
-            self.banned = banned;
-        }
+        store.refresh();
+        self.apply_stored_bans(registry, io);
         if io.now >= self.next_refresh {
             self.next_refresh = io.now + BAN_REFRESH_INTERVAL;
             io.timers.set(self.next_refresh, Timer::BanStore);
         }
     }
 
+    /// Notifies registry and balancer of each backend whose ban in the store differs from what they
+    /// were last notified of. It does not matter which call read the difference from the file.
+    fn apply_stored_bans(&mut self, registry: &mut EndpointRegistry, io: &mut IoContext) {
+        let stored = self.store.as_ref().map(|store| &store.list().banned);
+        let Some(stored) = stored.filter(|stored| **stored != self.banned) else {
+            return;
+        };
+        for name in self.banned.symmetric_difference(stored) {
+            let backend = registry.find_or_insert(name);
+            notify_of_ban(backend, stored.contains(name), registry, io);
+        }
+        log::info!(
+            "bans of another process taken over: {} out of use",
+            stored.len()
+        );
+        self.banned = stored.clone();
+    }
+
     /// Executes the commands of this turn. One that has to wait for the ban store is kept for a
     /// later turn, and so are those after it, except `READY`: commands are executed in the order in
     /// which operators sent them.
@@ -138,20 +145,24 @@
         let Some(backend) = registry.find(name) else {
             return Some(Err(AdminError::UnknownBackend(name.to_string())));
         };
-        if let Err(error) = self.store_ban(name, is_banned, io.now)? {
-            return Some(Err(error));
-        }
-        let has_changed = if is_banned {
-            self.banned.insert(name.to_string())
-        } else {
-            self.banned.remove(name)
+        let has_changed = match self.store_ban(name, is_banned, io.now)? {
+            Ok(has_changed) => has_changed,
+            Err(error) => return Some(Err(error)),
         };
         if has_changed {
             let state = if is_banned { "banned" } else { "unbanned" };
             log::info!("backend={name} is {state} by an operator's command");
-            registry.set_banned(backend, is_banned);
-            io.events.push_back(Event::BanChanged(backend, is_banned));
         }
+        let was_notified = if is_banned {
+            !self.banned.insert(name.to_string())
+        } else {
+            !self.banned.remove(name)
+        };
+        if !was_notified {
+            notify_of_ban(backend, is_banned, registry, io);
+        }
+        // The store may have read what another process changed before.
+        self.apply_stored_bans(registry, io);
         let response = match (is_banned, has_changed) {
             (true, true) => "out",
             (true, false) => "already out",
@@ -161,21 +172,22 @@
         Some(Ok(response.to_string()))
     }
 
-    /// Changes the ban in the store, if there is one. Returns `None` while another process has
-    /// locked the store, and an error once that has lasted for `LOCK_TIMEOUT`.
+    /// Changes the ban in the store, if there is one, and returns whether it was another before.
+    /// Returns `None` while another process has locked the store, and an error once that has lasted
+    /// for `LOCK_TIMEOUT`.
     fn store_ban(
         &mut self,
         name: &str,
         is_banned: bool,
         now: Instant,
-    ) -> Option<Result<(), AdminError>> {
+    ) -> Option<Result<bool, AdminError>> {
         let Some(store) = &mut self.store else {
-            return Some(Ok(()));
+            return Some(Ok(self.banned.contains(name) != is_banned));
         };
         match store.set(name, is_banned) {
-            Ok(()) => {
+            Ok(has_changed) => {
                 self.locked_since = None;
-                Some(Ok(()))
+                Some(Ok(has_changed))
             }
             Err(BanStoreError::Locked) => {
                 let since = *self.locked_since.get_or_insert(now);
@@ -200,6 +212,16 @@
     }
 }
 
+fn notify_of_ban(
+    backend: BackendId,
+    is_banned: bool,
+    registry: &mut EndpointRegistry,
+    io: &mut IoContext,
+) {
+    registry.set_banned(backend, is_banned);
+    io.events.push_back(Event::BanChanged(backend, is_banned));
+}
+
 fn readiness_response(readiness: Readiness) -> Result<String, AdminError> {
     readiness.check()?;
     Ok("ready".to_string())
@@ -213,3 +235,6 @@
     let peers = peers.as_mut().ok_or(AdminError::PeersOff)?;
     Ok(peers.execute(command, io)?)
 }
+
+#[cfg(test)]
+mod tests;
--- a/relay/src/bans/store.rs
+++ b/relay/src/bans/store.rs
@@ -75,30 +75,24 @@
         &self.list
     }
 
-    /// Reads the file if another process has written it since this one last read or wrote it.
-    /// Returns whether that changed the set of banned backends. A file that can't be read changes
-    /// nothing.
-    pub(crate) fn refresh(&mut self) -> bool {
+    /// Reads the file if another process has written it since this one last read or wrote it. A
+    /// file that can't be read changes nothing.
+    pub(crate) fn refresh(&mut self) {
         let Ok(metadata) = std::fs::metadata(&self.path) else {
-            return false;
+            return;
         };
         let version = Some(FileVersion::from(&metadata));
         if version == self.version {
-            return false;
+            return;
         }
         self.version = version;
         match self.read() {
-            Ok(list) => {
-                let has_changed = list.banned != self.list.banned;
-                self.list = list;
-                has_changed
-            }
+            Ok(list) => self.list = list,
             Err(error) => {
                 let path = self.path.display();
                 log::warn!(
                     "cannot read the ban list {path}: {error}; the bans known so far stay in force"
                 );
-                false
             }
         }
     }
@@ -108,22 +102,24 @@
         Ok(BanList::parse(&text, &self.relay)?)
     }
 
-    /// Bans a backend or ends its ban, for every process of this relay.
+    /// Bans a backend or ends its ban, for every process of this relay. Returns whether that changed
+    /// the list, which then also has what another process has changed before.
     ///
     /// # Errors
     /// Returns an error, and changes nothing, if the store is locked or can't be written.
-    pub(crate) fn set(&mut self, backend: &str, is_banned: bool) -> Result<(), BanStoreError> {
+    pub(crate) fn set(&mut self, backend: &str, is_banned: bool) -> Result<bool, BanStoreError> {
         let lock = self.lock()?;
         self.refresh();
         let mut list = self.list.clone();
-        if list.set(backend, is_banned) {
+        let has_changed = list.set(backend, is_banned);
+        if has_changed {
             std::fs::write(&self.temporary_path, list.encode(&self.relay))?;
             std::fs::rename(&self.temporary_path, &self.path)?;
             self.list = list;
             self.version = Some(FileVersion::from(&std::fs::metadata(&self.path)?));
         }
         drop(lock);
-        Ok(())
+        Ok(has_changed)
     }
 
     /// Locks the store until the returned file is dropped.
@@ -139,4 +135,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/relay/src/bans/store/tests.rs
+++ b/relay/src/bans/store/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the ban store, each in a folder of its own.
 use super::*;
 
-fn new_folder(name: &str) -> PathBuf {
+pub(crate) fn new_folder(name: &str) -> PathBuf {
     let name = format!("thistlecroft-ban-store-{}-{name}", std::process::id());
     let folder = std::env::temp_dir().join(name);
     let _ = std::fs::remove_dir_all(&folder);
@@ -14,16 +14,21 @@
     let folder = new_folder("two");
     let mut old = BanStore::new(&folder, "n3");
     let mut new = BanStore::new(&folder, "n3");
+    old.refresh();
     assert!(
-        !old.refresh() && old.list().banned.is_empty(),
+        old.list().banned.is_empty(),
         "a missing file is an empty list"
     );
     old.set("a", true).unwrap();
-    assert!(new.refresh() && !new.refresh());
+    for _ in 0..2 {
+        new.refresh();
+        assert_eq!(new.list(), old.list());
+        assert_eq!(new.list().banned.iter().collect::<Vec<_>>(), ["a"]);
+    }
     new.set("b", true).unwrap();
     // This store has not yet read what the other one wrote; its own change must not undo that.
     old.set("a", false).unwrap();
-    assert!(new.refresh());
+    new.refresh();
     assert_eq!(new.list(), old.list());
     assert_eq!(new.list().banned.iter().collect::<Vec<_>>(), ["b"]);
     // While another process holds the lock, a change fails and leaves the list as it was.
@@ -50,10 +55,11 @@
         std::fs::write(folder.join("thistlecroft-bans"), text).unwrap();
         std::fs::write(folder.join("thistlecroft-bans.fresh"), "half of a li").unwrap();
         let mut store = BanStore::new(&folder, "n3");
-        assert!(!store.refresh() && store.list().banned.is_empty(), "{name}");
+        store.refresh();
+        assert!(store.list().banned.is_empty(), "{name}");
         store.set("a", true).unwrap();
         let mut next = BanStore::new(&folder, "n3");
-        assert!(next.refresh());
+        next.refresh();
         let banned: Vec<_> = next.list().banned.iter().collect();
         assert_eq!(banned, ["a"], "{name}");
         std::fs::remove_dir_all(&folder).unwrap();
@@ -63,7 +69,8 @@
 #[test]
 fn ban_in_a_missing_folder_fails_and_changes_nothing() {
     let mut store = BanStore::new(Path::new("/nowhere/at/all"), "n3");
-    assert!(!store.refresh());
+    store.refresh();
+    assert!(store.list().banned.is_empty());
     assert!(
         matches!(store.set("a", true), Err(BanStoreError::Io(_))) && store.list().banned.is_empty()
     );
