Ban store compares contents, and reads again what it could not read

What callers would see: a backend that is out at one process of an upgrade stays in use at the other. Cause: refresh noted the file's version (inode, time, size) before it read the file. If it could not be opened just then, as without a free descriptor, it was never read again; and a file replaced within one tick of the clock by one of the same size and a reused inode counted as the same. Fix: the file is read each time, twenty times a second and a few hundred bytes, and the texts are compared.

--- a/relay/src/bans/store.rs
+++ b/relay/src/bans/store.rs
@@ -1,10 +1,9 @@
 //! The ban store: a file in `$TMPDIR` that the processes of one relay share. The file is replaced
 //! as a whole, under a file lock: if a process dies during a write, the former list stays and the
 //! system releases the lock.
-use crate::bans::list::{BanList, BanListError};
-use std::fs::{File, Metadata, OpenOptions, TryLockError};
+use crate::bans::list::BanList;
+use std::fs::{File, OpenOptions, TryLockError};
 use std::io;
-use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 
 /// The ban list as this process last read or wrote it.
@@ -15,28 +14,10 @@
     lock_path: PathBuf,
     relay: String,
     list: BanList,
-    /// The version that was last read or written; `None` until the file has been found.
-    version: Option<FileVersion>,
-}
-
-/// The metadata that tells one version of the file from another.
-#[derive(Clone, Copy, PartialEq, Eq)]
-struct FileVersion {
-    inode: u64,
-    modified_seconds: i64,
-    modified_nanos: i64,
-    size: u64,
-}
-
-impl From<&Metadata> for FileVersion {
-    fn from(metadata: &Metadata) -> FileVersion {
-        FileVersion {
-            inode: metadata.ino(),
-            modified_seconds: metadata.mtime(),
-            modified_nanos: metadata.mtime_nsec(),
-            size: metadata.size(),
-        }
-    }
+    /// The text that was last read or written; `None` until the file has been found.
+    text: Option<Vec<u8>>,
+    /// Whether the file could not be read the last time, so that each failure is logged once.
+    is_unreadable: bool,
 }
 
 /// Why a ban was not changed.
@@ -49,15 +30,6 @@
     Io(#[from] io::Error),
 }
 
-/// Why the ban list could not be read.
-#[derive(Debug, thiserror::Error)]
-enum ReadError {
-    #[error(transparent)]
-    Io(#[from] io::Error),
-    #[error(transparent)]
-    List(#[from] BanListError),
-}
-
 impl BanStore {
     /// Creates a store in this folder, without reading it yet.
     pub(crate) fn new(folder: &Path, relay: &str) -> BanStore {
@@ -67,7 +39,8 @@
             lock_path: folder.join("thistlecroft-bans.lock"),
             relay: relay.to_string(),
             list: BanList::default(),
-            version: None,
+            text: None,
+            is_unreadable: false,
         }
     }
 
@@ -75,31 +48,37 @@
         &self.list
     }
 
-    /// Reads the file if another process has written it since this one last read or wrote it. A
-    /// file that can't be read changes nothing.
+    /// Reads the list if another process has written it since this one last read or wrote it. The
+    /// texts are compared, since two versions of the file may agree in all metadata. A file that
+    /// can't be read at present changes nothing, and is read again the next time.
     pub(crate) fn refresh(&mut self) {
-        let Ok(metadata) = std::fs::metadata(&self.path) else {
-            return;
+        let text = match std::fs::read(&self.path) {
+            Ok(text) => text,
+            Err(error) => return self.record_unreadable(&error),
         };
-        let version = Some(FileVersion::from(&metadata));
-        if version == self.version {
+        self.is_unreadable = false;
+        if self.text.as_ref() == Some(&text) {
             return;
         }
-        self.version = version;
-        match self.read() {
+        match BanList::parse(&String::from_utf8_lossy(&text), &self.relay) {
             Ok(list) => self.list = list,
-            Err(error) => {
-                let path = self.path.display();
-                log::warn!(
-                    "cannot read the ban list {path}: {error}; the bans known so far stay in force"
-                );
-            }
+            Err(error) => self.log_unusable(&error),
+        }
+        self.text = Some(text);
+    }
+
+    fn record_unreadable(&mut self, error: &io::Error) {
+        // No process has banned a backend yet.
+        let is_expected = error.kind() == io::ErrorKind::NotFound;
+        if !is_expected && !self.is_unreadable {
+            self.log_unusable(error);
         }
+        self.is_unreadable = !is_expected;
     }
 
-    fn read(&self) -> Result<BanList, ReadError> {
-        let text = std::fs::read_to_string(&self.path)?;
-        Ok(BanList::parse(&text, &self.relay)?)
+    fn log_unusable(&self, error: &dyn std::error::Error) {
+        let path = self.path.display();
+        log::warn!("cannot read the ban list {path}: {error}; the bans known so far stay in force");
     }
 
     /// Bans a backend or ends its ban, for every process of this relay. Returns whether that changed
@@ -113,10 +92,10 @@
         let mut list = self.list.clone();
         let has_changed = list.set(backend, is_banned);
         if has_changed {
-            std::fs::write(&self.temporary_path, list.encode(&self.relay))?;
+            let text = list.encode(&self.relay).into_bytes();
+            std::fs::write(&self.temporary_path, &text)?;
             std::fs::rename(&self.temporary_path, &self.path)?;
-            self.list = list;
-            self.version = Some(FileVersion::from(&std::fs::metadata(&self.path)?));
+            (self.list, self.text) = (list, Some(text));
         }
         drop(lock);
         Ok(has_changed)
--- a/relay/src/bans/store/tests.rs
+++ b/relay/src/bans/store/tests.rs
@@ -75,3 +75,27 @@
         matches!(store.set("a", true), Err(BanStoreError::Io(_))) && store.list().banned.is_empty()
     );
 }
+
+/// Guards against a ban that is never learnt of, because the file was replaced by one of the same
+/// inode, time and size.
+#[test]
+fn change_that_leaves_the_metadata_as_they_were_is_read() {
+    let folder = new_folder("metadata");
+    let path = folder.join("thistlecroft-bans");
+    let list_of = |backend: &str| {
+        let mut list = BanList::default();
+        list.set(backend, true);
+        list.encode("n3")
+    };
+    std::fs::write(&path, list_of("a")).unwrap();
+    let mut store = BanStore::new(&folder, "n3");
+    store.refresh();
+    assert!(store.list().banned.contains("a"));
+    let modified = std::fs::metadata(&path).unwrap().modified().unwrap();
+    std::fs::write(&path, list_of("b")).unwrap();
+    let file = OpenOptions::new().append(true).open(&path).unwrap();
+    file.set_modified(modified).unwrap();
+    store.refresh();
+    assert_eq!(store.list().banned.iter().collect::<Vec<_>>(), ["b"]);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/relay/tests/operators.rs
+++ b/relay/tests/operators.rs
@@ -4,6 +4,7 @@
 
 use helper::host::{Host, RelayProcess, new_program, read_admin_response};
 use helper::*;
+use rustix::process::{Resource, Rlimit, getrlimit, prlimit};
 use socket2::{Domain, SockAddr, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -171,6 +172,26 @@
     third.assert_refused("DISABLE nobody");
 }
 
+/// Guards against a ban that is never learnt of, because the file could not be opened when the other
+/// process had just written it.
+#[test]
+fn ban_that_was_unreadable_at_first_is_applied_once_it_can_be_read() {
+    let host = new_host("unreadable", &[unused_address()]);
+    let old = host.start(new_program());
+    let new = host.start(new_program());
+    let no_descriptors = Rlimit {
+        current: Some(1),
+        ..getrlimit(Resource::Nofile)
+    };
+    let pid = rustix::process::Pid::from_child(&new.relay.child);
+    let former_limit = prlimit(Some(pid), Resource::Nofile, no_descriptors).unwrap();
+    old.assert_accepted("DISABLE b0");
+    new.relay.wait_for_log("cannot read the ban list");
+    prlimit(Some(pid), Resource::Nofile, former_limit).unwrap();
+    new.relay
+        .wait_for_log("bans of another process taken over: 1 out");
+}
+
 #[test]
 fn established_sessions_on_hot_restart_continue_at_the_successor() {
     let (address, received) = start_backend(BackendBehavior::Echo);
