Hot restart: a descriptor count that found the channel full is sent again

What could happen: two processes of an upgrade both count the same descriptors as free and go over the limit together. Cause: send_descriptor_count noted the count as sent whether or not the channel took it, and is silent until the count changes again. Fix: it is noted once no channel was full.

--- a/relay/src/hot_restart/channel.rs
+++ b/relay/src/hot_restart/channel.rs
@@ -196,4 +196,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(super) mod tests;
--- a/relay/src/hot_restart/channel/tests.rs
+++ b/relay/src/hot_restart/channel/tests.rs
@@ -7,10 +7,10 @@
 use thistlecroft::time::{Duration, Instant};
 
 /// The temporary folder of one test, removed when dropped.
-struct TestFolder(PathBuf);
+pub(crate) struct TestFolder(PathBuf);
 
 impl TestFolder {
-    fn new(name: &str) -> TestFolder {
+    pub(crate) fn new(name: &str) -> TestFolder {
         let name = format!("thistlecroft-{name}-{}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).unwrap();
@@ -25,13 +25,13 @@
 }
 
 /// Both ends of a new channel.
-struct ChannelPair {
-    predecessor: Channel,
-    successor: Channel,
+pub(crate) struct ChannelPair {
+    pub(crate) predecessor: Channel,
+    pub(crate) successor: Channel,
     _listener: SuccessorListener,
 }
 
-fn connect(folder: &TestFolder, sockets: &mut Sockets) -> ChannelPair {
+pub(crate) fn connect(folder: &TestFolder, sockets: &mut Sockets) -> ChannelPair {
     let mut listener = SuccessorListener::open(&folder.0, sockets).unwrap();
     let successor = connect_to_predecessor(&folder.0, sockets).unwrap();
     let predecessor = listener.accept(sockets).unwrap();
@@ -42,7 +42,7 @@
     }
 }
 
-fn new_sockets() -> Sockets {
+pub(crate) fn new_sockets() -> Sockets {
     Sockets::new(std::rc::Rc::new(polling::Poller::new().unwrap()))
 }
 
--- a/relay/src/hot_restart/state.rs
+++ b/relay/src/hot_restart/state.rs
@@ -93,11 +93,14 @@
         {
             return;
         }
-        for channel in channels() {
-            // A failure is ignored: reading from the channel shows whether the process has ended.
-            let _ = channel.send(&Message::OpenDescriptors { count }, &[], &[]);
+        let message = Message::OpenDescriptors { count };
+        let send = |channel: &Channel| channel.send(&message, &[], &[]);
+        // A full channel is tried again. An error is ignored: reading from the channel shows that the
+        // other process has ended.
+        let is_any_full = channels().map(send).any(|sent| matches!(sent, Ok(false)));
+        if !is_any_full {
+            self.sent_descriptor_count = count;
         }
-        self.sent_descriptor_count = count;
     }
 
     /// Accepts an offered session and holds it until the predecessor releases it.
@@ -127,3 +130,6 @@
         self.offered.remove(&serial)
     }
 }
+
+#[cfg(test)]
+mod tests;
