Hot restart: drains that the predecessor knows hold until discovery answers

Callers would see new sessions at a draining backend: an upgrade while discovery is silent, with a list in 'known' from before the drain. Cause: the old process was told of the drain and its successor was not; the two are one relay to the rule.

--- a/relay/src/discovery/registry.rs
+++ b/relay/src/discovery/registry.rs
@@ -46,6 +46,15 @@
         backend.is_leaving || backend.is_banned
     }
 
+    /// Returns true if the backend is draining or removed according to the lists so far.
+    pub(crate) fn is_leaving(&self, id: BackendId) -> bool {
+        self.backends[id.index()].is_leaving
+    }
+
+    pub(super) fn set_leaving(&mut self, id: BackendId) {
+        self.backends[id.index()].is_leaving = true;
+    }
+
     pub(crate) fn set_banned(&mut self, id: BackendId, is_banned: bool) {
         self.backends[id.index()].is_banned = is_banned;
     }
--- a/relay/src/discovery/watch.rs
+++ b/relay/src/discovery/watch.rs
@@ -11,6 +11,7 @@
 use crate::io_context::IoContext;
 use std::net::SocketAddr;
 use thistlecroft::endpoint::UpdateKind;
+use thistlecroft::ids::BackendId;
 use thistlecroft::random::Rng;
 use thistlecroft::time::{Duration, Instant};
 
@@ -124,6 +125,29 @@
         ))
     }
 
+    /// Stops using the backends that the predecessor of this process knows to be draining or
+    /// removed, until discovery has sent a list: the cached list may be older than these drains.
+    pub(crate) fn drain_known_to_predecessor<'a>(
+        &mut self,
+        names: impl Iterator<Item = &'a str>,
+        io: &mut IoContext,
+    ) {
+        if self.known_list() == KnownList::Received {
+            return;
+        }
+        let backends: Vec<BackendId> = names.filter_map(|name| self.registry.find(name)).collect();
+        for &backend in &backends {
+            self.registry.set_leaving(backend);
+        }
+        if !backends.is_empty() {
+            log::info!(
+                "discovery: backends are draining by the predecessor's list; backends={}",
+                backends.len()
+            );
+            io.events.push_back(Event::BackendsDraining(backends));
+        }
+    }
+
     /// Opens the watch, unless it is open or being opened.
     pub(crate) fn subscribe(&mut self, io: &mut IoContext) {
         self.start_attempt(Slot::Current, io);
--- a/relay/src/driver.rs
+++ b/relay/src/driver.rs
@@ -35,6 +35,8 @@
     /// The predecessor no longer accepts clients, or has ended.
     PredecessorEnded,
     Wake,
+    /// The predecessor knows that these backends are draining or removed.
+    BackendsDraining(Vec<BackendId>),
     /// The process ends after this time at the latest.
     ShutDown {
         time_limit: Duration,
@@ -135,6 +137,7 @@
         | Event::LatencyObserved(id, _)
         | Event::ResponseOverdue(id, _) => Some(*id),
         Event::EndpointsUpdated(..)
+        | Event::BackendsDraining(_)
         | Event::HealthChecked(..)
         | Event::Reconfigured(_)
         | Event::BanChanged(..)
@@ -153,6 +156,7 @@
 ) {
     match event {
         Event::EndpointsUpdated(kind, endpoints) => balancer.update_endpoints(kind, &endpoints),
+        Event::BackendsDraining(backends) => balancer.drain_backends(&backends),
         Event::SessionArrived(id, arrival) => balancer.session_arrived(now, id, arrival, recorder),
         Event::SessionInherited(id, backend, arrival) => {
             balancer.session_inherited(now, id, backend, arrival, recorder);
--- a/relay/src/hot_restart/channel/tests.rs
+++ b/relay/src/hot_restart/channel/tests.rs
@@ -82,7 +82,7 @@
             let position = names.iter().position(|known| known == name);
             BackendId(position.unwrap() as u32)
         };
-        let message = SnapshotMessage::new(&sent, |id| &names[id.0 as usize]);
+        let message = SnapshotMessage::new(&sent, |id| &names[id.0 as usize], |_| false);
         for part in message.into_parts() {
             assert!(
                 channels
--- a/relay/src/hot_restart/messages.rs
+++ b/relay/src/hot_restart/messages.rs
@@ -78,6 +78,13 @@
     /// The slow-start period, and the number of sessions placed within it.
     #[serde(rename = "cold_turn")]
     slow_start_use: Option<(u64, u32)>,
+    /// Whether the backend is draining or removed; absent in packets of earlier versions.
+    #[serde(default, rename = "leaving", skip_serializing_if = "is_false")]
+    is_leaving: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// A load report and the time of its arrival.
@@ -128,10 +135,15 @@
     pub(crate) fn new<'a>(
         snapshot: &BalancerSnapshot,
         name: impl Fn(BackendId) -> &'a str,
+        is_leaving: impl Fn(BackendId) -> bool,
     ) -> SnapshotMessage {
-        let endpoints = snapshot.endpoints.iter();
-        let endpoints =
-            endpoints.map(|(id, statistics)| EndpointMessage::new(name(*id), statistics));
+        let endpoints = snapshot.endpoints.iter().map(|(id, statistics)| {
+            let message = EndpointMessage::new(name(*id), statistics);
+            EndpointMessage {
+                is_leaving: is_leaving(*id),
+                ..message
+            }
+        });
         SnapshotMessage {
             endpoints: endpoints.collect(),
             connect_time_us: snapshot.connect_time.as_micros(),
@@ -156,6 +168,12 @@
         parts
     }
 
+    /// Returns the names of the backends that are draining or removed.
+    pub(crate) fn leaving_backends(&self) -> impl Iterator<Item = &str> {
+        let leaving = self.endpoints.iter().filter(|endpoint| endpoint.is_leaving);
+        leaving.map(|endpoint| endpoint.backend.as_str())
+    }
+
     pub(crate) fn to_snapshot(&self, mut id: impl FnMut(&str) -> BackendId) -> BalancerSnapshot {
         let endpoints = self.endpoints.iter();
         let endpoints = endpoints.map(|endpoint| (id(&endpoint.backend), endpoint.to_statistics()));
@@ -182,6 +200,7 @@
             ejections: statistics.ejections,
             pending_health_checks: statistics.pending_health_checks,
             slow_start_use: statistics.slow_start_use,
+            is_leaving: false,
         }
     }
 
--- a/relay/src/hot_restart/messages/tests.rs
+++ b/relay/src/hot_restart/messages/tests.rs
@@ -34,6 +34,7 @@
         ejections: 2,
         pending_health_checks: 11,
         slow_start_use: Some((5, 1)),
+        is_leaving: false,
     });
     SnapshotMessage {
         endpoints: endpoints.to_vec(),
@@ -47,7 +48,10 @@
 fn encoded_packet_is_decoded_unchanged() {
     let snapshot = snapshot();
     let restored = snapshot.to_snapshot(|_| BackendId(4));
-    assert_eq!(SnapshotMessage::new(&restored, |_| "b"), snapshot);
+    assert_eq!(
+        SnapshotMessage::new(&restored, |_| "b", |_| false),
+        snapshot
+    );
     let messages = [
         Message::Hello {
             version: VERSION,
--- a/relay/src/service/actions.rs
+++ b/relay/src/service/actions.rs
@@ -57,7 +57,9 @@
             trace::log_event(&event, &self.discovery.registry);
             outcome.backends_drained_or_banned |= matches!(
                 event,
-                Event::EndpointsUpdated(..) | Event::BanChanged(_, true)
+                Event::EndpointsUpdated(..)
+                    | Event::BackendsDraining(_)
+                    | Event::BanChanged(_, true)
             );
             let mut recorder = ActionRecorder {
                 actions: &mut self.actions,
--- a/relay/src/service/hot_restart.rs
+++ b/relay/src/service/hot_restart.rs
@@ -176,9 +176,11 @@
     }
 
     fn handle_predecessor_message(&mut self, packet: ReceivedPacket) {
-        let registry = &mut self.discovery.registry;
         match packet.message {
             Message::Snapshot(message) => {
+                self.discovery
+                    .drain_known_to_predecessor(message.leaving_backends(), &mut self.io);
+                let registry = &mut self.discovery.registry;
                 let snapshot = message.to_snapshot(|name| registry.find_or_insert(name));
                 self.io.events.push_back(Event::SnapshotReceived(snapshot));
             }
@@ -252,7 +254,11 @@
     registry: &EndpointRegistry,
     successor: &Channel,
 ) -> io::Result<()> {
-    let snapshot = SnapshotMessage::new(&balancer.snapshot(), |id| registry.name(id));
+    let snapshot = SnapshotMessage::new(
+        &balancer.snapshot(),
+        |id| registry.name(id),
+        |id| registry.is_leaving(id),
+    );
     for part in snapshot.into_parts() {
         successor.send(&Message::Snapshot(part), &[], &[])?;
     }
--- a/relay/src/trace.rs
+++ b/relay/src/trace.rs
@@ -51,6 +51,7 @@
         | Event::LatencyObserved(..)
         | Event::ResponseOverdue(..)
         | Event::Reconfigured(_)
+        | Event::BackendsDraining(_)
         | Event::SnapshotReceived(_)
         | Event::PredecessorEnded
         | Event::Wake
--- a/relay/tests/helper/host.rs
+++ b/relay/tests/helper/host.rs
@@ -216,6 +216,15 @@
         Host::with_list(name, discovery, "null".into())
     }
 
+    /// Creates a host whose relays have a discovery agent and know these backends at the start.
+    pub(crate) fn with_cached_list(
+        name: &str,
+        discovery: SocketAddr,
+        backends: &[SocketAddr],
+    ) -> Host {
+        Host::with_list(name, discovery, ready_backends(backends))
+    }
+
     fn with_list(name: &str, discovery: SocketAddr, backends: String) -> Host {
         let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
         // Each process that is started inherits the socket.
--- a/relay/tests/operators.rs
+++ b/relay/tests/operators.rs
@@ -192,6 +192,36 @@
         .wait_for_log("bans of another process taken over: 1 out");
 }
 
+/// Guards against sessions sent to a draining backend by a new process whose cached list is older
+/// than the drain, while discovery does not answer it.
+#[test]
+fn drain_known_to_the_predecessor_holds_until_discovery_answers_the_successor() {
+    let (first, at_first) = start_backend(BackendBehavior::Echo);
+    let (second, _at_second) = start_backend(BackendBehavior::Echo);
+    let endpoints = [("b0", first, "Terminating"), ("b1", second, "Ready")];
+    // Only the first request, that of the old process, is answered.
+    let (discovery, _requests) = start_discovery(vec![WatchScript {
+        pieces: vec![
+            RESPONSE_HEAD.into(),
+            chunk(&endpoint_list(2, true, &endpoints)),
+        ],
+        ends: false,
+    }]);
+    let host = Host::with_cached_list("operators-drain", discovery, &[first, second]);
+    let mut old = host.start(new_program());
+    old.relay.wait_for_counter("lists", 1);
+    let new = host.start(new_program());
+    old.relay.signal("TERM");
+    assert!(wait_for_exit(&mut old.relay.child).success());
+    new.relay
+        .wait_for_log("the channel to the predecessor is closed");
+    // The draining backend is the only one left.
+    new.assert_accepted("DISABLE b1");
+    let answer = new.relay.open_session("safe", 1_000).next_line();
+    assert!(answer.starts_with("BUSY"), "{answer}");
+    assert!(at_first.try_recv().is_err());
+}
+
 #[test]
 fn established_sessions_on_hot_restart_continue_at_the_successor() {
     let (address, received) = start_backend(BackendBehavior::Echo);
--- a/src/balancer/endpoints.rs
+++ b/src/balancer/endpoints.rs
@@ -33,6 +33,15 @@
         }
     }
 
+    /// Stops sending new sessions to backends that drain, until the endpoint list says otherwise.
+    pub fn drain_backends(&mut self, backends: &[BackendId]) {
+        for backend_id in backends {
+            if let Some(backend) = self.backends.get_mut(backend_id) {
+                backend.endpoint.state = EndpointState::Draining;
+            }
+        }
+    }
+
     fn remove_unlisted(&mut self, endpoints: &[Endpoint]) {
         let listed: BTreeSet<BackendId> = endpoints.iter().map(|listed| listed.backend).collect();
         for (backend_id, backend) in &mut self.backends {
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -8,6 +8,7 @@
 //! | event | what follows | module |
 //! | --- | --- | --- |
 //! | [`update_endpoints`](Balancer::update_endpoints) | backends become ready, drain or are removed | `endpoints` |
+//! | [`drain_backends`](Balancer::drain_backends) | these take no new sessions | `endpoints` |
 //! | [`discovery_failed`](Balancer::discovery_failed) | a new subscription after a backoff | `endpoints` |
 //! | [`set_banned`](Balancer::set_banned) | the backend takes no new sessions, or starts afresh | `endpoints` |
 //! | [`session_arrived`](Balancer::session_arrived) | an attempt, or a rejection | `sessions` |
