--- a/settings/tests/golden.rs
+++ b/settings/tests/golden.rs
@@ -287,6 +287,7 @@
 /// Optional keys of the retry budget: a platform without a budget states none of them.
 const RETRY_BUDGET: &[&str] = &["/invariants/extraFree", "/invariants/repeatRatio"];
 
+/// Guards against a default, which may be less strict, in place of a value that a broken file lost.
 #[test]
 fn later_settings_without_a_stated_key_are_rejected_by_name() {
     let parse = |settings: &Value| {
