Review case 9: an upgrade right after a SIGHUP sends once-only sessions twice

A SIGHUP makes a once-only class repeatable. For 1.2 s the old rules bind, and the process that got the signal keeps to them; a new process that is started beside it goes by the new settings at once.

The backends of the stand-ins take a number of failing ones now, for case 7 still one of five.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -8,6 +8,7 @@
 mod record;
 mod relay;
 mod settings;
+mod upgrade;
 
 use record::Record;
 use std::process::exit;
@@ -36,6 +37,7 @@
     let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match name.as_str() {
         "descriptors" => descriptors::run(&record, trouble),
         "epochs" => epochs::run(&record, trouble),
+        "upgrade" => upgrade::run(&record, trouble),
         "settings" => settings::run(&record, trouble),
         _ => Err(format!("there is no case {name}")),
     }));
--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -2,10 +2,10 @@
 use crate::record::Record;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// A request that arrived at a backend, and what the backend answered.
 #[derive(Clone)]
@@ -19,8 +19,8 @@
 pub struct Backends {
     pub addresses: Vec<SocketAddr>,
     pub arrived: Mutex<Vec<Arrived>>,
-    /// The backend that fails quickly, if any: it answers nine in ten requests with `ERR`.
-    pub failing: Mutex<Option<usize>>,
+    /// How many backends fail quickly, the first ones: they answer nine in ten requests with `ERR`.
+    pub failing: AtomicUsize,
     requests: AtomicUsize,
     record: Arc<Record>,
 }
@@ -33,7 +33,7 @@
         let backends = Arc::new(Backends {
             addresses: listeners.iter().map(|listener| listener.local_addr().unwrap()).collect(),
             arrived: Mutex::default(),
-            failing: Mutex::default(),
+            failing: AtomicUsize::new(0),
             requests: AtomicUsize::new(0),
             record,
         });
@@ -95,7 +95,7 @@
     }
 
     fn open(&self, backend: usize, line: &str) -> &'static str {
-        let fails = *self.failing.lock().unwrap() == Some(backend)
+        let fails = backend < self.failing.load(Ordering::SeqCst)
             && self.requests.fetch_add(1, Ordering::SeqCst) % 10 != 9;
         let answer = if fails { "ERR" } else { "UP" };
         let id = line.split(' ').nth(1).unwrap_or_default().to_string();
@@ -170,20 +170,3 @@
         }
     }
 }
-
-/// Waits until `condition` holds.
-#[allow(dead_code)]
-pub fn wait_for(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
-    let until = Instant::now() + limit;
-    while Instant::now() < until {
-        if condition() {
-            return true;
-        }
-        thread::sleep(Duration::from_millis(20));
-    }
-    condition()
-}
-
-/// A flag that threads share.
-#[allow(dead_code)]
-pub type Flag = Arc<AtomicBool>;
--- a/review/standins-2/relay.rs
+++ b/review/standins-2/relay.rs
@@ -4,6 +4,8 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
+use std::os::fd::{AsRawFd, RawFd};
+use std::os::unix::process::CommandExt;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -11,13 +13,17 @@
 
 pub const HANGUP: i32 = 1;
 pub const KILL: i32 = 9;
-#[allow(dead_code)]
 pub const TERMINATE: i32 = 15;
 
 extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn dup2(from: i32, to: i32) -> i32;
 }
 
+/// The descriptor at which each process inherits the clients' listening socket that the platform
+/// holds.
+const PASSED_DESCRIPTOR: RawFd = 7;
+
 /// All processes that were started and not yet waited for, and the temporary folder.
 static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
@@ -85,9 +91,38 @@
     folder: PathBuf,
     process: Option<u32>,
     starts: u32,
+    /// The clients' listening socket, if the platform holds it, and the `$TMPDIR` that all
+    /// processes then share.
+    passed: Option<(Arc<TcpListener>, PathBuf)>,
 }
 
 impl Relay {
+    /// A relay whose listening socket the platform holds.
+    pub fn with_passed_socket(name: &str) -> Relay {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut relay = Relay::new(name);
+        relay.listen = listener.local_addr().unwrap();
+        let temporary = relay.folder.join("tmp");
+        fs::create_dir_all(&temporary).unwrap();
+        relay.passed = Some((Arc::new(listener), temporary));
+        relay
+    }
+
+    /// Another process of this relay, with an admin address and files of its own.
+    pub fn successor(&self) -> Relay {
+        let folder = self.folder.join("next");
+        fs::create_dir_all(&folder).unwrap();
+        Relay {
+            name: self.name.clone(),
+            listen: self.listen,
+            admin: free_address(),
+            folder,
+            process: None,
+            starts: 0,
+            passed: self.passed.clone(),
+        }
+    }
+
     pub fn new(name: &str) -> Relay {
         let folder = folder().join(name);
         fs::create_dir_all(&folder).unwrap();
@@ -98,6 +133,7 @@
             folder,
             process: None,
             starts: 0,
+            passed: None,
         }
     }
 
@@ -132,6 +168,17 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log);
+        if let Some((listener, temporary)) = &self.passed {
+            let descriptor = listener.as_raw_fd();
+            command.env("TMPDIR", temporary).env("ROUTER_PASSED_SOCKET", PASSED_DESCRIPTOR.to_string());
+            // SAFETY: the closure calls dup2 alone, which may be called between fork and exec.
+            unsafe {
+                command.pre_exec(move || match dup2(descriptor, PASSED_DESCRIPTOR) {
+                    PASSED_DESCRIPTOR => Ok(()),
+                    _ => Err(std::io::Error::last_os_error()),
+                });
+            }
+        }
         if let Some(path) = operator_config {
             command.env("THISTLECROFT_OPERATOR_CONFIG", path);
         }
--- a/review/standins-2/settings.rs
+++ b/review/standins-2/settings.rs
@@ -6,23 +6,24 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
-const LIMITS: &str = r#"{"cores":1.0,"memory_mb":64,"sockets":512}"#;
+pub const LIMITS: &str = r#"{"cores":1.0,"memory_mb":64,"sockets":512}"#;
 /// The example of an operator configuration that comes with the program. It has routes for
 /// `slot-hold`, `slot-view` and `queue-view`.
 const OPERATOR_CONFIG: &str = "deploy/charter.example.toml";
 const SESSIONS: usize = 60;
 
-fn class(name: &str, deadline_ms: u32, target_ms: u32, effect: &str, utility: u32) -> String {
+pub fn class(name: &str, deadline_ms: u32, target_ms: u32, effect: &str, utility: u32) -> String {
     format!(
         "{{\"name\":\"{name}\",\"deadlineUs\":{deadline_ms}000,\"handshakeTargetUs\":{target_ms}000,\
          \"effect\":\"{effect}\",\"utility\":{utility}.0}}"
     )
 }
 
-fn settings(classes: &[String]) -> String {
+pub fn settings(classes: &[String]) -> String {
     let targets = vec!["60000"; classes.len()].join(",");
     format!(
         "{{\"az\":0,\"zones\":[\"a\"],\"balancers\":1,\"me\":0,\"tickUs\":2000,\"discovery\":\"automatic\",\
@@ -64,7 +65,7 @@
     // The rules of the new settings bind 1.2 s after SIGHUP.
     thread::sleep(Duration::from_millis(2000));
     record.note("backend s-0 fails quickly from now on: ERR for nine in ten of its requests".into());
-    *backends.failing.lock().unwrap() = Some(0);
+    backends.failing.store(1, Ordering::SeqCst);
     let mut standing = Vec::new();
     for number in 0..SESSIONS {
         let line = format!("OPEN {:016x} {:016x} c=slot-hold,d=1200", 0x5e55_0000 + number, 0xc11e_0000 + number);
@@ -95,6 +96,13 @@
     for line in relay.log().lines().filter(|line| line.contains("reload") || line.contains("in force")) {
         record.note(format!("relay log: {line}"));
     }
+    let repeated = repeated_runs(&backends, record)?;
+    Ok(if repeated == 0 { Verdict::Held } else { Verdict::Broken })
+}
+
+/// Notes the once-only sessions that were sent again after a dial that may have run, and returns
+/// their number.
+pub fn repeated_runs(backends: &Backends, record: &Record) -> Result<usize, String> {
     let mut runs: BTreeMap<String, Vec<String>> = BTreeMap::new();
     for arrived in backends.arrived.lock().unwrap().iter() {
         let run = format!("s-{} ({})", arrived.backend, arrived.answer);
@@ -108,5 +116,5 @@
     for (id, runs) in &repeated {
         record.note(format!("once-only session {id} was sent {} times: {}", runs.len(), runs.join(", then ")));
     }
-    Ok(if repeated.is_empty() { Verdict::Held } else { Verdict::Broken })
+    Ok(repeated.len())
 }
