Relay: the log tells who holds the descriptors, and that accepting waits for one

Change: open sockets are counted by kind. SIGUSR1 logs a line `descriptors: clients= attempts= health_checks= others=, other_process=, session_limit=`; the counter accept_pauses and a debug line tell of each pause for want of a descriptor.

--- a/relay/src/counters.rs
+++ b/relay/src/counters.rs
@@ -27,5 +27,5 @@
     // Health checks, lines in either direction, and endpoint lists.
     probes, probes_failed, lines_up, lines_down, lists, list_failures,
     // Shortages of descriptors and buffers, hot restarts, admin commands, and caught panics.
-    accept_failures, starved, handed, adopted, calls, calls_denied, panics,
+    accept_failures, accept_pauses, starved, handed, adopted, calls, calls_denied, panics,
 }
--- a/relay/src/service/signals.rs
+++ b/relay/src/service/signals.rs
@@ -81,6 +81,13 @@
             "statistics: open_sessions={sessions} ({generations}), banned_backends={banned}; {}",
             self.io.counters
         );
+        log::info!(
+            target: LOG_TARGET,
+            "descriptors: {}, other_process={}, session_limit={}",
+            self.io.sockets.open_counts(),
+            self.io.sockets.open_count_in_other_process(),
+            self.sessions.descriptor_limit()
+        );
         self.peers.iter().for_each(Peers::log_member_counts);
     }
 }
--- a/relay/src/session/listener.rs
+++ b/relay/src/session/listener.rs
@@ -75,6 +75,12 @@
     /// sooner.
     pub(super) fn pause_for_descriptor(&mut self, io: &mut IoContext) {
         self.awaits_descriptor = true;
+        io.counters.accept_pauses += 1;
+        log::debug!(
+            "accepting is paused until a descriptor is free; {}, other_process={}",
+            io.sockets.open_counts(),
+            io.sockets.open_count_in_other_process()
+        );
         self.pause(io);
     }
 
--- a/relay/src/session/table.rs
+++ b/relay/src/session/table.rs
@@ -56,6 +56,11 @@
         self.sessions.len()
     }
 
+    /// Returns the number of descriptors up to which sessions are served.
+    pub(crate) fn descriptor_limit(&self) -> usize {
+        self.shared.max_descriptors
+    }
+
     /// Replaces the protocol settings and routes, for sessions that are opened from now on.
     pub(crate) fn reconfigure(&mut self, protocol_settings: ProtocolSettings, routes: RouteTable) {
         let is_changed = self.shared.protocol_settings.listeners != protocol_settings.listeners
--- a/relay/src/sockets.rs
+++ b/relay/src/sockets.rs
@@ -1,8 +1,11 @@
 //! Sockets registered with the poller. Each has an owner, a key that is not used again, and the
 //! readiness that it waits for.
+mod open_counts;
+
+use open_counts::{OpenCounts, SocketKind};
+
 use polling::{Event, PollMode, Poller};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
-use std::cell::Cell;
 use std::io::{Read, Result, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd, RawFd};
@@ -89,7 +92,7 @@
 /// Opens sockets, and counts those that are open.
 pub(crate) struct Sockets {
     poller: Rc<Poller>,
-    open_sockets: Rc<Cell<usize>>,
+    open_counts: Rc<OpenCounts>,
     open_in_other_process: usize,
     serial: u32,
 }
@@ -98,7 +101,7 @@
     pub(crate) fn new(poller: Rc<Poller>) -> Sockets {
         Sockets {
             poller,
-            open_sockets: Rc::default(),
+            open_counts: Rc::default(),
             open_in_other_process: 0,
             serial: 0,
         }
@@ -112,7 +115,17 @@
 
     /// Returns the number of open sockets of this process.
     pub(crate) fn open_count_in_this_process(&self) -> usize {
-        self.open_sockets.get()
+        self.open_counts.total()
+    }
+
+    /// Returns the numbers of open sockets of this process, by kind.
+    pub(crate) fn open_counts(&self) -> &OpenCounts {
+        &self.open_counts
+    }
+
+    /// Returns the number of sockets that the other process of this relay has open.
+    pub(crate) fn open_count_in_other_process(&self) -> usize {
+        self.open_in_other_process
     }
 
     /// Sets the number of sockets that the other process of this relay has open.
@@ -123,10 +136,12 @@
     /// Registers a descriptor, which must stay open as long as the registration exists.
     pub(crate) fn register(&mut self, owner: SocketOwner, descriptor: RawFd) -> Registration {
         self.serial = self.serial.wrapping_add(1);
-        self.open_sockets.set(self.open_sockets.get() + 1);
+        let kind = SocketKind::of(owner);
+        self.open_counts.opened(kind);
         Registration {
             poller: self.poller.clone(),
-            open_sockets: self.open_sockets.clone(),
+            open_counts: self.open_counts.clone(),
+            kind,
             descriptor,
             key: key_of(owner, self.serial),
             interest: None,
@@ -210,7 +225,8 @@
 /// The registration of a descriptor with the poller, which ends when it is dropped.
 pub(crate) struct Registration {
     poller: Rc<Poller>,
-    open_sockets: Rc<Cell<usize>>,
+    open_counts: Rc<OpenCounts>,
+    kind: SocketKind,
     descriptor: RawFd,
     key: usize,
     /// `None` while the descriptor is not registered with the poller.
@@ -260,7 +276,7 @@
 impl Drop for Registration {
     fn drop(&mut self) {
         self.set_interest(false, false);
-        self.open_sockets.set(self.open_sockets.get() - 1);
+        self.open_counts.closed(self.kind);
     }
 }
 
