Health checks give their descriptors to sessions; a client is answered if one can be freed

Cause: a health check opened a connection without regard to the limit on descriptors and kept it for the idle time, and no session could ever take it back. Eight beyond the session limit the relay neither shed nor rejected: accepting paused, with nobody to say BUSY.

Change: one budget, relay/src/descriptors.rs. Eight connections of checks don't count; beyond these a check opens one only below the session limit, and at the limit replaces the one idle for longest. Sessions, accepted clients and sessions adopted from a predecessor close connections of checks until they have a descriptor, idle ones first; a check given up so is not reported. The pool of checks moved to the context that every step has. New counters probes_skipped and probes_closed.

Why it works: the descriptors beyond the limit are clients' alone again, and whatever a check holds beyond eight can be freed at the moment at which it is needed.

--- a/relay/src/admin/commands/tests.rs
+++ b/relay/src/admin/commands/tests.rs
@@ -1,10 +1,8 @@
 //! Tests of bans that two processes of one relay make in turn, each through its own store.
 use super::*;
 use crate::bans::store::tests::new_folder;
-use crate::sockets::Sockets;
-use crate::timers::Clock;
+use crate::io_context::tests::io_context;
 use std::path::Path;
-use std::rc::Rc;
 
 /// The admin commands of one process, with what they notify.
 struct Process {
@@ -16,8 +14,7 @@
 impl Process {
     /// Starts a process that knows the backends `b0`, `b1` and `b2`.
     fn start(folder: &Path) -> Process {
-        let poller = Rc::new(polling::Poller::new().unwrap());
-        let mut io = IoContext::new(Clock::start().now(), Sockets::new(poller), 0);
+        let mut io = io_context(0);
         let mut registry = EndpointRegistry::new(Vec::new(), Default::default());
         for name in ["b0", "b1", "b2"] {
             registry.find_or_insert(name);
--- a/relay/src/counters.rs
+++ b/relay/src/counters.rs
@@ -25,7 +25,7 @@
     dials, dials_full, dials_error, dials_timeout, dials_unreachable, dials_reset, dials_withdrawn,
     dials_never_sent,
     // Health checks, lines in either direction, and endpoint lists.
-    probes, probes_failed, lines_up, lines_down, lists, list_failures,
+    probes, probes_failed, probes_skipped, probes_closed, lines_up, lines_down, lists, list_failures,
     // Shortages of descriptors and buffers, hot restarts, admin commands, and caught panics.
     accept_failures, accept_pauses, starved, handed, adopted, calls, calls_denied, panics,
 }
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -5,6 +5,7 @@
 mod bans;
 mod buffers;
 mod counters;
+mod descriptors;
 mod discovery;
 mod driver;
 mod health_check;
--- a/relay/src/service/actions.rs
+++ b/relay/src/service/actions.rs
@@ -3,6 +3,7 @@
 use crate::admin::protocol::Readiness;
 use crate::discovery::watch::KnownList;
 use crate::driver::{Action, ActionRecorder, Event, deliver_event};
+use crate::health_check;
 use crate::trace;
 use thistlecroft::ids::SessionId;
 
@@ -90,8 +91,7 @@
             Action::Fail(session) => self.sessions.fail(session, io),
             Action::Migrate(session) => self.sessions.migrate(session, io),
             Action::CheckHealth(backend) => {
-                self.health_checks
-                    .start(backend, registry.address(backend), io);
+                health_check::start(backend, registry.address(backend), io);
             }
             // This opens no second subscription: one is always open or about to be.
             Action::Subscribe => self.discovery.subscribe(io),
--- a/relay/src/service/event_loop.rs
+++ b/relay/src/service/event_loop.rs
@@ -2,6 +2,7 @@
 //! collected events to the balancer.
 use super::{LOG_TARGET, Service};
 use crate::driver::Event;
+use crate::health_check;
 use crate::sockets::{SocketOwner, owner_of};
 use crate::timers::Timer;
 use polling::Events;
@@ -117,7 +118,7 @@
             SocketOwner::HealthCheck(id) => {
                 let backend = BackendId(id);
                 let address = registry.address(backend);
-                self.health_checks.handle_event(backend, key, address, io);
+                health_check::handle_event(backend, key, address, io);
             }
             SocketOwner::Signals => self.handle_signals(),
             SocketOwner::Discovery => {
@@ -155,7 +156,7 @@
             Timer::ResponseOverdue(id) => self.sessions.response_timer_fired(id, io),
             Timer::IdleTimeout(id) => self.sessions.idle_timer_fired(id, io),
             Timer::RetryInherited(id) => self.sessions.retry_inherited(id, registry, io),
-            Timer::HealthCheck(id, serial) => self.health_checks.timer_fired(id, serial, io),
+            Timer::HealthCheck(id, serial) => health_check::timer_fired(id, serial, io),
             Timer::Discovery => self.discovery.handle_timer(io),
             Timer::StartAccepting => self.accept_clients_when_ready(),
             Timer::AdminConnection(id) => {
--- a/relay/src/service/hot_restart.rs
+++ b/relay/src/service/hot_restart.rs
@@ -5,6 +5,7 @@
 use crate::hot_restart::channel::{Channel, Received, ReceivedPacket};
 use crate::hot_restart::messages::{Message, SnapshotMessage, VERSION};
 use crate::hot_restart::state::OfferedSession;
+use crate::session::table::Sessions;
 use std::io;
 use std::ops::ControlFlow;
 use std::os::fd::OwnedFd;
@@ -40,6 +41,13 @@
         self.hot_restart.send_descriptor_count(count, least_change);
     }
 
+    /// Notes the number of descriptors that the other process has open. The processes share one
+    /// limit; at the limit, health checks of this process leave their descriptors to both.
+    fn set_open_in_other_process(&mut self, count: usize) {
+        self.io.sockets.set_open_in_other_process(count);
+        self.io.claim_descriptor();
+    }
+
     /// Offers established sessions to the successor, if there is one.
     pub(super) fn offer_sessions(&mut self) {
         let Some(successor) = &self.hot_restart.successor else {
@@ -136,7 +144,7 @@
                 }
                 send_snapshot(&self.balancer, &self.discovery.registry, successor)?;
             }
-            Message::OpenDescriptors { count } => self.io.sockets.set_open_in_other_process(count),
+            Message::OpenDescriptors { count } => self.set_open_in_other_process(count),
             Message::Accepted { serial } => {
                 self.sessions
                     .handover_accepted(serial, successor, &mut self.io)?;
@@ -184,7 +192,7 @@
                 let snapshot = message.to_snapshot(|name| registry.find_or_insert(name));
                 self.io.events.push_back(Event::SnapshotReceived(snapshot));
             }
-            Message::OpenDescriptors { count } => self.io.sockets.set_open_in_other_process(count),
+            Message::OpenDescriptors { count } => self.set_open_in_other_process(count),
             Message::Leaving => {
                 self.io.events.push_back(Event::PredecessorEnded);
                 // No other process accepts clients now, so this one does, unless it shuts down as
@@ -219,7 +227,7 @@
     /// Accepts a session that the predecessor offers if there is room for it, and declines it
     /// otherwise.
     fn answer_offer(&mut self, serial: u32, offered: Option<OfferedSession>) {
-        let can_take = !self.is_shutting_down() && self.sessions.can_adopt(&self.io);
+        let can_take = !self.is_shutting_down() && Sessions::can_adopt(&mut self.io);
         match offered.filter(|_| can_take) {
             Some(offered) => self.hot_restart.accept_offer(serial, offered),
             None => self.hot_restart.decline_offer(serial),
--- a/relay/src/service/mod.rs
+++ b/relay/src/service/mod.rs
@@ -12,7 +12,6 @@
 use crate::admin::commands::AdminCommands;
 use crate::discovery::watch::{KnownList, Watch};
 use crate::driver::Action;
-use crate::health_check::HealthChecks;
 use crate::hot_restart::state::HotRestart;
 use crate::io_context::IoContext;
 use crate::peers::Peers;
@@ -53,7 +52,6 @@
     poller: Rc<Poller>,
     io: IoContext,
     sessions: Sessions,
-    health_checks: HealthChecks,
     discovery: Watch,
     admin: AdminCommands,
     /// Communication with other relays, if the operator configuration enables it.
--- a/relay/src/service/reconfiguration.rs
+++ b/relay/src/service/reconfiguration.rs
@@ -173,7 +173,8 @@
         self.discovery
             .registry
             .set_report_fields(settings.report_fields);
-        self.health_checks
+        self.io
+            .health_checks
             .set_timeouts(deployment.connect_timeout, settings.backend_idle_timeout);
         self.discovery.set_drain_grace(settings.drain_grace);
         self.io
--- a/relay/src/service/signals.rs
+++ b/relay/src/service/signals.rs
@@ -86,7 +86,7 @@
             "descriptors: {}, other_process={}, session_limit={}",
             self.io.sockets.open_counts(),
             self.io.sockets.open_count_in_other_process(),
-            self.sessions.descriptor_limit()
+            self.io.descriptors.session_limit()
         );
         self.peers.iter().for_each(Peers::log_member_counts);
     }
--- a/relay/src/service/startup.rs
+++ b/relay/src/service/startup.rs
@@ -4,10 +4,11 @@
 use crate::admin::commands::AdminCommands;
 use crate::admin::connections::{self, AdminConnections};
 use crate::bans::store::BanStore;
+use crate::descriptors::DescriptorBudget;
 use crate::discovery::registry::EndpointRegistry;
 use crate::discovery::watch::Watch;
 use crate::driver::ActionRecorder;
-use crate::health_check::HealthChecks;
+use crate::health_check::pool::HealthCheckPool;
 use crate::hot_restart::state::HotRestart;
 use crate::io_context::IoContext;
 use crate::peers::{AddressConflict, Peers};
@@ -21,6 +22,7 @@
 use std::rc::Rc;
 use thistlecroft::balancer::Balancer;
 use thistlecroft::deployment::Deployment;
+use thistlecroft::time::Instant;
 use thistlecroft_settings::Settings;
 
 /// Buffers may take the memory limit divided by this.
@@ -60,11 +62,10 @@
         let clock = Clock::start();
         let now = clock.now();
         let poller = Rc::new(Poller::new()?);
-        let buffer_bytes = (config.memory_mb << 20) / BUFFER_MEMORY_DIVISOR;
-        let mut io = IoContext::new(now, Sockets::new(poller.clone()), buffer_bytes);
+        let mut registered = Sockets::new(poller.clone());
         let listener_origin = ListenerOrigin::of(&config);
-        let sockets = OpenSockets::open(&mut config, listener_origin, clock, &mut io.sockets)?;
-        let session_sockets = config.socket_limit - sockets.reserved_descriptors();
+        let sockets = OpenSockets::open(&mut config, listener_origin, clock, &mut registered)?;
+        let mut io = new_io_context(&config, registered, sockets.reserved_descriptors(), now);
         let mut discovery = new_discovery(&config, &mut io);
         let hot_restart = begin_hot_restart(&config, listener_origin, &mut io.sockets);
         let ban_store = open_ban_store(&config, listener_origin, sockets.admin.is_some());
@@ -91,8 +92,7 @@
             clock,
             poller,
             io,
-            sessions: Sessions::new(sockets.clients, protocol, operator.routes, session_sockets),
-            health_checks: new_health_checks(&settings),
+            sessions: Sessions::new(sockets.clients, protocol, operator.routes),
             discovery,
             admin,
             peers: sockets.peers,
@@ -225,9 +225,26 @@
     discovery
 }
 
-fn new_health_checks(settings: &Settings) -> HealthChecks {
+/// Creates the context of the event loop. The admin port and the link to other relays have
+/// `reserved` descriptors.
+fn new_io_context(
+    config: &StartupConfig,
+    sockets: Sockets,
+    reserved: usize,
+    now: Instant,
+) -> IoContext {
+    IoContext::new(
+        now,
+        sockets,
+        DescriptorBudget::new(config.socket_limit - reserved),
+        new_health_checks(&config.settings),
+        (config.memory_mb << 20) / BUFFER_MEMORY_DIVISOR,
+    )
+}
+
+fn new_health_checks(settings: &Settings) -> HealthCheckPool {
     let connect_timeout = settings.deployment.connect_timeout;
-    HealthChecks::new(connect_timeout, settings.backend_idle_timeout)
+    HealthCheckPool::new(connect_timeout, settings.backend_idle_timeout)
 }
 
 /// Connects to the predecessor and listens for a successor, if the listener is inherited and the
--- a/relay/src/session/accept.rs
+++ b/relay/src/session/accept.rs
@@ -16,9 +16,6 @@
 /// delaying the established sessions.
 const MAX_ACCEPTS_PER_TURN: usize = 64;
 
-/// Descriptors beyond the sessions' limit, used to reject clients when the limit is reached.
-const DESCRIPTORS_FOR_REJECTIONS: usize = 8;
-
 /// The time for which a connection must have been silent before it is shed to accept another. A
 /// normal client's first line arrives long before.
 const MIN_SILENCE_BEFORE_SHEDDING: Duration = Duration::from_millis(20);
@@ -78,13 +75,13 @@
         self.listener.backlog_remains(io.now);
     }
 
-    /// Returns whether there is a descriptor for one more client. At the limit it sheds an idle
-    /// connection; if there is none, the descriptors for rejections are used.
+    /// Returns whether there is a descriptor for one more client. At the limit a connection of a
+    /// health check is closed, else an idle connection is shed; if there is none, the descriptors
+    /// for rejections are used.
     fn can_accept(&mut self, registry: &EndpointRegistry, io: &mut IoContext) -> bool {
-        let open = io.sockets.open_count_in_relay();
-        open < self.shared.max_descriptors
+        io.claim_descriptor()
             || self.shed_idle(MIN_SILENCE_BEFORE_SHEDDING, registry, io)
-            || open < self.shared.max_descriptors + DESCRIPTORS_FOR_REJECTIONS
+            || io.descriptors.has_free_for_rejection(&io.sockets)
     }
 
     fn add_client(
@@ -113,9 +110,7 @@
         registry: &EndpointRegistry,
         io: &mut IoContext,
     ) {
-        while io.sockets.open_count_in_relay() >= self.shared.max_descriptors
-            && self.shed_idle(Duration::ZERO, registry, io)
-        {}
+        while !io.claim_descriptor() && self.shed_idle(Duration::ZERO, registry, io) {}
     }
 
     /// Closes one idle connection: an answered one first, else the one that has been silent for
--- a/relay/src/session/actions.rs
+++ b/relay/src/session/actions.rs
@@ -22,10 +22,10 @@
         io: &mut IoContext,
     ) {
         self.shed_until_descriptor_free(registry, io);
-        self.step(id.0, io, |session, shared, io| {
+        self.step(id.0, io, |session, _, io| {
             let number = session.placement.attempts_requested;
             session.placement.attempts_requested += 1;
-            session.start_attempt(number, backend, timeout, shared, registry, io)
+            session.start_attempt(number, backend, timeout, registry, io)
         });
     }
 
--- a/relay/src/session/attempts.rs
+++ b/relay/src/session/attempts.rs
@@ -1,6 +1,5 @@
 //! The attempts of a session to connect to backends: one at a time, or two where its route allows
 //! hedged attempts.
-use super::shared::Shared;
 use super::stage::Disposition::{self, Keep, Remove};
 use super::stage::Stage;
 use super::state::{HedgedAttempt, Session};
@@ -33,7 +32,6 @@
         number: u32,
         backend: BackendId,
         timeout: Duration,
-        shared: &Shared,
         registry: &EndpointRegistry,
         io: &mut IoContext,
     ) -> Disposition {
@@ -50,7 +48,7 @@
             return Keep;
         };
         io.counters.dials += 1;
-        if io.sockets.open_count_in_relay() >= shared.max_descriptors {
+        if !io.claim_descriptor() {
             // Many requests of one turn can pass the descriptor check before the first of their
             // attempts takes a descriptor.
             self.attempt_not_accepted(number, NOT_STARTED, io);
--- a/relay/src/session/handover.rs
+++ b/relay/src/session/handover.rs
@@ -147,9 +147,8 @@
     /// Returns whether there are descriptors for one more session of the predecessor. Descriptors
     /// open in the predecessor don't count, since it closes its own once this process adopts the
     /// session.
-    pub(crate) fn can_adopt(&self, io: &IoContext) -> bool {
-        io.sockets.open_count_in_this_process() + DESCRIPTORS_PER_SESSION
-            <= self.shared.max_descriptors
+    pub(crate) fn can_adopt(io: &mut IoContext) -> bool {
+        io.claim_descriptors_for_adoption(DESCRIPTORS_PER_SESSION)
     }
 
     /// Adopts a session that the predecessor has released, with the bytes that waited to be written
--- a/relay/src/session/handshake.rs
+++ b/relay/src/session/handshake.rs
@@ -97,9 +97,7 @@
         self.open_id = Some(request.id);
         self.close_at = None;
         self.phase_started = io.now;
-        if io.sockets.open_count_in_relay() >= shared.max_descriptors
-            && !shared.has_idle_other_than(self.id)
-        {
+        if !io.claim_descriptor() && !shared.has_idle_other_than(self.id) {
             // There is no descriptor for an attempt. Rejecting the session now frees its own for
             // other clients.
             io.counters.turned_away += 1;
@@ -111,7 +109,7 @@
         self.placement.request = Some(request);
         if is_inherited {
             self.stage = Stage::Inherited;
-            return self.attempt_inherited(shared, registry, io);
+            return self.attempt_inherited(registry, io);
         }
         io.counters.sessions += 1;
         self.stage = Stage::Placing;
--- a/relay/src/session/inherited.rs
+++ b/relay/src/session/inherited.rs
@@ -1,6 +1,5 @@
 //! Sessions that were open before this process started: each returns to the backend named in its
 //! request, without a decision of the balancer.
-use super::shared::Shared;
 use super::stage::Disposition::{self, Keep};
 use super::stage::Stage;
 use super::state::Session;
@@ -25,7 +24,6 @@
     /// Starts an attempt to connect to the backend that held the session.
     pub(super) fn attempt_inherited(
         &mut self,
-        shared: &Shared,
         registry: &EndpointRegistry,
         io: &mut IoContext,
     ) -> Disposition {
@@ -48,7 +46,7 @@
             return self.close_with(protocol::FAILED_LINE, io);
         }
         match backend {
-            Some(backend) => self.start_attempt(0, backend, remaining, shared, registry, io),
+            Some(backend) => self.start_attempt(0, backend, remaining, registry, io),
             None => {
                 self.retry_inherited_later(io);
                 Keep
--- a/relay/src/session/shared.rs
+++ b/relay/src/session/shared.rs
@@ -11,8 +11,6 @@
     pub(super) protocol_settings: ProtocolSettings,
     pub(super) routes: RouteTable,
     pub(super) generations: ConfigGenerations,
-    /// The number of descriptors that all sessions together may hold.
-    pub(super) max_descriptors: usize,
     /// The ids of the open sessions. A backend rejects a second session of the same id, which would
     /// count as a failure of the backend, so the relay answers the duplicate itself.
     pub(super) open_ids: BTreeSet<u64>,
@@ -21,16 +19,11 @@
 }
 
 impl Shared {
-    pub(super) fn new(
-        protocol_settings: ProtocolSettings,
-        routes: RouteTable,
-        max_descriptors: usize,
-    ) -> Shared {
+    pub(super) fn new(protocol_settings: ProtocolSettings, routes: RouteTable) -> Shared {
         Shared {
             protocol_settings,
             routes,
             generations: ConfigGenerations::new(),
-            max_descriptors,
             open_ids: BTreeSet::new(),
             idle: BTreeSet::new(),
         }
--- a/relay/src/session/table.rs
+++ b/relay/src/session/table.rs
@@ -13,10 +13,6 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use thistlecroft_operator_config::RouteTable;
 
-/// Descriptors that sessions never take. They are for discovery, health checks, signals, listeners,
-/// the poller and the log.
-pub(crate) const RESERVED_DESCRIPTORS: usize = 40;
-
 /// All sessions of this process, and the listener that accepts their clients.
 pub(crate) struct Sessions {
     pub(super) sessions: BTreeMap<u32, Session>,
@@ -29,20 +25,17 @@
 
 impl Sessions {
     /// Creates an empty table. No client is accepted before [`Sessions::start_accepting`].
-    /// `descriptors` is the number that the whole process may have open.
     pub(crate) fn new(
         listener: ListenerSocket,
         protocol_settings: ProtocolSettings,
         routes: RouteTable,
-        descriptors: usize,
     ) -> Sessions {
-        let max_descriptors = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
         Sessions {
             sessions: BTreeMap::new(),
             next_id: 0,
             listener: ClientListener::new(listener),
             offers: OfferQueue::default(),
-            shared: Shared::new(protocol_settings, routes, max_descriptors),
+            shared: Shared::new(protocol_settings, routes),
         }
     }
 
@@ -56,11 +49,6 @@
         self.sessions.len()
     }
 
-    /// Returns the number of descriptors up to which sessions are served.
-    pub(crate) fn descriptor_limit(&self) -> usize {
-        self.shared.max_descriptors
-    }
-
     /// Replaces the protocol settings and routes, for sessions that are opened from now on.
     pub(crate) fn reconfigure(&mut self, protocol_settings: ProtocolSettings, routes: RouteTable) {
         let is_changed = self.shared.protocol_settings.listeners != protocol_settings.listeners
@@ -207,8 +195,8 @@
         registry: &EndpointRegistry,
         io: &mut IoContext,
     ) {
-        self.step(id, io, |session, shared, io| {
-            session.attempt_inherited(shared, registry, io)
+        self.step(id, io, |session, _, io| {
+            session.attempt_inherited(registry, io)
         });
     }
 
--- a/relay/src/session/tests.rs
+++ b/relay/src/session/tests.rs
@@ -1,29 +1,15 @@
 //! Tests of sessions over loopback, without the rest of the process.
 use super::table::Sessions;
-use crate::buffers::BufferPool;
 use crate::discovery::registry::EndpointRegistry;
 use crate::io_context::IoContext;
+use crate::io_context::tests::io_context;
 use crate::protocol::tests::protocol_settings;
-use crate::sockets::{SocketOwner, Sockets, key_of};
-use crate::timers::Clock;
+use crate::sockets::{SocketOwner, key_of};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use thistlecroft::time::Duration;
 use thistlecroft_operator_config::{ListenerDefaults, RelayContext, RouteTable};
 
-fn io_context() -> IoContext {
-    let poller = std::rc::Rc::new(polling::Poller::new().unwrap());
-    IoContext {
-        now: Clock::start().now(),
-        sockets: Sockets::new(poller),
-        buffers: BufferPool::new(4),
-        timers: Default::default(),
-        events: Default::default(),
-        counters: Default::default(),
-        starved: Default::default(),
-    }
-}
-
 /// Starts accepting clients at this address, with one route per listener.
 fn start_sessions(address: SocketAddr, io: &mut IoContext) -> Sessions {
     let listener = io.sockets.listen(SocketOwner::Listener, address).unwrap();
@@ -43,14 +29,14 @@
         descriptors: 100,
     };
     let routes = RouteTable::from_settings(&context);
-    let mut sessions = Sessions::new(listener, protocol_settings(false), routes, 1_000);
+    let mut sessions = Sessions::new(listener, protocol_settings(false), routes);
     sessions.start_accepting();
     sessions
 }
 
 #[test]
 fn panic_in_step_ends_only_that_session() {
-    let mut io = io_context();
+    let mut io = io_context(1_000);
     let address = SocketAddr::from((
         [127, 60, 0, 1],
         20_000 + (std::process::id() % 40_000) as u16,
--- a/relay/src/sockets.rs
+++ b/relay/src/sockets.rs
@@ -2,7 +2,7 @@
 //! readiness that it waits for.
 mod open_counts;
 
-use open_counts::{OpenCounts, SocketKind};
+pub(crate) use open_counts::{OpenCounts, SocketKind};
 
 use polling::{Event, PollMode, Poller};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
--- a/relay/src/sockets/open_counts.rs
+++ b/relay/src/sockets/open_counts.rs
@@ -53,6 +53,11 @@
         count.set(count.get() - 1);
     }
 
+    /// Returns the number of open sockets of this kind.
+    pub(crate) fn get(&self, kind: SocketKind) -> usize {
+        self.count(kind).get()
+    }
+
     /// Returns the number of all open sockets.
     pub(crate) fn total(&self) -> usize {
         let counts = [
--- a/relay/src/startup_config/mod.rs
+++ b/relay/src/startup_config/mod.rs
@@ -4,8 +4,8 @@
 mod error;
 mod operator_routes;
 
+use crate::descriptors::RESERVED_DESCRIPTORS;
 use crate::discovery::decoding::EndpointList;
-use crate::session::table::RESERVED_DESCRIPTORS;
 use serde::Deserialize;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
--- a/relay/tests/session/main.rs
+++ b/relay/tests/session/main.rs
@@ -6,6 +6,7 @@
 mod descriptors;
 mod established;
 mod handshake;
+mod health_check_descriptors;
 mod inherited;
 mod placement;
 mod shutdown;
