Health checks: a shortage of the system's descriptors is no failure of the backend

A check whose connection could not be opened for want of a descriptor or port was reported as a failure of its backend; two such eject a backend that is well.

Change: only a refused connection counts, as for attempts; another error leaves the check out (probes_skipped).

--- a/relay/src/health_check/mod.rs
+++ b/relay/src/health_check/mod.rs
@@ -6,6 +6,7 @@
 use crate::io_context::IoContext;
 use crate::timers::Timer;
 use connection::{CheckState, HealthCheck};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use thistlecroft::attempt::{AttemptOutcome, LoadReport};
 use thistlecroft::ids::BackendId;
@@ -25,11 +26,20 @@
             io.counters.probes_skipped += 1;
             return;
         }
-        let Ok(check) = HealthCheck::connect(id, address, serial, io.now, &mut io.sockets) else {
-            io.counters.probes += 1;
-            return report_failure(id, AttemptOutcome::Unreachable, io);
-        };
-        io.health_checks.checks.insert(id, check);
+        match HealthCheck::connect(id, address, serial, io.now, &mut io.sockets) {
+            Ok(check) => {
+                io.health_checks.checks.insert(id, check);
+            }
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                io.counters.probes += 1;
+                return report_failure(id, AttemptOutcome::Unreachable, io);
+            }
+            Err(error) => {
+                // The system has no descriptor or port, which reveals nothing about the backend.
+                io.counters.probes_skipped += 1;
+                return log::debug!("a health check could not connect; error=\"{error}\"");
+            }
+        }
     }
     io.counters.probes += 1;
     io.timers.set(
--- a/relay/tests/session/health_check_descriptors.rs
+++ b/relay/tests/session/health_check_descriptors.rs
@@ -85,3 +85,29 @@
 fn health_checks_of_1000_backends_leave_descriptors_to_clients() {
     assert_later_clients_are_served(1_000);
 }
+
+/// Guards against a shortage of the system's descriptors that counts as failures of backends, which
+/// ejects them.
+#[test]
+fn health_check_without_a_system_descriptor_is_no_failure_of_its_backend() {
+    let (address, _received) = start_backend(BackendBehavior::EchoWithLowLoad);
+    let names: Vec<String> = (0..40).map(|index| format!("b{index}")).collect();
+    let rows: Vec<_> = names
+        .iter()
+        .map(|name| (name.as_str(), address, "Ready"))
+        .collect();
+    // The configuration allows more descriptors than the system's limit of 40.
+    let relay = start_relay_with_descriptors(
+        40,
+        unused_address(),
+        1_000,
+        &endpoint_list(1, true, &rows),
+        true,
+    );
+    let _idle_clients: Vec<Client> = (0..60).map(|_| relay.connect()).collect();
+    relay.wait_for_counter("accept_failures", 1);
+    relay.wait_for_counter("probes_skipped", 1);
+    relay.signal("USR1");
+    let line = relay.wait_for_log(" probes=");
+    assert_eq!(counter_value(&line, "probes_failed"), 0, "{line}");
+}
