Reload: sound settings bind whatever is wrong with the operators' file, and the reverse

Cause: settings and operators' file were taken up together or not at all. New settings drop a class that a route of the unchanged operators' file names, so nothing of them was taken, the stricter effect of another class included. The same for a file that could not be read or was broken, for a route that no longer fits a shorter deadline or a stricter effect, for a change of voters that is not allowed, and for a start with both files.

Evidence: the relay's own log in the case: "cannot apply the reloaded files: ... there is no listener "queue-view"; ... the previous operator configuration and settings stay in force". Ruled out: the old route kept by the sessions (they came 2 s later), an effect overridden by the file (it has no key for it), a hedge (the settings permit none; each second attempt follows an ERR).

Change: each file is taken up by itself. The operators' file in force is kept parsed and resolved against new settings as far as it fits: an unknown listener has no sessions, a value that breaks a rule is tightened for that listener (rules/fitting.rs), never loosened to a default. A changed file has to be sound in full, as before. Settings without permissions.peers end the link to other relays. At the start an unknown listener or zone is logged; any other error still ends the program.

--- a/operator_config/src/error.rs
+++ b/operator_config/src/error.rs
@@ -41,7 +41,7 @@
 }
 
 /// A value together with its location.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Located<T> {
     pub(crate) value: T,
     pub(crate) location: Location,
--- a/operator_config/src/lib.rs
+++ b/operator_config/src/lib.rs
@@ -32,7 +32,7 @@
 use sections::{PeersSection, RouteSection};
 
 /// A parsed file that has not been checked against a deployment.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct OperatorConfig {
     routes: Vec<RouteSection>,
     peers: Option<PeersSection>,
@@ -69,18 +69,48 @@
             .transpose()
     }
 
-    /// Resolves the routes of this file for the settings of a deployment, with defaults filled in.
+    /// Checks this file against the settings of a deployment.
     ///
     /// # Errors
     /// Returns all unknown names and broken rules, or else the errors of
     /// [`OperatorConfig::peers_config`].
+    pub fn check(&self, context: &RelayContext) -> Result<(), Vec<ConfigError>> {
+        rules::check(&self.routes, context)?;
+        self.peers_config(context).map(drop)
+    }
+
+    /// Checks this file like [`OperatorConfig::check`], but for the names of listeners and zones: a
+    /// deployment may have dropped one that the file still names.
+    ///
+    /// # Errors
+    /// Returns all broken rules, or else the errors of [`OperatorConfig::peers_config`].
+    pub fn check_limits(&self, context: &RelayContext) -> Result<(), Vec<ConfigError>> {
+        rules::check_limits(&self.routes, context)?;
+        self.peers_config(context).map(drop)
+    }
+
+    /// Returns an error for each listener and zone that a route names and the deployment lacks.
+    pub fn unknown_names(&self, context: &RelayContext) -> Vec<ConfigError> {
+        rules::unknown_names(&self.routes, context)
+    }
+
+    /// Resolves the routes of this file for the settings of a deployment, with defaults filled in.
+    ///
+    /// # Errors
+    /// Returns the errors of [`OperatorConfig::check`].
     pub fn resolve(
         &self,
         context: &RelayContext,
         limits_ids: &mut LimitsIds,
     ) -> Result<RouteTable, Vec<ConfigError>> {
-        rules::check(&self.routes, context)?;
-        self.peers_config(context)?;
-        Ok(RouteTable::new(&self.routes, context, limits_ids))
+        self.check(context)?;
+        Ok(self.resolve_fitted(context, limits_ids))
+    }
+
+    /// Resolves the routes of this file as far as they fit the settings of a deployment: a route has
+    /// no sessions of a listener or zone that the deployment lacks, and what breaks a rule for a
+    /// listener is tightened for it until it keeps the rule.
+    pub fn resolve_fitted(&self, context: &RelayContext, limits_ids: &mut LimitsIds) -> RouteTable {
+        RouteTable::new(&self.routes, context, limits_ids)
     }
 }
--- a/operator_config/src/route_table.rs
+++ b/operator_config/src/route_table.rs
@@ -2,6 +2,7 @@
 use crate::context::{ListenerDefaults, RelayContext};
 use crate::effective::{self, EffectiveValue, SessionTimeouts};
 use crate::error::Located;
+use crate::rules::fitting::fit;
 use crate::sections::{KeyPrefix, RouteSection};
 use std::collections::BTreeMap;
 use thistlecroft::deployment::Route;
@@ -87,7 +88,8 @@
             let limits_id = limits_ids.get_or_assign(&section.name);
             for (index, listener) in context.listeners.iter().enumerate() {
                 if applies_to(section, listener, context) {
-                    let row = table.add_row(Some(section), listener, limits_id);
+                    let fitted = fit(section, listener, context);
+                    let row = table.add_row(Some(&fitted), listener, limits_id);
                     table.listeners[index].matches.push(RouteMatch {
                         key_prefix: value_of(&section.matching.key_prefix),
                         groups: value_of(&section.matching.groups).unwrap_or_default(),
--- a/operator_config/src/rules/limits.rs
+++ b/operator_config/src/rules/limits.rs
@@ -38,8 +38,10 @@
     }
 }
 
-/// The rules for a route and a listener. Each returns `None` where the route keeps the rule.
-const RULES: &[fn(&RouteListenerPair) -> Option<Violation>] = &[
+/// A rule for a route and a listener. Returns `None` where the route keeps it.
+type Rule = fn(&RouteListenerPair) -> Option<Violation>;
+
+const RULES: &[Rule] = &[
     handshake_timeout_within_client_timeout,
     objective_within_handshake_timeout,
     connect_timeouts_within_handshake_timeout,
@@ -47,6 +49,9 @@
     retry_after_within_settings,
     attempts_within_deduplication_window,
     idle_timeout_above_stable_time,
+];
+
+const HEDGING_RULES: &[Rule] = &[
     hedging_of_idempotent_sessions_only,
     hedging_permitted_by_settings,
     hedging_with_two_attempts,
@@ -57,21 +62,25 @@
 pub(super) fn check(section: &RouteSection, context: &RelayContext, errors: &mut Vec<ConfigError>) {
     let listeners = context.listeners.iter();
     for listener in listeners.filter(|listener| applies_to(section, listener, context)) {
-        let effective = effective::resolve(Some(section), listener, 0);
-        let pair = RouteListenerPair {
-            section,
-            listener,
-            route: effective.route,
-            timeouts: effective.timeouts,
-            context,
-        };
-        for violation in RULES.iter().filter_map(|rule| rule(&pair)) {
+        let pair = RouteListenerPair::new(section, listener, context);
+        let rules = RULES.iter().chain(HEDGING_RULES);
+        for violation in rules.filter_map(|rule| rule(&pair)) {
             let key = section.full_key(&violation.key);
             errors.push(violation.location.error(&key, violation.reason));
         }
     }
 }
 
+/// Returns whether the hedging of the section breaks a rule for this listener.
+pub(super) fn violates_hedging_rules(
+    section: &RouteSection,
+    listener: &ListenerDefaults,
+    context: &RelayContext,
+) -> bool {
+    let pair = RouteListenerPair::new(section, listener, context);
+    HEDGING_RULES.iter().any(|rule| rule(&pair).is_some())
+}
+
 /// Checks that the relay has descriptors for the session limits of all routes together.
 pub(super) fn check_descriptors(
     routes: &[RouteSection],
@@ -104,7 +113,22 @@
     }
 }
 
-impl RouteListenerPair<'_> {
+impl<'a> RouteListenerPair<'a> {
+    fn new(
+        section: &'a RouteSection,
+        listener: &'a ListenerDefaults,
+        context: &'a RelayContext,
+    ) -> RouteListenerPair<'a> {
+        let effective = effective::resolve(Some(section), listener, 0);
+        RouteListenerPair {
+            section,
+            listener,
+            route: effective.route,
+            timeouts: effective.timeouts,
+            context,
+        }
+    }
+
     /// Returns the time within which a client has to be answered: the handshake timeout of the
     /// route, but no longer than the client waits.
     fn handshake_limit(&self) -> Duration {
--- a/operator_config/src/sections.rs
+++ b/operator_config/src/sections.rs
@@ -4,7 +4,7 @@
 use thistlecroft::time::Duration;
 
 /// The section `[[route]]`.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct RouteSection {
     pub(crate) name: String,
     pub(crate) location: Location,
@@ -32,7 +32,7 @@
 }
 
 /// The section `[route.match]`. A session matches if it satisfies every condition that is present.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct MatchSection {
     pub(crate) listeners: Option<Located<Vec<String>>>,
     pub(crate) zones: Option<Located<Vec<String>>>,
@@ -84,7 +84,7 @@
 }
 
 /// The section `[route.second_copy]`.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct HedgingSection {
     pub(crate) quantile: Option<Located<f64>>,
     pub(crate) min_delay: Option<Located<Duration>>,
@@ -93,7 +93,7 @@
 }
 
 /// The section `[peers]`.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) struct PeersSection {
     pub(crate) location: Location,
     pub(crate) fleet: Located<String>,
--- a/relay/src/service/reconfiguration.rs
+++ b/relay/src/service/reconfiguration.rs
@@ -10,7 +10,7 @@
 use crate::timers::Timer;
 use thistlecroft::deployment::Deployment;
 use thistlecroft::time::{Duration, Instant};
-use thistlecroft_operator_config::{OperatorConfig, RouteTable};
+use thistlecroft_operator_config::{OperatorConfig, RelayContext, RouteTable};
 use thistlecroft_settings::Settings;
 
 /// The time from SIGHUP until the new settings alone are in force. Meanwhile the listeners of both
@@ -54,20 +54,17 @@
         Ok(reloaded)
     }
 
-    fn resolve_routes(
-        &mut self,
-        operator_config: &OperatorConfig,
-        settings: &Settings,
-    ) -> Result<RouteTable, ConfigErrors> {
+    /// Returns the routes of the operator configuration in force, as far as they fit the settings.
+    fn routes_under(&mut self, settings: &Settings) -> RouteTable {
         let context = relay_context(settings, self.socket_limit);
-        self.operator_config.routes(operator_config, &context)
+        self.operator_config.routes(&context)
     }
 }
 
 impl Service {
     /// Applies a changed discovery address, changed settings and a changed operator configuration.
-    /// A file with errors changes nothing that it configures. The settings and the operator
-    /// configuration have to agree, and are applied together or not at all.
+    /// A file with errors changes nothing that it configures, and keeps nothing of the other file
+    /// from being applied.
     pub(super) fn reload_configuration(&mut self) {
         let settings = match self.configuration.reread_file() {
             Ok(reloaded) => {
@@ -93,27 +90,44 @@
                 self.configuration.latest_settings().clone()
             }
         };
-        if let Err(errors) = self.begin_transition(settings) {
+        if let Err(errors) = self.reload_operator_config(&settings) {
             log::warn!(
                 target: LOG_TARGET,
-                "cannot apply the reloaded files: {errors}; \
-                 the previous operator configuration and settings stay in force"
+                "cannot apply the reloaded operator configuration: {errors}; \
+                 the previous operator configuration stays in force"
             );
         }
+        self.begin_transition(settings);
+    }
+
+    /// Takes up a changed operator configuration that is sound under these settings. One that has
+    /// not changed stays in force even if it no longer fits them.
+    fn reload_operator_config(&mut self, settings: &Settings) -> Result<(), ConfigErrors> {
+        let reloaded = self.configuration.operator_config.load()?;
+        let context = relay_context(settings, self.configuration.socket_limit);
+        if reloaded == *self.configuration.operator_config.in_force() {
+            if let Err(errors) = reloaded.check(&context) {
+                log::warn!(
+                    target: LOG_TARGET,
+                    "the operator configuration does not fit the settings, whose limits hold \
+                     where it doesn't: {}",
+                    ConfigErrors::from(errors)
+                );
+            }
+            return Ok(());
+        }
+        reloaded.check(&context)?;
+        self.reconfigure_peers(&reloaded, &context)?;
+        self.configuration.operator_config.set_in_force(reloaded);
+        Ok(())
     }
 
     /// Applies the transitional settings between the old and the new ones, and schedules the new
-    /// ones. Changes nothing if any part is rejected.
-    fn begin_transition(&mut self, settings: Settings) -> Result<(), ConfigErrors> {
-        let operator_config = self.configuration.operator_config.load()?;
+    /// ones.
+    fn begin_transition(&mut self, settings: Settings) {
         let transitional = self.configuration.settings.during_change_to(&settings);
-        let routes = self
-            .configuration
-            .resolve_routes(&operator_config, &settings)?;
-        let transitional_routes = self
-            .configuration
-            .resolve_routes(&operator_config, &transitional)?;
-        self.reconfigure_peers(&operator_config, &settings)?;
+        let routes = self.configuration.routes_under(&settings);
+        let transitional_routes = self.configuration.routes_under(&transitional);
         self.apply_settings(transitional, transitional_routes);
         let in_force_at = self.io.now + TRANSITION;
         self.configuration.pending = Some(PendingSettings {
@@ -122,17 +136,15 @@
             in_force_at,
         });
         self.io.timers.set(in_force_at, Timer::SettingsInForce);
-        Ok(())
     }
 
     /// Applies the peers' configuration, or nothing of it if the change of voters is not allowed.
     fn reconfigure_peers(
         &mut self,
         operator_config: &OperatorConfig,
-        settings: &Settings,
+        context: &RelayContext,
     ) -> Result<(), ConfigErrors> {
-        let context = relay_context(settings, self.configuration.socket_limit);
-        match (&mut self.peers, operator_config.peers_config(&context)?) {
+        match (&mut self.peers, operator_config.peers_config(context)?) {
             (None, None) => {}
             (Some(peers), Some(config)) => peers.reconfigure(&config)?,
             _ => {
@@ -177,6 +189,13 @@
             .health_checks
             .set_timeouts(deployment.connect_timeout, settings.backend_idle_timeout);
         self.discovery.set_drain_grace(settings.drain_grace);
+        if !settings.may_use_peers && self.peers.take().is_some() {
+            log::warn!(
+                target: LOG_TARGET,
+                "the settings no longer allow relays to exchange messages: \
+                 this relay has left the others until it is started again"
+            );
+        }
         self.io
             .events
             .push_back(Event::Reconfigured(Box::new(deployment)));
--- a/relay/src/startup_config/operator_routes.rs
+++ b/relay/src/startup_config/operator_routes.rs
@@ -26,6 +26,8 @@
 /// The file of the operator configuration, for reloading it, and the ids given to its limits.
 pub(crate) struct OperatorConfigFile {
     path: Option<String>,
+    /// The contents that were taken up last. They go on beside new settings.
+    in_force: OperatorConfig,
     limits_ids: LimitsIds,
 }
 
@@ -33,6 +35,7 @@
     pub(super) fn none() -> OperatorConfigFile {
         OperatorConfigFile {
             path: None,
+            in_force: OperatorConfig::default(),
             limits_ids: LimitsIds::default(),
         }
     }
@@ -52,21 +55,26 @@
         Ok(OperatorConfig::parse(path, &text)?)
     }
 
-    /// Returns the routes of an operator configuration in this context.
-    ///
-    /// # Errors
-    /// Returns every conflict between the operator configuration and the context.
-    pub(crate) fn routes(
-        &mut self,
-        config: &OperatorConfig,
-        context: &RelayContext,
-    ) -> Result<RouteTable, ConfigErrors> {
-        Ok(config.resolve(context, &mut self.limits_ids)?)
+    /// Returns the contents that were taken up last.
+    pub(crate) fn in_force(&self) -> &OperatorConfig {
+        &self.in_force
+    }
+
+    /// Takes up contents that were checked.
+    pub(crate) fn set_in_force(&mut self, config: OperatorConfig) {
+        self.in_force = config;
+    }
+
+    /// Returns the routes of the contents in force, as far as they fit the context.
+    pub(crate) fn routes(&mut self, context: &RelayContext) -> RouteTable {
+        self.in_force.resolve_fitted(context, &mut self.limits_ids)
     }
 }
 
 impl StartupConfig {
-    /// Adds the operator configuration in this file to the configuration.
+    /// Adds the operator configuration in this file to the configuration. A listener or zone that it
+    /// names and the settings lack is logged only: the platform may have dropped it while the relay
+    /// ran.
     ///
     /// # Errors
     /// Returns the errors in the file, or an error if it or the key file can't be read.
@@ -84,7 +92,12 @@
             }),
             None => None,
         };
-        self.operator.routes = self.operator.file.routes(&config, &context)?;
+        config.check_limits(&context)?;
+        for error in config.unknown_names(&context) {
+            log::warn!("the operator configuration does not fit the settings: {error}");
+        }
+        self.operator.file.set_in_force(config);
+        self.operator.routes = self.operator.file.routes(&context);
         Ok(self)
     }
 }
--- a/relay/tests/service/main.rs
+++ b/relay/tests/service/main.rs
@@ -5,3 +5,4 @@
 mod configuration;
 mod health_check;
 mod startup;
+mod two_files;
