Hot restart: a successor goes by replaced settings as long as they bind

Cause: the 1.2 s after a change were known to the process that got SIGHUP alone. The new process went by its file at once; no message told it what still binds.

Change: BindingSettings holds the latest settings and those replaced that still bind, each with its own end; the strictest of all is in force. Hello names what the new process understands; the old one then sends each text that binds with the time left, its text in force for 1.2 s more, and an end. The new one accepts clients once it has them, and passes on to its own successor what it was told. Where nothing is said (a former predecessor), it waits until 1.2 s after its start. A former successor is sent nothing new: it would close the channel. The recorded Hello has the key `understands`.

Why it works: whoever accepts a client knows every rule that binds at that moment, or all that it may not know of have ended.

--- a/relay/src/hot_restart/messages.rs
+++ b/relay/src/hot_restart/messages.rs
@@ -10,6 +10,10 @@
 /// clients are migrated instead.
 pub(crate) const VERSION: u32 = 2;
 
+/// Named in `Hello` by a process that understands [`Message::BindingSettings`] and
+/// [`Message::BindingSettingsEnd`].
+pub(crate) const UNDERSTANDS_SETTINGS: &str = "settings";
+
 /// An established session. Its two descriptors are attached to the packet, the client's first.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct SessionHandover {
@@ -231,7 +235,25 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Message {
     /// The successor's first message to its predecessor.
-    Hello { version: u32, relay: String },
+    Hello {
+        version: u32,
+        relay: String,
+        /// The messages that the successor understands beyond those of the version; absent in
+        /// packets of earlier programs, which end the channel at a message that they don't know.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        understands: Vec<String>,
+    },
+    /// Settings of the predecessor that bind beside those of the successor's own file.
+    #[serde(rename = "Settings")]
+    BindingSettings {
+        text: serde_json::Value,
+        /// For how long they bind from now on, in microseconds.
+        #[serde(rename = "binds_us")]
+        binds_for_us: u64,
+    },
+    /// All settings that bind have been sent.
+    #[serde(rename = "SettingsEnd")]
+    BindingSettingsEnd,
     /// A part of the snapshot that the predecessor sends in answer to `Hello` and when it shuts
     /// down.
     #[serde(rename = "Memory")]
--- a/relay/src/hot_restart/messages/tests.rs
+++ b/relay/src/hot_restart/messages/tests.rs
@@ -56,7 +56,13 @@
         Message::Hello {
             version: VERSION,
             relay: "n3".into(),
+            understands: vec![UNDERSTANDS_SETTINGS.into()],
         },
+        Message::BindingSettings {
+            text: serde_json::json!({"listeners": [{"name": "safe"}]}),
+            binds_for_us: 1_200_000,
+        },
+        Message::BindingSettingsEnd,
         Message::Snapshot(snapshot),
         Message::Leaving,
         Message::OpenDescriptors { count: 300 },
--- a/relay/src/hot_restart/state.rs
+++ b/relay/src/hot_restart/state.rs
@@ -1,6 +1,6 @@
 //! The predecessor and the successor of this process, and the sessions that are being handed over.
 use crate::hot_restart::channel::{self, Channel, SuccessorListener};
-use crate::hot_restart::messages::{Message, SessionHandover, VERSION};
+use crate::hot_restart::messages::{Message, SessionHandover, UNDERSTANDS_SETTINGS, VERSION};
 use crate::sockets::Sockets;
 use std::collections::BTreeMap;
 use std::io;
@@ -47,6 +47,7 @@
         let hello = Message::Hello {
             version: VERSION,
             relay: self.relay_name.clone(),
+            understands: vec![UNDERSTANDS_SETTINGS.into()],
         };
         self.predecessor = predecessor
             .filter(|predecessor| matches!(predecessor.send(&hello, &[], &[]), Ok(true)));
--- a/relay/src/service/event_loop.rs
+++ b/relay/src/service/event_loop.rs
@@ -168,7 +168,7 @@
                 self.admin.refresh_bans(&mut self.discovery.registry, io);
                 self.send_descriptor_count(1);
             }
-            Timer::SettingsInForce => self.apply_pending_settings(),
+            Timer::SettingsInForce => self.apply_binding_settings(),
             Timer::OfferSessions => self.offer_sessions(),
             Timer::OfferTimeout(id) => self.handle_offer_timeout(id),
             Timer::Peers => self.wake_peers(),
--- a/relay/src/service/hot_restart.rs
+++ b/relay/src/service/hot_restart.rs
@@ -3,13 +3,14 @@
 use crate::discovery::registry::EndpointRegistry;
 use crate::driver::Event;
 use crate::hot_restart::channel::{Channel, Received, ReceivedPacket};
-use crate::hot_restart::messages::{Message, SnapshotMessage, VERSION};
+use crate::hot_restart::messages::{Message, SnapshotMessage, UNDERSTANDS_SETTINGS, VERSION};
 use crate::hot_restart::state::OfferedSession;
 use crate::session::table::Sessions;
 use std::io;
 use std::ops::ControlFlow;
 use std::os::fd::OwnedFd;
 use thistlecroft::balancer::Balancer;
+use thistlecroft::time::Duration;
 
 /// Most packets that are read from one channel in one turn.
 const MAX_PACKETS: usize = 32;
@@ -137,7 +138,12 @@
             Message::Hello {
                 version: VERSION,
                 relay,
+                understands,
             } if self.hot_restart.is_same_relay(&relay) => {
+                if understands.iter().any(|name| name == UNDERSTANDS_SETTINGS) {
+                    let settings = self.configuration.settings_for_successor(self.io.now);
+                    send_binding_settings(settings, successor)?;
+                }
                 if self.is_shutting_down() {
                     self.hand_over_to_successor();
                     return Ok(ControlFlow::Break(()));
@@ -193,6 +199,12 @@
                 self.io.events.push_back(Event::SnapshotReceived(snapshot));
             }
             Message::OpenDescriptors { count } => self.set_open_in_other_process(count),
+            Message::BindingSettings { text, binds_for_us } => {
+                let time = Duration::from_micros(binds_for_us);
+                self.configuration
+                    .bind_settings_of_predecessor(text, time, self.io.now);
+            }
+            Message::BindingSettingsEnd => self.settle_settings_of_predecessor(),
             Message::Leaving => {
                 self.io.events.push_back(Event::PredecessorEnded);
                 // No other process accepts clients now, so this one does, unless it shuts down as
@@ -255,6 +267,25 @@
     }
 }
 
+/// Sends the settings that bind beside those of the successor's file. If the channel has no room for
+/// all of them, the end is not sent: the successor then waits until none of them binds any more.
+fn send_binding_settings(
+    settings: Vec<(&serde_json::Value, Duration)>,
+    successor: &Channel,
+) -> io::Result<()> {
+    for (text, time) in settings {
+        let message = Message::BindingSettings {
+            text: text.clone(),
+            binds_for_us: time.as_micros(),
+        };
+        if !successor.send(&message, &[], &[])? {
+            return Ok(());
+        }
+    }
+    successor.send(&Message::BindingSettingsEnd, &[], &[])?;
+    Ok(())
+}
+
 /// Sends a snapshot of the balancer. A part for which the channel has no room is dropped: the
 /// successor has to learn its contents itself.
 fn send_snapshot(
--- a/relay/src/service/mod.rs
+++ b/relay/src/service/mod.rs
@@ -2,6 +2,7 @@
 //! ready sockets and due timers, delivers them to the balancer, and carries out the balancer's
 //! actions. Apart from waiting for events, a turn never blocks.
 mod actions;
+mod binding_settings;
 mod event_loop;
 mod hot_restart;
 mod reconfiguration;
@@ -90,6 +91,7 @@
         // start.
         let must_serve = !self.hot_restart.has_predecessor()
             && (self.discovery.has_failed() || elapsed >= self.discovery.response_timeout());
-        knows_enough || must_serve
+        let knows_settings = self.configuration.knows_binding_settings(self.io.now);
+        knows_settings && knows_enough || must_serve
     }
 }
--- a/relay/src/service/reconfiguration.rs
+++ b/relay/src/service/reconfiguration.rs
@@ -1,5 +1,6 @@
 //! Reconfiguration at run time: SIGHUP reloads the configuration file with its settings, and the
 //! operator configuration.
+use super::binding_settings::{BindingSettings, SettingsWithText, TRANSITION};
 use super::{LOG_TARGET, Service};
 use crate::driver::Event;
 use crate::protocol::ProtocolSettings;
@@ -8,47 +9,90 @@
     relay_context,
 };
 use crate::timers::Timer;
+use serde_json::Value;
 use thistlecroft::deployment::Deployment;
 use thistlecroft::time::{Duration, Instant};
 use thistlecroft_operator_config::{OperatorConfig, RelayContext, RouteTable};
 use thistlecroft_settings::Settings;
 
-/// The time from SIGHUP until the new settings alone are in force. Meanwhile the listeners of both
-/// the old and the new settings are served, each within the stricter limits.
-const TRANSITION: Duration = Duration::from_millis(1_200);
-
 /// The configuration in force, and what is needed to replace it.
 pub(super) struct Reconfiguration {
     /// Where the configuration came from, for reloading it.
     pub(super) source: ConfigSource,
-    pub(super) operator_config: OperatorConfigFile,
+    operator_config: OperatorConfigFile,
+    /// The settings in force.
     pub(super) settings: Settings,
-    /// The settings and routes that replace the current ones at the end of a transition.
-    pub(super) pending: Option<PendingSettings>,
+    binding: BindingSettings,
+    /// Until when this process does not know whether settings bind that its predecessor has
+    /// replaced; none once it knows.
+    unknown_until: Option<Instant>,
     /// The limit on descriptors; reloading does not change it.
-    pub(super) socket_limit: usize,
-}
-
-/// Settings and routes that take effect at the end of a transition.
-pub(super) struct PendingSettings {
-    settings: Settings,
-    routes: RouteTable,
-    in_force_at: Instant,
+    socket_limit: usize,
 }
 
 impl Reconfiguration {
-    /// Returns the settings that were read last, whether in force already or still pending.
-    fn latest_settings(&self) -> &Settings {
-        self.pending
-            .as_ref()
-            .map_or(&self.settings, |pending| &pending.settings)
+    /// Creates the state for a configuration that was just read. A process with a predecessor does
+    /// not know yet which settings bind beside those of its own file.
+    pub(super) fn new(
+        source: ConfigSource,
+        operator_config: OperatorConfigFile,
+        settings: Settings,
+        socket_limit: usize,
+        has_predecessor: bool,
+        now: Instant,
+    ) -> Reconfiguration {
+        let binding = BindingSettings::new(SettingsWithText {
+            text: source.settings_text(),
+            settings: settings.clone(),
+        });
+        Reconfiguration {
+            source,
+            operator_config,
+            settings,
+            binding,
+            unknown_until: has_predecessor.then_some(now + TRANSITION),
+            socket_limit,
+        }
+    }
+
+    /// Returns whether it is known which settings bind. A change that a predecessor was told before
+    /// this process started has come into force after the time of a transition.
+    pub(super) fn knows_binding_settings(&self, now: Instant) -> bool {
+        self.unknown_until.is_none_or(|until| now >= until)
+    }
+
+    /// Returns the texts that a successor which starts now has to go by beside its own, each with
+    /// the time for which it binds.
+    pub(super) fn settings_for_successor(&self, now: Instant) -> Vec<(&Value, Duration)> {
+        self.binding.for_successor(now)
+    }
+
+    /// Adds settings of the predecessor that bind for this time. Those that can't be parsed were
+    /// never in force there.
+    pub(super) fn bind_settings_of_predecessor(
+        &mut self,
+        text: Value,
+        time: Duration,
+        now: Instant,
+    ) {
+        match thistlecroft_settings::parse(text.to_string().as_bytes()) {
+            Ok(settings) => {
+                let replaced = SettingsWithText { text, settings };
+                self.binding.bind(replaced, time, now);
+            }
+            Err(error) => log::warn!(
+                target: LOG_TARGET,
+                "cannot read the settings of the predecessor: {error}"
+            ),
+        }
     }
 
     /// Reads the configuration file again. A file whose settings lost a key is incomplete.
     fn reread_file(&self) -> Result<StartupConfig, ConfigError> {
         let path = self.source.path.as_deref();
         let reloaded = read_config_file(path.ok_or(ConfigError::NotFromFile)?)?;
-        self.latest_settings()
+        self.binding
+            .latest()
             .check_keeps_keys(&reloaded.settings)
             .map_err(|error| ConfigError::Settings(error.to_string()))?;
         Ok(reloaded)
@@ -66,7 +110,7 @@
     /// A file with errors changes nothing that it configures, and keeps nothing of the other file
     /// from being applied.
     pub(super) fn reload_configuration(&mut self) {
-        let settings = match self.configuration.reread_file() {
+        match self.configuration.reread_file() {
             Ok(reloaded) => {
                 let differing = self.configuration.source.differing_keys(&reloaded.source);
                 if !differing.is_empty() {
@@ -78,7 +122,11 @@
                 }
                 self.discovery
                     .move_to_agent_address(reloaded.discovery, &mut self.io);
-                reloaded.settings
+                let settings = SettingsWithText {
+                    text: reloaded.source.settings_text(),
+                    settings: reloaded.settings,
+                };
+                self.configuration.binding.replace(settings, self.io.now);
             }
             Err(error) => {
                 log::warn!(
@@ -87,23 +135,23 @@
                      the previous configuration stays in force"
                 );
                 // The operator configuration is reloaded nevertheless, as it may have changed.
-                self.configuration.latest_settings().clone()
             }
-        };
-        if let Err(errors) = self.reload_operator_config(&settings) {
+        }
+        if let Err(errors) = self.reload_operator_config() {
             log::warn!(
                 target: LOG_TARGET,
                 "cannot apply the reloaded operator configuration: {errors}; \
                  the previous operator configuration stays in force"
             );
         }
-        self.begin_transition(settings);
+        self.apply_binding_settings();
     }
 
-    /// Takes up a changed operator configuration that is sound under these settings. One that has
-    /// not changed stays in force even if it no longer fits them.
-    fn reload_operator_config(&mut self, settings: &Settings) -> Result<(), ConfigErrors> {
+    /// Takes up a changed operator configuration that is sound under the latest settings. One that
+    /// has not changed stays in force even if it no longer fits them.
+    fn reload_operator_config(&mut self) -> Result<(), ConfigErrors> {
         let reloaded = self.configuration.operator_config.load()?;
+        let settings = self.configuration.binding.latest();
         let context = relay_context(settings, self.configuration.socket_limit);
         if reloaded == *self.configuration.operator_config.in_force() {
             if let Err(errors) = reloaded.check(&context) {
@@ -122,20 +170,24 @@
         Ok(())
     }
 
-    /// Applies the transitional settings between the old and the new ones, and schedules the new
-    /// ones.
-    fn begin_transition(&mut self, settings: Settings) {
-        let transitional = self.configuration.settings.during_change_to(&settings);
+    /// Applies the strictest of the settings that bind now, and sets the timer for the time at which
+    /// fewer do.
+    pub(super) fn apply_binding_settings(&mut self) {
+        let settings = self.configuration.binding.in_force(self.io.now);
         let routes = self.configuration.routes_under(&settings);
-        let transitional_routes = self.configuration.routes_under(&transitional);
-        self.apply_settings(transitional, transitional_routes);
-        let in_force_at = self.io.now + TRANSITION;
-        self.configuration.pending = Some(PendingSettings {
-            settings,
-            routes,
-            in_force_at,
-        });
-        self.io.timers.set(in_force_at, Timer::SettingsInForce);
+        self.apply_settings(settings, routes);
+        if let Some(at) = self.configuration.binding.next_change() {
+            self.io.timers.set(at, Timer::SettingsInForce);
+        }
+    }
+
+    /// Goes by the settings of the predecessor that bind, all of which are known now.
+    pub(super) fn settle_settings_of_predecessor(&mut self) {
+        self.configuration.unknown_until = None;
+        if self.configuration.binding.next_change().is_some() {
+            self.apply_binding_settings();
+        }
+        self.accept_clients_when_ready();
     }
 
     /// Applies the peers' configuration, or nothing of it if the change of voters is not allowed.
@@ -158,18 +210,6 @@
         Ok(())
     }
 
-    /// Applies the pending settings if the transition to them has ended.
-    pub(super) fn apply_pending_settings(&mut self) {
-        let now = self.io.now;
-        let due = self
-            .configuration
-            .pending
-            .take_if(|pending| now >= pending.in_force_at);
-        if let Some(pending) = due {
-            self.apply_settings(pending.settings, pending.routes);
-        }
-    }
-
     /// Applies settings and routes together, for everything that arrives from now on.
     fn apply_settings(&mut self, settings: Settings, routes: RouteTable) {
         let settings_changes = self.configuration.settings.changes_to(&settings);
--- a/relay/src/service/startup.rs
+++ b/relay/src/service/startup.rs
@@ -1,4 +1,5 @@
 //! The start of a relay: opens its sockets and files and creates the service.
+use super::binding_settings::TRANSITION;
 use super::reconfiguration::{Reconfiguration, protocol_settings_of};
 use super::{CACHED_LIST_TIMEOUT, LOG_TARGET, ListenerOrigin, NO_LIST_TIMEOUT, Service, Signals};
 use crate::admin::commands::AdminCommands;
@@ -88,6 +89,14 @@
         unsafe { signals.register(&poller)? };
         log::info!(target: LOG_TARGET, "relay {} serves at {}", config.name, config.listen);
         let protocol = protocol_settings_of(&settings);
+        let configuration = Reconfiguration::new(
+            config.source,
+            operator.file,
+            settings,
+            config.socket_limit,
+            hot_restart.has_predecessor(),
+            now,
+        );
         let mut service = Service {
             clock,
             poller,
@@ -103,13 +112,7 @@
             actions,
             shutdown: None,
             signals,
-            configuration: Reconfiguration {
-                source: config.source,
-                operator_config: operator.file,
-                settings,
-                pending: None,
-                socket_limit: config.socket_limit,
-            },
+            configuration,
         };
         service.schedule_first_accept();
         service.wake_peers();
@@ -120,7 +123,12 @@
     /// which this is checked again.
     fn schedule_first_accept(&mut self) {
         let response_timeout = self.discovery.response_timeout();
-        for wait in [response_timeout, CACHED_LIST_TIMEOUT, NO_LIST_TIMEOUT] {
+        for wait in [
+            response_timeout,
+            TRANSITION,
+            CACHED_LIST_TIMEOUT,
+            NO_LIST_TIMEOUT,
+        ] {
             self.io
                 .timers
                 .set(self.started + wait, Timer::StartAccepting);
--- a/relay/src/startup_config/mod.rs
+++ b/relay/src/startup_config/mod.rs
@@ -76,6 +76,11 @@
 }
 
 impl ConfigSource {
+    /// Returns the text of the platform's settings.
+    pub(crate) fn settings_text(&self) -> serde_json::Value {
+        self.keys.get("settings").cloned().unwrap_or_default()
+    }
+
     /// Returns the top-level keys whose values differ in a reloaded configuration and which a
     /// running process can't apply. The cached endpoint list is ignored: discovery sends a current
     /// one.
--- a/relay/tests/former_version.rs
+++ b/relay/tests/former_version.rs
@@ -549,3 +549,40 @@
     observer.wait_until_holder(former_candidate);
     fleet.wait_until_all_see_all();
 }
+
+// ---- settings in a transition ----
+
+/// A process of either version hands its connections to one of the other whose file has other
+/// settings. The former version is told nothing that it does not know, which would end the channel.
+fn check_hot_restart_with_other_settings(name: &str, old: &Path, new: &Path) {
+    let backends = two_backends();
+    let host = Host::new(name, &backends.each_ref().map(|backend| backend.address));
+    let mut old = host.start(old);
+    let mut client = OpenClient::open(&old);
+    let changes = [("\"effect\": \"fragile\"", "\"effect\": \"retryable\"")];
+    host.reload(&old, &changes);
+    let new = host.start_with(new, &changes);
+    old.relay.signal("TERM");
+    assert!(wait_for_exit(&mut old.relay.child).success());
+    client.client.send("kept\r\n");
+    client.expect_answer("kept");
+    new.relay.signal("USR1");
+    let counters = new.relay.wait_for_log(" adopted=");
+    assert_eq!(counter_value(&counters, "adopted"), 1, "{counters}");
+}
+
+#[test]
+fn connection_is_kept_when_the_new_version_replaces_the_former_in_a_transition() {
+    let Some(former) = former_program() else {
+        return;
+    };
+    check_hot_restart_with_other_settings("transition-to-new", &former, new_program());
+}
+
+#[test]
+fn connection_is_kept_when_the_former_version_replaces_the_new_in_a_transition() {
+    let Some(former) = former_program() else {
+        return;
+    };
+    check_hot_restart_with_other_settings("transition-to-former", new_program(), &former);
+}
--- a/relay/tests/helper/config.rs
+++ b/relay/tests/helper/config.rs
@@ -72,3 +72,22 @@
 
 /// A change of the settings: a session may have three attempts.
 pub(crate) const THREE_ATTEMPTS: (&str, &str) = ("\"maxDials\": 1", "\"maxDials\": 3");
+
+/// Replaces a part of a configuration, which must be in it.
+pub(crate) fn replace_in(text: &str, from: &str, to: &str) -> String {
+    assert!(text.contains(from), "{from}");
+    text.replace(from, to)
+}
+
+/// Makes these changes, each of which must be possible.
+pub(crate) fn replace_all_in(text: String, changes: &[(&str, &str)]) -> String {
+    let changes = changes.iter();
+    changes.fold(text, |text, (from, to)| replace_in(&text, from, to))
+}
+
+/// Changes of the settings under which a session that may be attempted again surely is: its client
+/// waits for longer than the longest backoff.
+pub(crate) const SURE_RETRY: [(&str, &str); 2] = [
+    ("\"deadlineUs\": 1500000", "\"deadlineUs\": 9000000"),
+    THREE_ATTEMPTS,
+];
--- a/relay/tests/helper/host.rs
+++ b/relay/tests/helper/host.rs
@@ -1,6 +1,6 @@
 //! Relay processes that run a chosen program, and what outlives each of them: the clients'
 //! listening socket and the folder that successive processes share.
-use super::{Relay, TEST_TIMEOUT, config, ready_backends, unused_address};
+use super::{Relay, TEST_TIMEOUT, config, ready_backends, replace_all_in, unused_address};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
@@ -266,18 +266,44 @@
 
     /// Starts a process of this program beside the running ones, and waits until it is ready.
     pub(crate) fn start(&self, program: &Path) -> RelayProcess {
+        self.start_with(program, &[])
+    }
+
+    /// Starts a process with these changes of the configuration, and waits until it is ready.
+    pub(crate) fn start_with(&self, program: &Path, changes: &[(&str, &str)]) -> RelayProcess {
+        let process = self.launch_with(program, changes);
+        process.wait_until_ready();
+        process
+    }
+
+    /// Starts a process with these changes of the configuration.
+    pub(crate) fn launch_with(&self, program: &Path, changes: &[(&str, &str)]) -> RelayProcess {
         let admin = unused_address();
-        let configuration = self.configuration(admin);
-        let path = self.folder().join(format!("config-{}.json", admin.ip()));
+        let configuration = replace_all_in(self.configuration(admin), changes);
+        let path = self.config_path(admin);
         std::fs::write(&path, &configuration).unwrap();
         let mut command = Command::new(program);
         command
             .env("ROUTER_CONFIG", &path)
             .env("ROUTER_PASSED_SOCKET", self.listener_descriptor())
             .env("TMPDIR", self.folder());
-        let process = RelayProcess::launch(command, self.client_address(), admin, configuration);
-        process.wait_until_ready();
-        process
+        RelayProcess::launch(command, self.client_address(), admin, configuration)
+    }
+
+    fn config_path(&self, admin: SocketAddr) -> PathBuf {
+        self.folder().join(format!("config-{}.json", admin.ip()))
+    }
+
+    /// Changes the configuration of a process of this host, and waits until the process has read it.
+    pub(crate) fn reload(&self, process: &RelayProcess, changes: &[(&str, &str)]) {
+        let text = replace_all_in(process.relay.config_text.clone(), changes);
+        let path = self.config_path(process.admin);
+        std::fs::write(path.with_extension("fresh"), text).unwrap();
+        std::fs::rename(path.with_extension("fresh"), &path).unwrap();
+        process.relay.signal("HUP");
+        // The statistics are logged in the turn that reads the files, or in a later one.
+        process.relay.signal("USR1");
+        process.relay.wait_for_log("open_sessions=");
     }
 }
 
--- a/relay/tests/helper/repeats.rs
+++ b/relay/tests/helper/repeats.rs
@@ -1,8 +1,9 @@
 //! Where the repeats of a request are sent.
 use super::backend::Received;
+use super::client::Client;
 use super::relay::Relay;
 use super::wait::wait_for;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The ids of the sessions that a backend was asked to open.
 struct OpenedIds {
@@ -45,3 +46,27 @@
         second.ids
     );
 }
+
+/// Waits until each of these clients has been answered and its connection has ended.
+pub(crate) fn await_ends(clients: Vec<Client>) {
+    for mut client in clients {
+        assert_ne!(client.next_line(), "end", "a session has no answer");
+        while !["end", "reset"].contains(&client.next_line().as_str()) {}
+    }
+}
+
+/// Returns the greatest number of attempts of one session among all that these backends have
+/// received.
+pub(crate) fn max_attempts(backends: &[Received]) -> usize {
+    let mut attempts: BTreeMap<String, usize> = BTreeMap::new();
+    for line in backends.iter().flat_map(|received| received.try_iter()) {
+        let id = line
+            .strip_prefix("OPEN ")
+            .map(|rest| rest[..16].to_string());
+        *attempts.entry(id.expect("only requests")).or_default() += 1;
+    }
+    attempts
+        .into_values()
+        .max()
+        .expect("no request was received")
+}
--- a/relay/tests/service/main.rs
+++ b/relay/tests/service/main.rs
@@ -5,4 +5,5 @@
 mod configuration;
 mod health_check;
 mod startup;
+mod transition;
 mod two_files;
--- a/relay/tests/service/two_files.rs
+++ b/relay/tests/service/two_files.rs
@@ -2,7 +2,6 @@
 //! from being in force.
 use crate::helper::host::{RelayProcess, TestFolder};
 use crate::helper::*;
-use std::collections::BTreeMap;
 use std::net::UdpSocket;
 use std::path::PathBuf;
 use std::process::Command;
@@ -14,12 +13,6 @@
 const ONE_ATTEMPT_FOR_SAFE: &str =
     "[[route]]\nname = \"single\"\ndials = 1\n[route.match]\nlistener = [\"safe\", \"once\"]\n";
 
-/// Settings under which a session that may be attempted again surely is: its client waits for longer
-/// than the longest backoff.
-const SURE_RETRY: [(&str, &str); 2] = [
-    ("\"deadlineUs\": 1500000", "\"deadlineUs\": 9000000"),
-    THREE_ATTEMPTS,
-];
 /// The listener `once` is dropped.
 const DROP_ONCE: (&str, &str) = (
     ",\n  {\"name\": \"once\", \"deadlineUs\": 9000000, \"handshakeTargetUs\": 300000, \"effect\": \"fragile\", \"utility\": 1.0}]",
@@ -44,7 +37,7 @@
         let known = ready_backends(&addresses);
         let mut text = config(at, unused_address(), 1_000, &known, false);
         for (from, to) in SURE_RETRY.iter().chain(changes) {
-            text = replace(&text, from, to);
+            text = replace_in(&text, from, to);
         }
         let text = host::with_admin(text, admin);
         std::fs::write(folder.path().join("config.json"), &text).unwrap();
@@ -75,7 +68,7 @@
     fn reload(&self, changes: &[(&str, &str)]) -> String {
         let mut text = self.process.relay.config_text.clone();
         for (from, to) in changes {
-            text = replace(&text, from, to);
+            text = replace_in(&text, from, to);
         }
         let path = self.folder.path().join("config.json");
         std::fs::write(path.with_extension("fresh"), text).unwrap();
@@ -88,34 +81,12 @@
     /// one of them took.
     fn max_attempts(&self) -> usize {
         let relay = &self.process.relay;
-        let mut clients: Vec<Client> = (0..10).map(|_| relay.open_session("safe", 9_000)).collect();
-        for client in &mut clients {
-            assert_ne!(client.next_line(), "end");
-            while client.next_line() != "end" {}
-        }
-        let mut attempts = BTreeMap::new();
-        for line in self
-            .received
-            .iter()
-            .flat_map(|received| received.try_iter())
-        {
-            *attempts.entry(line).or_insert(0) += 1;
-        }
-        let mut by_id: BTreeMap<String, usize> = BTreeMap::new();
-        for (line, count) in attempts {
-            *by_id
-                .entry(line.split(' ').nth(1).unwrap().into())
-                .or_default() += count;
-        }
-        by_id.into_values().max().unwrap()
+        let clients = (0..10).map(|_| relay.open_session("safe", 9_000));
+        await_ends(clients.collect());
+        max_attempts(&self.received)
     }
 }
 
-fn replace(text: &str, from: &str, to: &str) -> String {
-    assert!(text.contains(from), "{from}");
-    text.replace(from, to)
-}
-
 /// Without a stricter rule each session is attempted again, so the tests below can fail.
 #[test]
 fn idempotent_sessions_are_attempted_again_after_an_error() {
