A client that reads nothing is read no further while answers to its PINGs wait

Cause: each PONG went into the session's output, which has no bound, and the client was read on.

Change: before its request a client is read only while no answer waits for it. What waits is at most the answers to one read.

--- a/relay/src/session/client.rs
+++ b/relay/src/session/client.rs
@@ -26,6 +26,14 @@
             Stage::Draining => return self.drain(io),
             Stage::HandingOver => return Keep,
             Stage::Placing | Stage::Inherited => return self.check_waiting_client(io),
+            Stage::Handshake if self.output.has_pending() => {
+                // Nothing is read before the client has taken its answers, so that they don't pile
+                // up for one that sends and never reads.
+                let disposition = self.write_to_client(io);
+                if disposition == Remove || self.output.has_pending() {
+                    return disposition;
+                }
+            }
             Stage::Handshake | Stage::Established | Stage::Closing => {}
         }
         if self.to_backend.has_room() && self.read_client(shared, registry, io) == Remove {
--- a/relay/src/session/state.rs
+++ b/relay/src/session/state.rs
@@ -181,8 +181,11 @@
         // A client that waits for a backend is read without a pool buffer, so that its leaving is
         // noticed even while the pool is exhausted.
         let can_read = self.awaits_backend() || !self.is_starved;
-        self.client
-            .set_interest(self.to_backend.has_room() && can_read, has_output);
+        let awaits_reader = self.stage == Stage::Handshake && self.output.has_pending();
+        self.client.set_interest(
+            self.to_backend.has_room() && can_read && !awaits_reader,
+            has_output,
+        );
         if let Some(attempt) = &mut self.attempt {
             let has_lines = attempt.stage == AttemptStage::Established
                 && self.to_backend.has_writable()
--- a/relay/tests/session/main.rs
+++ b/relay/tests/session/main.rs
@@ -8,5 +8,6 @@
 mod handshake;
 mod health_check_descriptors;
 mod inherited;
+mod memory;
 mod placement;
 mod shutdown;
