An attempt that was never sent is no load of its backend

Cause: a placement counts as load until the backend's next report, also that of an attempt that ended before its request was sent. Some 90 of them fill a fleet of twelve in the estimate.

Change: an attempt that ends unsent gives its placement and its slow-start turn back: one whose client left, one recalled by a drain, a cancelled hedge. One that was sent counts as before.

--- a/src/balancer/attempts.rs
+++ b/src/balancer/attempts.rs
@@ -76,6 +76,22 @@
         })
     }
 
+    /// Forgets the placement of an attempt that was never sent: it is no load of its backend, and its
+    /// slow-start turn is open again.
+    fn forget_placement(&mut self, attempt: Attempt) {
+        let turn = self.slow_start_turn(attempt.started_at, attempt.backend);
+        let Some(backend) = self.backends.get_mut(&attempt.backend) else {
+            return;
+        };
+        let mut placements = backend.recent_placements.iter();
+        if let Some(index) = placements.rposition(|&at| at == attempt.started_at) {
+            backend.recent_placements.remove(index);
+        }
+        if let Some(turn) = turn.filter(|turn| turn.used > 0) {
+            backend.statistics.slow_start_use = Some((turn.number, turn.used - 1));
+        }
+    }
+
     /// Returns how long the session's next attempt may take. The last one gets all the time that is
     /// left.
     fn attempt_timeout(&self, now: Instant, id: SessionId) -> Duration {
@@ -137,11 +153,17 @@
         driver: &mut dyn Driver,
     ) {
         self.promote_hedge(id, end.attempt);
-        let Some(session) = self.sessions.get(&id) else {
+        let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
+        let state = session.state;
+        if let Some(attempt) = session.take_abandoned(end.attempt)
+            && end.outcome == AttemptOutcome::NotSent
+        {
+            self.forget_placement(attempt);
+        }
         let is_answered = end.is_answered || end.outcome == AttemptOutcome::Ok;
-        match session.state {
+        match state {
             SessionState::Connecting(attempt) if attempt.number == end.attempt => {
                 self.record_attempt_end(now, id, attempt, end);
                 if !is_answered {
@@ -180,8 +202,11 @@
             }
             session.last_backend = Some(backend_id);
         }
-        if outcome == AttemptOutcome::NotSent && attempt.number > 0 {
-            self.limits.refund(attempt.started_at);
+        if outcome == AttemptOutcome::NotSent {
+            self.forget_placement(attempt);
+            if attempt.number > 0 {
+                self.limits.refund(attempt.started_at);
+            }
         }
         self.record_report(now, backend_id, end.report);
         if !matches!(
--- a/src/balancer/hedging.rs
+++ b/src/balancer/hedging.rs
@@ -93,6 +93,7 @@
         };
         let group = session.arrival.group;
         if let Some(hedge) = session.hedge.take() {
+            session.abandoned.push(hedge);
             driver.cancel(id, hedge.number);
             self.remove_connection(hedge.backend, group);
         }
--- a/src/balancer/session_state.rs
+++ b/src/balancer/session_state.rs
@@ -65,6 +65,9 @@
     pub(super) last_backend: Option<BackendId>,
     /// A hedged attempt that is under way beside the one in `state`.
     pub(super) hedge: Option<Attempt>,
+    /// Attempts under way whose end no longer matters to the session. Whether they were sent is still
+    /// to be reported.
+    pub(super) abandoned: Vec<Attempt>,
     /// The load of its connection as a share of a backend's capacity, if it has been observed.
     pub(super) load: Option<f64>,
 }
@@ -81,7 +84,15 @@
             first_run: None,
             last_backend: None,
             hedge: None,
+            abandoned: Vec::new(),
             load: None,
         }
     }
+
+    /// Removes and returns the abandoned attempt with this number.
+    pub(super) fn take_abandoned(&mut self, number: u32) -> Option<Attempt> {
+        let mut attempts = self.abandoned.iter();
+        let index = attempts.position(|attempt| attempt.number == number)?;
+        Some(self.abandoned.swap_remove(index))
+    }
 }
--- a/src/balancer/sessions.rs
+++ b/src/balancer/sessions.rs
@@ -75,13 +75,15 @@
 
     /// Handles a session whose client has left, or that the driver has ended.
     pub fn session_left(&mut self, id: SessionId, driver: &mut dyn Driver) {
-        let Some(&Session { state, .. }) = self.sessions.get(&id) else {
+        let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
-        if let SessionState::Connecting(attempt) = state
-            && self.deployment.may_cancel
-        {
-            driver.cancel(id, attempt.number);
+        let state = session.state;
+        if let SessionState::Connecting(attempt) = state {
+            session.abandoned.push(attempt);
+            if self.deployment.may_cancel {
+                driver.cancel(id, attempt.number);
+            }
         }
         self.cancel_hedge(id, driver);
         match state {
