An id that may have run does not run again while its client could still repeat it

Cause: ids were known only while their session was open.

Change: a session of a class that is not idempotent reserves an entry for its id before its first attempt. If a backend may have run it, the id is refused with ERR (a repeat gets no promise that it never ran) until the session's end plus the longer of the client's wait and the listener's deadline, and no sooner than its arrival plus that plus the settings' window for repeats. The entries take at most a sixteenth of the memory limit, 96 bytes each: 21,845 at 32 MB. Without room a new session of such a class is rejected before any attempt; nothing is forgotten early. Adopted sessions reserve one in any case; a session that is handed over gives its entry up to the successor. New counter repeated_ids.

Not yet known to the other process of an upgrade.

--- a/relay/src/counters.rs
+++ b/relay/src/counters.rs
@@ -20,7 +20,7 @@
 counters! {
     // Clients' connections and sessions, and how they ended.
     connections, pings, sessions, inherited, bad_lines, clients_left, accepted, refused, torn_down,
-    turned_away, shed, sent_away, idle, second_dials, ended_well, ended_broken,
+    turned_away, repeated_ids, shed, sent_away, idle, second_dials, ended_well, ended_broken,
     // Attempts at backends, and why they failed.
     dials, dials_full, dials_error, dials_timeout, dials_unreachable, dials_reset, dials_withdrawn,
     dials_never_sent,
--- a/relay/src/protocol/first_line.rs
+++ b/relay/src/protocol/first_line.rs
@@ -103,6 +103,8 @@
 pub(crate) struct ProtocolSettings {
     /// The names of the listeners, each at the listener's index.
     pub(crate) listeners: Vec<String>,
+    /// The time that clients of each listener wait for their answer, at the listener's index.
+    pub(crate) client_timeouts: Vec<Duration>,
     /// Whether item `g` names a group whose members share work. Otherwise it names the client.
     pub(crate) has_groups: bool,
     /// Whether `LOAD` reports the latency of a message in milliseconds. Otherwise it reports the
--- a/relay/src/protocol/tests.rs
+++ b/relay/src/protocol/tests.rs
@@ -11,6 +11,7 @@
 pub(crate) fn protocol_settings(with_groups: bool) -> ProtocolSettings {
     ProtocolSettings {
         listeners: vec!["chat".into(), "feed".into()],
+        client_timeouts: vec![Duration::from_millis(1_000); 2],
         has_groups: with_groups,
         load_reports_latency: false,
     }
--- a/relay/src/service/reconfiguration.rs
+++ b/relay/src/service/reconfiguration.rs
@@ -265,6 +265,7 @@
 pub(super) fn protocol_settings_of(settings: &Settings) -> ProtocolSettings {
     ProtocolSettings {
         listeners: settings.listeners.clone(),
+        client_timeouts: settings.client_timeouts.clone(),
         has_groups: settings.deployment.groups_share_work,
         load_reports_latency: settings.connection_value_is_latency,
     }
--- a/relay/src/service/startup.rs
+++ b/relay/src/service/startup.rs
@@ -66,6 +66,7 @@
         let mut registered = Sockets::new(poller.clone());
         let listener_origin = ListenerOrigin::of(&config);
         let sockets = OpenSockets::open(&mut config, listener_origin, clock, &mut registered)?;
+        let memory_bytes = config.memory_mb << 20;
         let mut io = new_io_context(&config, registered, sockets.reserved_descriptors(), now);
         let mut discovery = new_discovery(&config, &mut io);
         let hot_restart = begin_hot_restart(&config, listener_origin, &mut io.sockets);
@@ -101,7 +102,7 @@
             clock,
             poller,
             io,
-            sessions: Sessions::new(sockets.clients, protocol, operator.routes),
+            sessions: Sessions::new(sockets.clients, protocol, operator.routes, memory_bytes),
             discovery,
             admin,
             peers: sockets.peers,
--- a/relay/src/session/attempts.rs
+++ b/relay/src/session/attempts.rs
@@ -142,6 +142,25 @@
         self.attempt_not_accepted(attempt.number, failure, io);
     }
 
+    /// Notes that the request may run if an attempt is under way whose request was sent. Called
+    /// before attempts are dropped without a report of their end.
+    pub(super) fn note_attempts_under_way(&mut self) {
+        let may_run = |attempt: &Attempt| {
+            let outcome = attempt.failure(FailureCause::Cancelled).outcome();
+            outcome.may_have_run()
+        };
+        if self.attempts().any(may_run) {
+            self.note_possible_run();
+        }
+    }
+
+    /// Notes that a backend may have run the request.
+    pub(super) fn note_possible_run(&mut self) {
+        if let Some(single_use) = &mut self.single_use {
+            single_use.may_have_run = true;
+        }
+    }
+
     /// Drops a hedged attempt without reporting its end.
     pub(super) fn drop_hedge(&mut self, pool: &mut BufferPool) {
         if let Some(mut hedge) = self.placement.hedge.take() {
@@ -171,6 +190,9 @@
         io: &mut IoContext,
     ) {
         let outcome = failure.outcome();
+        if outcome.may_have_run() {
+            self.note_possible_run();
+        }
         let counters = &mut io.counters;
         *match outcome {
             AttemptOutcome::Ok => &mut counters.ended_well,
--- a/relay/src/session/closing.rs
+++ b/relay/src/session/closing.rs
@@ -35,6 +35,7 @@
     /// Closes the session after writing the lines that wait for the client.
     pub(super) fn close(&mut self, io: &mut IoContext) -> Disposition {
         self.stage = Stage::Closing;
+        self.note_attempts_under_way();
         self.attempt = None;
         self.drop_hedge(&mut io.buffers);
         self.to_client.discard_partial_line(&mut io.buffers);
--- a/relay/src/session/handover.rs
+++ b/relay/src/session/handover.rs
@@ -106,8 +106,12 @@
             ));
         }
         self.offers.offer_resolved();
-        self.step(id, io, |session, _, io| {
+        self.step(id, io, |session, shared, io| {
             io.counters.handed += 1;
+            // The successor remembers the id from now on.
+            if session.single_use.take().is_some() {
+                shared.used_ids.release();
+            }
             session.report_session_end(AttemptOutcome::Cancelled, io);
             Remove
         });
@@ -314,9 +318,17 @@
             handover.client_key.unwrap_or_default(),
             handover.group,
         );
-        self.route = Some(shared.bind_route(row));
-        let is_reserved = shared.open_ids.insert(handover.id);
-        self.open_id = is_reserved.then_some(handover.id);
+        let route = shared.bind_route(row);
+        let client_timeout = shared.protocol_settings.client_timeouts[listener];
+        if shared.open_ids.insert(handover.id) {
+            self.open_id = Some(handover.id);
+            self.single_use = shared.reserve_adopted_single_use(
+                route.idempotency,
+                client_timeout,
+                self.last_activity,
+            );
+        }
+        self.route = Some(route);
         Arrival {
             route: RouteId(row as u16),
             client_key: handover.client_key,
--- a/relay/src/session/handshake.rs
+++ b/relay/src/session/handshake.rs
@@ -1,5 +1,5 @@
 //! The first stage: reading the client's first line.
-use super::shared::Shared;
+use super::shared::{NoRoomForId, Shared};
 use super::stage::Disposition::{self, Keep};
 use super::stage::Stage;
 use super::state::{Session, SessionMetadata};
@@ -8,6 +8,7 @@
 use crate::io_context::IoContext;
 use crate::line_buffer::LineTooLong;
 use crate::protocol::{self, FirstLine, FirstLineError, OpenRequest};
+use thistlecroft::deployment::Idempotency;
 use thistlecroft::ids::RouteId;
 use thistlecroft::time::Duration;
 
@@ -37,6 +38,9 @@
     /// Another open session has the same id.
     #[error("session id is in use by another open session")]
     DuplicateId,
+    /// An earlier session of this id may have run and must not run again.
+    #[error("session id was used by a request that must not be repeated")]
+    RepeatedId,
     /// The client finished sending before the first line was complete.
     #[error("client finished sending before its first line was complete")]
     Truncated,
@@ -91,6 +95,10 @@
         if self.to_backend.has_bytes() {
             return self.fail_handshake(HandshakeError::TrailingData, io);
         }
+        if shared.used_ids.contains(request.id, io.now) {
+            io.counters.repeated_ids += 1;
+            return self.fail_handshake(HandshakeError::RepeatedId, io);
+        }
         if !shared.open_ids.insert(request.id) {
             return self.fail_handshake(HandshakeError::DuplicateId, io);
         }
@@ -103,7 +111,19 @@
             io.counters.turned_away += 1;
             return self.close_with(&protocol::rejection_line(None), io);
         }
+        let listener = usize::from(request.arrival.route.0);
+        let settings_timeout = shared.protocol_settings.client_timeouts[listener];
+        let client_timeout = settings_timeout.max(request.arrival.timeout);
         self.assign_route(&mut request, shared);
+        let route = self.route.as_ref();
+        let idempotency = route.map_or(Idempotency::NonIdempotent, |route| route.idempotency);
+        match shared.reserve_single_use(idempotency, client_timeout, io.now) {
+            Ok(single_use) => self.single_use = single_use,
+            Err(NoRoomForId) => {
+                io.counters.turned_away += 1;
+                return self.close_with(&protocol::rejection_line(None), io);
+            }
+        }
         let arrival = request.arrival;
         let is_inherited = request.inherited_backend.is_some();
         self.placement.request = Some(request);
--- a/relay/src/session/mod.rs
+++ b/relay/src/session/mod.rs
@@ -39,3 +39,4 @@
 pub(crate) mod table;
 #[cfg(test)]
 mod tests;
+mod used_ids;
--- a/relay/src/session/placement.rs
+++ b/relay/src/session/placement.rs
@@ -51,8 +51,11 @@
         }
         if let Some(attempt) = self.attempt.take() {
             self.to_client.clear(&mut io.buffers);
+            let failure = attempt.failure(FailureCause::Cancelled);
+            if failure.outcome().may_have_run() {
+                self.note_possible_run();
+            }
             if is_known_to_balancer {
-                let failure = attempt.failure(FailureCause::Cancelled);
                 self.report_attempt_end(attempt.number, failure, io);
             }
         }
@@ -94,6 +97,7 @@
     /// Moves the session to the established stage, after a backend has accepted it.
     fn become_established(&mut self, io: &mut IoContext) {
         let id = self.session_id();
+        self.note_possible_run();
         let Some(attempt) = &mut self.attempt else {
             return;
         };
--- a/relay/src/session/state.rs
+++ b/relay/src/session/state.rs
@@ -10,6 +10,7 @@
 use crate::sockets::Connection;
 use crate::timers::Timer;
 use thistlecroft::attempt::{AttemptOutcome, LoadReport};
+use thistlecroft::deployment::Idempotency;
 use thistlecroft::ids::SessionId;
 use thistlecroft::time::{Duration, Instant};
 use thistlecroft_operator_config::SessionTimeouts;
@@ -44,6 +45,8 @@
     /// The id from the request, reserved in [`Shared::open_ids`](super::shared::Shared::open_ids)
     /// until the session is removed.
     pub(super) open_id: Option<u64>,
+    /// The entry for the id of a session that must not be repeated; none if it may be.
+    pub(super) single_use: Option<SingleUse>,
     /// Whether the session has ever been established. Such a session is not shed, since lines on
     /// their way would be lost.
     pub(super) was_established: bool,
@@ -86,9 +89,20 @@
     pub(super) to_client: LineBuffer,
 }
 
+/// The entry that is reserved for the id of a session that must not be repeated.
+pub(super) struct SingleUse {
+    /// The time after the session's end for which a repeat is refused.
+    pub(super) refused_for: Duration,
+    /// The earliest time at which a repeat is no longer refused.
+    pub(super) refused_until: Instant,
+    /// Whether a backend may have run the request.
+    pub(super) may_have_run: bool,
+}
+
 /// A session's route, as configured when its first line was read.
 pub(super) struct SessionRoute {
     pub(super) timeouts: SessionTimeouts,
+    pub(super) idempotency: Idempotency,
     /// The generation of the configuration under which the session was opened.
     pub(super) generation: u32,
 }
@@ -104,6 +118,26 @@
     pub(super) is_migration_due: bool,
 }
 
+impl SingleUse {
+    /// Returns the entry for a session that begins now; none if its requests may be repeated.
+    pub(super) fn new(
+        idempotency: Idempotency,
+        client_timeout: Duration,
+        now: Instant,
+    ) -> Option<SingleUse> {
+        let window = match idempotency {
+            Idempotency::Idempotent => return None,
+            Idempotency::Keyed { window, .. } => window,
+            Idempotency::NonIdempotent => Duration::ZERO,
+        };
+        Some(SingleUse {
+            refused_for: client_timeout,
+            refused_until: now + client_timeout + window,
+            may_have_run: false,
+        })
+    }
+}
+
 impl Session {
     /// Creates a session for a connection that has sent nothing yet. `connected` is the earliest
     /// time at which the connection may have been established.
@@ -123,6 +157,7 @@
             phase_started: connected,
             last_activity: now,
             open_id: None,
+            single_use: None,
             was_established: false,
             close_at: None,
             is_starved: false,
--- a/relay/src/session/table.rs
+++ b/relay/src/session/table.rs
@@ -24,18 +24,20 @@
 }
 
 impl Sessions {
-    /// Creates an empty table. No client is accepted before [`Sessions::start_accepting`].
+    /// Creates an empty table for a process with this memory limit. No client is accepted before
+    /// [`Sessions::start_accepting`].
     pub(crate) fn new(
         listener: ListenerSocket,
         protocol_settings: ProtocolSettings,
         routes: RouteTable,
+        memory_bytes: usize,
     ) -> Sessions {
         Sessions {
             sessions: BTreeMap::new(),
             next_id: 0,
             listener: ClientListener::new(listener),
             offers: OfferQueue::default(),
-            shared: Shared::new(protocol_settings, routes),
+            shared: Shared::new(protocol_settings, routes, memory_bytes),
         }
     }
 
@@ -112,6 +114,9 @@
             session.drop_hedge(&mut io.buffers);
             if let Some(open_id) = session.open_id {
                 self.shared.open_ids.remove(&open_id);
+                session.note_attempts_under_way();
+                let single_use = session.single_use.take();
+                self.shared.close_single_use(open_id, single_use, io.now);
             }
             if let Some(route) = &session.route {
                 self.shared.generations.remove_session(route.generation);
--- a/relay/src/session/tests.rs
+++ b/relay/src/session/tests.rs
@@ -29,7 +29,7 @@
         descriptors: 100,
     };
     let routes = RouteTable::from_settings(&context);
-    let mut sessions = Sessions::new(listener, protocol_settings(false), routes);
+    let mut sessions = Sessions::new(listener, protocol_settings(false), routes, 32 << 20);
     sessions.start_accepting();
     sessions
 }
--- a/relay/tests/session/main.rs
+++ b/relay/tests/session/main.rs
@@ -10,4 +10,5 @@
 mod inherited;
 mod memory;
 mod placement;
+mod repeats;
 mod shutdown;
