Hot restart: both processes refuse ids that may have run at the other

Cause: each process knew its own ids alone.

Change: a process that says it understands them (Hello, `understands`) is told of each id that must not be repeated: opened, ended and refused for so long, or ended without having run. The other way round too. Messages go out before a request is written and are read before clients in a turn; a request's id is looked at once more before its first byte. When a process ends, what was open there is refused for the longest deadline of the settings. Messages wait in order for room in the channel, also those of binding settings. Former programs are told nothing. The recorded Hello changes.

--- a/relay/src/hot_restart/channel.rs
+++ b/relay/src/hot_restart/channel.rs
@@ -8,6 +8,8 @@
     SendAncillaryMessage, SendFlags,
 };
 use socket2::{Domain, SockAddr, Socket, Type};
+use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd, OwnedFd};
@@ -20,6 +22,8 @@
 const MAX_PACKET_BYTES: usize = 64 * 1024;
 /// The most descriptors that can be attached to one packet: a session's two connections.
 const MAX_DESCRIPTORS: usize = 2;
+/// A process for which more messages wait does not read.
+const MAX_QUEUED_MESSAGES: usize = 1_024;
 const SUCCESSOR_BACKLOG: i32 = 4;
 
 /// The socket at which a successor connects to this process.
@@ -32,6 +36,8 @@
 pub(crate) struct Channel {
     registration: Registration,
     socket: Socket,
+    /// Messages that wait for room in the channel.
+    queue: RefCell<VecDeque<Message>>,
 }
 
 /// The result of reading from a channel.
@@ -114,9 +120,41 @@
         Channel {
             registration,
             socket,
+            queue: RefCell::default(),
         }
     }
 
+    /// Sends messages without attachments in their order, later if the channel has no room.
+    ///
+    /// # Errors
+    /// Returns an error if the other process has ended, or does not read.
+    pub(crate) fn send_in_order(
+        &self,
+        messages: impl IntoIterator<Item = Message>,
+    ) -> io::Result<()> {
+        self.queue.borrow_mut().extend(messages);
+        self.flush()?;
+        if self.queue.borrow().len() > MAX_QUEUED_MESSAGES {
+            return Err(io::Error::other("the other process does not read"));
+        }
+        Ok(())
+    }
+
+    /// Sends queued messages while the channel has room.
+    ///
+    /// # Errors
+    /// Returns an error if the other process has ended.
+    pub(crate) fn flush(&self) -> io::Result<()> {
+        let mut queue = self.queue.borrow_mut();
+        while let Some(message) = queue.front() {
+            if !self.send(message, &[], &[])? {
+                break;
+            }
+            queue.pop_front();
+        }
+        Ok(())
+    }
+
     pub(crate) fn has_key(&self, key: usize) -> bool {
         self.registration.has_key(key)
     }
--- a/relay/src/hot_restart/messages.rs
+++ b/relay/src/hot_restart/messages.rs
@@ -14,6 +14,9 @@
 /// [`Message::BindingSettingsEnd`].
 pub(crate) const UNDERSTANDS_SETTINGS: &str = "settings";
 
+/// Named in `Hello` by a process that understands [`Message::Ids`].
+pub(crate) const UNDERSTANDS_IDS: &str = "ids";
+
 /// An established session. Its two descriptors are attached to the packet, the client's first.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct SessionHandover {
@@ -251,6 +254,17 @@
         #[serde(rename = "binds_us")]
         binds_for_us: u64,
     },
+    /// What has happened to ids that must not be repeated. The first such message has all that the
+    /// other process needs to know.
+    Ids {
+        #[serde(default)]
+        open: Vec<u64>,
+        #[serde(default)]
+        released: Vec<u64>,
+        /// Each id, and for how long from now on it is refused, in microseconds.
+        #[serde(default)]
+        used: Vec<(u64, u64)>,
+    },
     /// All settings that bind have been sent.
     #[serde(rename = "SettingsEnd")]
     BindingSettingsEnd,
--- a/relay/src/hot_restart/state.rs
+++ b/relay/src/hot_restart/state.rs
@@ -1,6 +1,8 @@
 //! The predecessor and the successor of this process, and the sessions that are being handed over.
 use crate::hot_restart::channel::{self, Channel, SuccessorListener};
-use crate::hot_restart::messages::{Message, SessionHandover, UNDERSTANDS_SETTINGS, VERSION};
+use crate::hot_restart::messages::{
+    Message, SessionHandover, UNDERSTANDS_IDS, UNDERSTANDS_SETTINGS, VERSION,
+};
 use crate::sockets::Sockets;
 use std::collections::BTreeMap;
 use std::io;
@@ -17,6 +19,8 @@
     pub(crate) successor: Option<Channel>,
     /// Sessions that the predecessor has offered and not yet released.
     offered: BTreeMap<u32, OfferedSession>,
+    /// Whether the predecessor is told of the ids of this process.
+    pub(crate) shares_ids_with_predecessor: bool,
     /// The number of open descriptors that was last sent to the other processes.
     sent_descriptor_count: usize,
 }
@@ -47,7 +51,7 @@
         let hello = Message::Hello {
             version: VERSION,
             relay: self.relay_name.clone(),
-            understands: vec![UNDERSTANDS_SETTINGS.into()],
+            understands: vec![UNDERSTANDS_SETTINGS.into(), UNDERSTANDS_IDS.into()],
         };
         self.predecessor = predecessor
             .filter(|predecessor| matches!(predecessor.send(&hello, &[], &[]), Ok(true)));
--- a/relay/src/service/event_loop.rs
+++ b/relay/src/service/event_loop.rs
@@ -25,7 +25,7 @@
     /// First, so that operators are answered whatever the load.
     Admin,
     /// Before the sessions, so that an attempt that becomes ready in the same turn is not used if
-    /// its backend must not get new sessions any more.
+    /// its backend must not get new sessions any more, or its id is in use in the other process.
     Discovery,
     Other,
 }
@@ -36,7 +36,9 @@
     fn of(key: usize) -> Priority {
         match owner_of(key) {
             Some(SocketOwner::AdminListener | SocketOwner::AdminConnection(_)) => Priority::Admin,
-            Some(SocketOwner::Discovery) => Priority::Discovery,
+            Some(SocketOwner::Discovery | SocketOwner::Predecessor | SocketOwner::Successor) => {
+                Priority::Discovery
+            }
             _ => Priority::Other,
         }
     }
@@ -52,6 +54,7 @@
         loop {
             self.run_balancer();
             self.send_descriptor_count(DESCRIPTOR_COUNT_STEP);
+            self.send_id_notices();
             if self.is_shut_down() {
                 log::info!(target: LOG_TARGET, "relay stopped; {}", self.io.counters);
                 return Ok(());
--- a/relay/src/service/hot_restart.rs
+++ b/relay/src/service/hot_restart.rs
@@ -1,11 +1,15 @@
 //! The messages between this process and its predecessor or successor, and how they are handled.
+use super::shared_ids::{message_of, messages_of, notices_of};
 use super::{LOG_TARGET, Service};
 use crate::discovery::registry::EndpointRegistry;
 use crate::driver::Event;
 use crate::hot_restart::channel::{Channel, Received, ReceivedPacket};
-use crate::hot_restart::messages::{Message, SnapshotMessage, UNDERSTANDS_SETTINGS, VERSION};
+use crate::hot_restart::messages::{
+    Message, SnapshotMessage, UNDERSTANDS_IDS, UNDERSTANDS_SETTINGS, VERSION,
+};
 use crate::hot_restart::state::OfferedSession;
 use crate::session::table::Sessions;
+use crate::session::used_ids::IdNotice;
 use std::io;
 use std::ops::ControlFlow;
 use std::os::fd::OwnedFd;
@@ -79,10 +83,12 @@
         self.hot_restart.set_successor(successor);
     }
 
-    fn lose_successor(&mut self, reason: &str) {
+    pub(super) fn lose_successor(&mut self, reason: &str) {
         if self.hot_restart.successor.take().is_some() {
             log::info!(target: LOG_TARGET, "the channel to the successor is closed: {reason}");
             self.io.sockets.set_open_in_other_process(0);
+            let is_last = !self.hot_restart.has_predecessor();
+            self.sessions.stop_sharing_ids(is_last, self.io.now);
             self.sessions.cancel_handover(&mut self.io);
             self.accept_without_successor();
         }
@@ -92,6 +98,8 @@
     fn lose_predecessor(&mut self, reason: &str) {
         log::info!(target: LOG_TARGET, "the channel to the predecessor is closed: {reason}");
         self.hot_restart.drop_predecessor();
+        let is_last = self.hot_restart.successor.is_none();
+        self.sessions.stop_sharing_ids(is_last, self.io.now);
         self.io.sockets.set_open_in_other_process(0);
         self.io.events.push_back(Event::PredecessorEnded);
         self.accept_clients_when_ready();
@@ -140,7 +148,13 @@
                 relay,
                 understands,
             } if self.hot_restart.is_same_relay(&relay) => {
-                if understands.iter().any(|name| name == UNDERSTANDS_SETTINGS) {
+                let understands = |message: &str| understands.iter().any(|name| name == message);
+                if understands(UNDERSTANDS_IDS) {
+                    // Before the settings, after which the successor accepts clients.
+                    let notices = self.sessions.start_sharing_ids(self.io.now);
+                    successor.send_in_order(first_id_messages(&notices))?;
+                }
+                if understands(UNDERSTANDS_SETTINGS) {
                     let settings = self.configuration.settings_for_successor(self.io.now);
                     send_binding_settings(settings, successor)?;
                 }
@@ -151,6 +165,14 @@
                 send_snapshot(&self.balancer, &self.discovery.registry, successor)?;
             }
             Message::OpenDescriptors { count } => self.set_open_in_other_process(count),
+            Message::Ids {
+                open,
+                released,
+                used,
+            } => {
+                let notices = notices_of(open, released, used);
+                self.sessions.apply_id_notices(notices, self.io.now);
+            }
             Message::Accepted { serial } => {
                 self.sessions
                     .handover_accepted(serial, successor, &mut self.io)?;
@@ -199,6 +221,15 @@
                 self.io.events.push_back(Event::SnapshotReceived(snapshot));
             }
             Message::OpenDescriptors { count } => self.set_open_in_other_process(count),
+            Message::Ids {
+                open,
+                released,
+                used,
+            } => {
+                let notices = notices_of(open, released, used);
+                self.sessions.apply_id_notices(notices, self.io.now);
+                self.share_ids_with_predecessor();
+            }
             Message::BindingSettings { text, binds_for_us } => {
                 let time = Duration::from_micros(binds_for_us);
                 self.configuration
@@ -236,6 +267,20 @@
         }
     }
 
+    /// Tells the predecessor, which has shown that it understands this, of the ids of this process.
+    fn share_ids_with_predecessor(&mut self) {
+        if self.hot_restart.shares_ids_with_predecessor {
+            return;
+        }
+        let Some(predecessor) = &self.hot_restart.predecessor else {
+            return;
+        };
+        let notices = self.sessions.start_sharing_ids(self.io.now);
+        // An error is ignored: reading from the channel shows that the predecessor has ended.
+        let _ = predecessor.send_in_order(first_id_messages(&notices));
+        self.hot_restart.shares_ids_with_predecessor = true;
+    }
+
     /// Accepts a session that the predecessor offers if there is room for it, and declines it
     /// otherwise.
     fn answer_offer(&mut self, serial: u32, offered: Option<OfferedSession>) {
@@ -267,23 +312,27 @@
     }
 }
 
-/// Sends the settings that bind beside those of the successor's file. If the channel has no room for
-/// all of them, the end is not sent: the successor then waits until none of them binds any more.
+/// Returns the messages that begin to tell the other process of ids, at least one.
+fn first_id_messages(notices: &[IdNotice]) -> Vec<Message> {
+    let mut messages = messages_of(notices);
+    if messages.is_empty() {
+        messages.push(message_of(&[]));
+    }
+    messages
+}
+
+/// Sends the settings that bind beside those of the successor's file, and their end.
 fn send_binding_settings(
     settings: Vec<(&serde_json::Value, Duration)>,
     successor: &Channel,
 ) -> io::Result<()> {
-    for (text, time) in settings {
-        let message = Message::BindingSettings {
+    let texts = settings
+        .into_iter()
+        .map(|(text, time)| Message::BindingSettings {
             text: text.clone(),
             binds_for_us: time.as_micros(),
-        };
-        if !successor.send(&message, &[], &[])? {
-            return Ok(());
-        }
-    }
-    successor.send(&Message::BindingSettingsEnd, &[], &[])?;
-    Ok(())
+        });
+    successor.send_in_order(texts.chain([Message::BindingSettingsEnd]))
 }
 
 /// Sends a snapshot of the balancer. A part for which the channel has no room is dropped: the
--- a/relay/src/service/mod.rs
+++ b/relay/src/service/mod.rs
@@ -6,6 +6,7 @@
 mod event_loop;
 mod hot_restart;
 mod reconfiguration;
+mod shared_ids;
 mod shutdown;
 mod signals;
 mod startup;
--- a/relay/src/session/backend.rs
+++ b/relay/src/session/backend.rs
@@ -1,4 +1,5 @@
 //! The connection to the backend: handling its events by the session's stage, and writing to it.
+use super::handshake::HandshakeError;
 use super::shared::Shared;
 use super::stage::Disposition::{self, Keep, Remove};
 use super::stage::Stage;
@@ -27,7 +28,7 @@
         let is_unsent = self.attempt.as_ref().is_some_and(Attempt::is_unsent);
         if self.awaits_backend()
             && is_unsent
-            && let ControlFlow::Break(disposition) = self.check_before_sending(registry, io)
+            && let ControlFlow::Break(disposition) = self.check_before_sending(shared, registry, io)
         {
             return disposition;
         }
@@ -65,6 +66,7 @@
     /// banned, and the event loop may have been delayed. An attempt that ends here was never sent.
     fn check_before_sending(
         &mut self,
+        shared: &Shared,
         registry: &EndpointRegistry,
         io: &mut IoContext,
     ) -> ControlFlow<Disposition> {
@@ -72,6 +74,12 @@
         if disposition == Remove || !self.awaits_backend() {
             return ControlFlow::Break(disposition);
         }
+        // The other process may have opened a session of the same id meanwhile.
+        let id = self.open_id.filter(|_| self.single_use.is_some());
+        if id.is_some_and(|id| shared.used_ids.is_open_elsewhere(id)) {
+            self.cancel_placement(io);
+            return ControlFlow::Break(self.fail_handshake(HandshakeError::RepeatedId, io));
+        }
         // Sockets' events are handled before timers, so the attempt may be overdue already.
         let is_stale = |attempt: &Attempt| {
             registry.is_draining_or_banned(attempt.backend) || attempt.is_overdue(io.now)
--- a/relay/src/session/handover.rs
+++ b/relay/src/session/handover.rs
@@ -5,6 +5,7 @@
 use super::stage::Stage;
 use super::state::{Session, SessionMetadata};
 use super::table::Sessions;
+use super::used_ids::IdNotice;
 use crate::attempt::Attempt;
 use crate::discovery::registry::EndpointRegistry;
 use crate::driver::Event;
@@ -110,7 +111,7 @@
             io.counters.handed += 1;
             // The successor remembers the id from now on.
             if session.single_use.take().is_some() {
-                shared.used_ids.release();
+                shared.used_ids.release_handed_over();
             }
             session.report_session_end(AttemptOutcome::Cancelled, io);
             Remove
@@ -143,6 +144,39 @@
         }
     }
 
+    /// Begins to tell the other process of ids that must not be repeated, and returns all that it
+    /// needs to know now.
+    pub(crate) fn start_sharing_ids(&mut self, now: Instant) -> Vec<IdNotice> {
+        let open = self
+            .sessions
+            .values()
+            .filter(|session| session.single_use.is_some())
+            .filter_map(|session| session.open_id);
+        self.shared.used_ids.start_sharing(open, now)
+    }
+
+    /// Returns what the other process has not been told yet.
+    pub(crate) fn take_id_notices(&mut self) -> Vec<IdNotice> {
+        self.shared.used_ids.take_notices()
+    }
+
+    /// Takes in what the other process has told of its ids.
+    pub(crate) fn apply_id_notices(&mut self, notices: Vec<IdNotice>, now: Instant) {
+        for notice in notices {
+            self.shared.used_ids.apply(notice, now);
+        }
+    }
+
+    /// Handles the end of another process; `is_last` tells whether no other is left.
+    pub(crate) fn stop_sharing_ids(&mut self, is_last: bool, now: Instant) {
+        if is_last {
+            self.shared.used_ids.stop_sharing();
+        }
+        let timeouts = self.shared.protocol_settings.client_timeouts.iter();
+        let longest_wait = timeouts.copied().max().unwrap_or(Duration::ZERO);
+        self.shared.used_ids.end_elsewhere(longest_wait, now);
+    }
+
     fn is_offered(&self, id: u32) -> bool {
         let session = self.sessions.get(&id);
         session.is_some_and(|session| session.stage == Stage::HandingOver)
@@ -323,6 +357,7 @@
         if shared.open_ids.insert(handover.id) {
             self.open_id = Some(handover.id);
             self.single_use = shared.reserve_adopted_single_use(
+                handover.id,
                 route.idempotency,
                 client_timeout,
                 self.last_activity,
--- a/relay/src/session/handshake.rs
+++ b/relay/src/session/handshake.rs
@@ -117,7 +117,7 @@
         self.assign_route(&mut request, shared);
         let route = self.route.as_ref();
         let idempotency = route.map_or(Idempotency::NonIdempotent, |route| route.idempotency);
-        match shared.reserve_single_use(idempotency, client_timeout, io.now) {
+        match shared.reserve_single_use(request.id, idempotency, client_timeout, io.now) {
             Ok(single_use) => self.single_use = single_use,
             Err(NoRoomForId) => {
                 io.counters.turned_away += 1;
--- a/relay/src/session/mod.rs
+++ b/relay/src/session/mod.rs
@@ -39,4 +39,4 @@
 pub(crate) mod table;
 #[cfg(test)]
 mod tests;
-mod used_ids;
+pub(crate) mod used_ids;
--- a/relay/src/session/shared.rs
+++ b/relay/src/session/shared.rs
@@ -55,12 +55,13 @@
     /// There is no room for an entry.
     pub(super) fn reserve_single_use(
         &mut self,
+        id: u64,
         idempotency: Idempotency,
         client_timeout: Duration,
         now: Instant,
     ) -> Result<Option<SingleUse>, NoRoomForId> {
         let single_use = SingleUse::new(idempotency, client_timeout, now);
-        if single_use.is_some() && !self.used_ids.reserve(now) {
+        if single_use.is_some() && !self.used_ids.reserve(id, now) {
             return Err(NoRoomForId);
         }
         Ok(single_use)
@@ -70,13 +71,14 @@
     /// where there is no room: there are no more such sessions than descriptors.
     pub(super) fn reserve_adopted_single_use(
         &mut self,
+        id: u64,
         idempotency: Idempotency,
         client_timeout: Duration,
         now: Instant,
     ) -> Option<SingleUse> {
         let mut single_use = SingleUse::new(idempotency, client_timeout, now)?;
         single_use.may_have_run = true;
-        self.used_ids.reserve_beyond_capacity();
+        self.used_ids.reserve_adopted(id);
         Some(single_use)
     }
 
@@ -90,9 +92,9 @@
         match single_use {
             Some(used) if used.may_have_run => {
                 let until = used.refused_until.max(now + used.refused_for);
-                self.used_ids.insert_reserved(id, until);
+                self.used_ids.insert_reserved(id, until, now);
             }
-            Some(_) => self.used_ids.release(),
+            Some(_) => self.used_ids.release(id),
             None => {}
         }
     }
--- a/relay/tests/service/main.rs
+++ b/relay/tests/service/main.rs
@@ -4,6 +4,7 @@
 
 mod configuration;
 mod health_check;
+mod shared_ids;
 mod startup;
 mod transition;
 mod two_files;
