--- a/relay/tests/helper/relay.rs
+++ b/relay/tests/helper/relay.rs
@@ -142,6 +142,22 @@
         self.signal("HUP");
     }
 
+    /// Returns the most memory that the process has used, in megabytes.
+    pub(crate) fn peak_memory_mb(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).unwrap();
+        let peak = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        // A process that is just ending has no memory any more.
+        let kilobytes = peak.map_or("0", |peak| peak.trim().trim_end_matches(" kB"));
+        kilobytes.parse::<usize>().unwrap() / 1024
+    }
+
+    /// Returns the number of descriptors that the process has open.
+    pub(crate) fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(path).map_or(0, Iterator::count)
+    }
+
     /// Connects to the relay.
     pub(crate) fn connect(&self) -> Client {
         let stream = TcpStream::connect(self.client_address).unwrap();
