Testbed: addresses of relays can't be taken between being given out and being bound

Change: testbed/src/loopback.rs gives each process and call an address of its own with a port below those that the system gives out, as the tests' unused_address does; both users take it.

--- a/experiments/src/run/relay_actions.rs
+++ b/experiments/src/run/relay_actions.rs
@@ -5,8 +5,9 @@
 use thistlecroft::time::{Duration, Instant};
 use thistlecroft_testbed::endpoint_list::endpoint_name;
 use thistlecroft_testbed::event_recorder::{BackendIndex, Observation, RelayIndex};
+use thistlecroft_testbed::loopback::free_address;
 use thistlecroft_testbed::relay_observer::RelayObserver;
-use thistlecroft_testbed::relay_process::{ADMIN_COMMAND_TIMEOUT, RelayProcess, free_address};
+use thistlecroft_testbed::relay_process::{ADMIN_COMMAND_TIMEOUT, RelayProcess};
 use thistlecroft_testbed::socket_holder::send_admin_command;
 
 /// The time for which clients are still sent to a relay that shuts down as planned.
@@ -116,7 +117,7 @@
         if managed.process.is_none() || managed.stop_deadline.is_some() {
             return;
         }
-        let admin = free_address(self.plan.backends.relays + number);
+        let admin = free_address();
         let successor = admin.map_err(|error| error.to_string()).and_then(|admin| {
             managed.options.admin = Some(admin);
             managed
--- a/experiments/src/run/setup.rs
+++ b/experiments/src/run/setup.rs
@@ -18,8 +18,9 @@
     BackendIndex, EventRecorder, Lifecycle, Observation, RelayIndex, event_recorder,
 };
 use thistlecroft_testbed::load_generator::{LoadGenerator, LoadPlan, RelayEndpoint};
+use thistlecroft_testbed::loopback::free_address;
 use thistlecroft_testbed::relay_network::{OpenedNetwork, RelayNetwork};
-use thistlecroft_testbed::relay_process::{PeersConfig, RelayOptions, RelayProcess, free_address};
+use thistlecroft_testbed::relay_process::{PeersConfig, RelayOptions, RelayProcess};
 use thistlecroft_testbed::simulated_backends::{OpenedBackends, SimulatedBackends};
 use thistlecroft_testbed::socket_holder::SocketHolder;
 use thistlecroft_testbed::traffic::scattered_id;
@@ -211,7 +212,7 @@
         peers_table: &str,
     ) -> Result<RelayOptions, RunError> {
         let (scenario, plan) = (self.scenario, self.plan);
-        let mut listen = free_address(number).map_err(RunError::NoAddress)?;
+        let mut listen = free_address().map_err(RunError::NoAddress)?;
         let cached_endpoints = scenario
             .relays
             .preload_endpoints
@@ -229,7 +230,7 @@
             socket_holder = Some(held.holder);
         }
         if has_peers && admin.is_none() {
-            let address = free_address(plan.backends.relays + number);
+            let address = free_address();
             admin = Some(address.map_err(RunError::NoAdminAddress)?);
         }
         let operator_config = scenario.relays.operator_configs.first();
@@ -255,7 +256,7 @@
     fn hold_sockets(&self, number: usize, address: SocketAddr) -> std::io::Result<HeldSockets> {
         let folder = self.folder.join(format!("relay-{number}.shared"));
         let holder = SocketHolder::open(address, &folder)?;
-        let admin = free_address(number)?;
+        let admin = free_address()?;
         Ok(HeldSockets {
             listen: holder.address()?,
             admin,
--- a/experiments/src/scale/real_relays.rs
+++ b/experiments/src/scale/real_relays.rs
@@ -8,11 +8,9 @@
 use std::path::Path;
 use std::time::Instant;
 use thistlecroft_peers::NodeCounts;
+use thistlecroft_testbed::loopback::free_address;
 use thistlecroft_testbed::process_cluster::{ClusterPlan, ProcessCluster};
-use thistlecroft_testbed::relay_process::free_address;
 
-/// Index of the first real relay's loopback address, above those of the process cluster.
-const FIRST_ADDRESS: usize = 200;
 /// Size of the IPv4 and UDP headers of a datagram.
 const HEADER_BYTES: u64 = 28;
 
@@ -76,7 +74,7 @@
         let key = folder.join("scale.key");
         std::fs::write(&key, &config.node_config(Role::Relay).secret).map_err(failed)?;
         for number in 0..config.real_relays {
-            let listen = free_address(FIRST_ADDRESS + number).map_err(failed)?;
+            let listen = free_address().map_err(failed)?;
             cluster
                 .start_with_config(number, peers_table(config, listen, seeds, &key))
                 .map_err(failed)?;
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -20,6 +20,7 @@
 mod line_socket;
 pub mod link_fault;
 pub mod load_generator;
+pub mod loopback;
 pub mod process_cluster;
 pub mod relay_network;
 pub mod relay_observer;
--- a/testbed/src/process_cluster/cluster.rs
+++ b/testbed/src/process_cluster/cluster.rs
@@ -4,11 +4,10 @@
 use crate::clock::{Stopwatch, from_std, to_std};
 use crate::event_recorder::{EventLog, EventRecorder, Observation, RelayIndex, event_recorder};
 use crate::link_fault::LinkFault;
+use crate::loopback::free_address;
 use crate::relay_network::{NetworkCommand, OpenedNetwork, RelayNetwork};
 use crate::relay_observer::{RelayObserver, parse_members_seen};
-use crate::relay_process::{
-    ADMIN_COMMAND_TIMEOUT, PeersConfig, RelayOptions, RelayProcess, free_address,
-};
+use crate::relay_process::{ADMIN_COMMAND_TIMEOUT, PeersConfig, RelayOptions, RelayProcess};
 use crate::simulated_backends::{OpenedBackends, SimulatedBackends};
 use crate::socket_holder::send_admin_command;
 use crate::traffic::scattered_id;
@@ -66,9 +65,8 @@
             voters: plan.voters,
             key_file,
         };
-        let free_addresses = |first: usize| -> io::Result<Vec<SocketAddr>> {
-            (first..first + relays).map(free_address).collect()
-        };
+        let free_addresses =
+            || -> io::Result<Vec<SocketAddr>> { (0..relays).map(|_| free_address()).collect() };
         Ok(ProcessCluster {
             clock,
             recorder,
@@ -78,8 +76,8 @@
             plan,
             peers,
             relays: (0..relays).map(|_| None).collect(),
-            listen_addresses: free_addresses(0)?,
-            admin_addresses: free_addresses(relays)?,
+            listen_addresses: free_addresses()?,
+            admin_addresses: free_addresses()?,
             starts: 0,
         })
     }
--- a/testbed/src/relay_network.rs
+++ b/testbed/src/relay_network.rs
@@ -5,6 +5,7 @@
 use crate::event_loop::{EventHandler, EventLoop, LoopContext};
 use crate::event_recorder::{EventRecorder, Observation, RelayIndex};
 use crate::link_fault::LinkFault;
+use crate::loopback::free_datagram_address;
 use polling::{Event, PollMode};
 use std::collections::BTreeMap;
 use std::io;
@@ -102,20 +103,16 @@
     ) -> io::Result<OpenedNetwork> {
         let mut sockets = Vec::new();
         let mut addresses = Vec::new();
-        // The ports for the relays' sockets stay bound until all are found, so that all differ.
-        let mut reserved = Vec::new();
         for index in 0..relays {
             let ip = loopback_address(index);
-            let (public, bound) = (UdpSocket::bind((ip, 0))?, UdpSocket::bind((ip, 0))?);
+            let public = UdpSocket::bind((ip, 0))?;
             public.set_nonblocking(true)?;
             addresses.push(PeerAddress {
                 public: public.local_addr()?,
-                bind: bound.local_addr()?,
+                bind: free_datagram_address()?,
             });
             sockets.push(public);
-            reserved.push(bound);
         }
-        drop(reserved);
         let network = RelayNetwork {
             sockets,
             addresses: addresses.clone(),
--- a/testbed/src/relay_process/mod.rs
+++ b/testbed/src/relay_process/mod.rs
@@ -6,5 +6,5 @@
 
 pub use config::{FleetConfig, ListenerConfig, PeersConfig, RelayOptions, configuration};
 pub use error::RelayProcessError;
-pub use process::{ADMIN_COMMAND_TIMEOUT, RelayProcess, free_address};
+pub use process::{ADMIN_COMMAND_TIMEOUT, RelayProcess};
 pub use resources::{DescriptorLimitError, ensure_descriptor_limit, process_cost};
--- a/testbed/src/relay_process/process.rs
+++ b/testbed/src/relay_process/process.rs
@@ -265,15 +265,3 @@
     BufReader::new(stream).read_line(&mut line)?;
     Ok(line.trim_end() == "PONG")
 }
-
-/// Returns an address of the loopback range for the relay with the given index, with a port that is
-/// free at the moment.
-///
-/// # Errors
-/// Returns an error if no port is free.
-pub fn free_address(index: usize) -> io::Result<SocketAddr> {
-    let [.., high, low] = (index as u32 + 1).to_be_bytes();
-    let process = (std::process::id() % 60) as u8;
-    let address = std::net::Ipv4Addr::new(127, 2 + process, high, low);
-    std::net::TcpListener::bind((address, 0))?.local_addr()
-}
